Refuse an unreadable lint configuration

Cause: clang-tidy exits 0 when it cannot parse its configuration, so the lint check passed without checking anything. Change: scripts/check.sh asks for the configuration first and fails if it cannot be read.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -4,6 +4,12 @@
 cd "$(dirname "$0")/.."
 scripts/install.sh
 build="${JAYDRIFT_BUILD_DIR:-build}"
+# clang-tidy ignores a configuration that it cannot read, so ask for it first.
+if clang-tidy-14 --dump-config src/jaydrift/core/hash.cpp 2>&1 \
+  | grep -q 'error:'; then
+  echo "lint: .clang-tidy cannot be read" >&2
+  exit 1
+fi
 git ls-files -co --exclude-standard '*.hpp' '*.cpp' \
   | xargs clang-format-14 --dry-run --Werror
 echo "format: clean"
