Add the policy module: versions, undo, zone closes, distribution

Cause: operators need versioned changes that are applied once, conflict when they race, and are in force everywhere before they are reported as accepted. Change: compare-and-swap of one record with tokens, lost answers resolved by reading back and by repeating the same write, early closes during a store outage, one watching daemon per region, relay across the region link once.

--- /dev/null
+++ b/include/jaydrift/decide/applied_token.hpp
@@ -0,0 +1,18 @@
+#ifndef JAYDRIFT_DECIDE_APPLIED_TOKEN_HPP
+#define JAYDRIFT_DECIDE_APPLIED_TOKEN_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::decide {
+
+/// Tells which policy version an operator's request made.
+struct applied_token
+{
+    std::string token;
+    std::uint64_t version = 0;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_APPLIED_TOKEN_HPP
--- a/include/jaydrift/decide/daemon_settings.hpp
+++ b/include/jaydrift/decide/daemon_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/member_info.hpp>
 #include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/core/zone_location.hpp>
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,9 @@
     /// Daemons to contact first; more are found through the store.
     std::vector<member_info> peers;
     std::vector<std::string> regions;
+
+    /// Availability zones that exist; a policy may name only these.
+    std::vector<zone_location> zones;
     std::uint32_t shards_per_region = 4;
 
     time_ms heartbeat_interval{500};
--- /dev/null
+++ b/include/jaydrift/decide/policy_distribution.hpp
@@ -0,0 +1,44 @@
+#ifndef JAYDRIFT_DECIDE_POLICY_DISTRIBUTION_HPP
+#define JAYDRIFT_DECIDE_POLICY_DISTRIBUTION_HPP
+
+#include <jaydrift/core/shard_id.hpp>
+#include <jaydrift/decide/event.hpp>
+#include <jaydrift/decide/policy_record.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace jaydrift::decide {
+
+struct context;
+struct daemon_state;
+
+/// Brings each policy version to every daemon: one daemon per region watches
+/// the store, and daemons send the version to those that are behind.
+namespace policy_distribution {
+
+/// Applies a record of the store if it is newer than the known one.
+void adopt(context& step, policy_record record, std::uint64_t revision);
+
+/// Sends the current version to the own region's daemons and to one daemon of
+/// each other region, which relays it.
+void send_to_members(context& step);
+
+/// Sends the current version to the own region's daemons.
+void send_to_region(context& step);
+void on_timer(context& step);
+void on_store_replied(context& step, store_replied const& event);
+void on_store_failed(context& step, store_failed const& event);
+
+/// Returns the shards with workers whose owner has not acknowledged a version.
+std::vector<shard_id> missing(daemon_state const& state, std::uint64_t version,
+                              time_ms now);
+
+/// Returns when `on_timer` is next due.
+time_ms next_timer(daemon_state const& state);
+
+} // namespace policy_distribution
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_POLICY_DISTRIBUTION_HPP
--- /dev/null
+++ b/include/jaydrift/decide/policy_record.hpp
@@ -0,0 +1,33 @@
+#ifndef JAYDRIFT_DECIDE_POLICY_RECORD_HPP
+#define JAYDRIFT_DECIDE_POLICY_RECORD_HPP
+
+#include <jaydrift/core/policy_document.hpp>
+#include <jaydrift/decide/applied_token.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaydrift::decide {
+
+/// Value of the store's key `policy/current`.
+struct policy_record
+{
+    policy_document current;
+
+    /// Content before the last change, for undo.
+    std::optional<policy_document> previous;
+
+    /// Operator requests that made the latest versions, newest last.
+    std::vector<applied_token> tokens;
+};
+
+std::string encode(policy_record const& record);
+
+/// Throws `record_error` if the value is malformed.
+policy_record decode_policy_record(std::string_view value);
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_POLICY_RECORD_HPP
--- a/include/jaydrift/decide/stop_state.hpp
+++ b/include/jaydrift/decide/stop_state.hpp
@@ -11,6 +11,7 @@
 struct stop_state
 {
     std::optional<time_ms> requested_at;
+    time_ms next_check;
     bool handing_over = false;
     bool exiting = false;
 };
--- a/src/jaydrift/decide/policy.cpp
+++ b/src/jaydrift/decide/policy.cpp
@@ -1,49 +1,251 @@
 #include <jaydrift/decide/policy.hpp>
 
+#include <jaydrift/core/record_error.hpp>
+#include <jaydrift/core/record_reader.hpp>
+#include <jaydrift/core/record_writer.hpp>
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/membership.hpp>
+#include <jaydrift/decide/ownership.hpp>
+#include <jaydrift/decide/policy_change.hpp>
+#include <jaydrift/decide/policy_distribution.hpp>
 
+#include <algorithm>
 #include <limits>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
 
 namespace jaydrift::decide::policy {
 
-void on_timer(context&) {}
+namespace {
 
-void on_operator_called(context&, operator_called const&) {}
+/// Shares that a policy may leave out.
+constexpr std::uint32_t default_share_percent = 100;
 
-void on_policy_update(context&, peer_called const&, policy_update const&) {}
+/// Time that the daemon which heard an operator's close has to write it,
+/// before another daemon that knows of it does.
+constexpr time_ms early_close_write_after{3000};
 
-void on_store_replied(context&, store_replied const&) {}
+/// Limits what heartbeats of a faulty peer can make this daemon keep.
+constexpr std::size_t max_early_closes = 64;
 
-void on_store_failed(context&, store_failed const&) {}
+early_close decode_early_close(std::string_view text, time_ms now)
+{
+    record_reader in(text);
+    early_close close;
+    close.zone = std::string(in.text());
+    close.version = in.unsigned_number();
+    close.token = std::string(in.text());
+    close.heard_at = now;
+    return close;
+}
+
+bool being_written(policy_state const& state, std::string_view token)
+{
+    return std::any_of(state.operations.begin(), state.operations.end(),
+                       [&](policy_operation const& operation) {
+                           auto const* const change =
+                               std::get_if<set_zone>(&operation.change);
+                           return change != nullptr && change->token == token;
+                       });
+}
+
+/// Writes closes whose first daemon has died before it could.
+void adopt_orphaned_closes(context& step)
+{
+    auto const& state = step.state.policy;
+    for (auto const& close : state.early_closes)
+    {
+        if (step.now >= close.heard_at + early_close_write_after
+            && !being_written(state, close.token)
+            && membership::store_available(step.state, step.now))
+        {
+            policy_change::start(step, std::nullopt,
+                                 set_zone{close.zone, false, close.token});
+            return;
+        }
+    }
+}
+
+operator_reply show(daemon_state const& state)
+{
+    operator_reply reply;
+    reply.policy = current(state);
+    reply.version = reply.policy.version;
+    return reply;
+}
+
+operator_reply show_members_and_shards(daemon_state const& state, time_ms now)
+{
+    operator_reply reply;
+    reply.version = version(state);
+    reply.members = membership::status(state, now);
+    reply.shards = ownership::status(state, now);
+    return reply;
+}
+
+} // namespace
+
+void on_timer(context& step)
+{
+    policy_change::on_timer(step);
+    policy_distribution::on_timer(step);
+    adopt_orphaned_closes(step);
+}
+
+void on_operator_called(context& step, operator_called const& call)
+{
+    if (std::holds_alternative<show_policy>(call.request))
+    {
+        step.emit(answer_operator{call.call, show(step.state)});
+        return;
+    }
+    if (std::holds_alternative<show_status>(call.request))
+    {
+        step.emit(answer_operator{
+            call.call, show_members_and_shards(step.state, step.now)});
+        return;
+    }
+    if (std::holds_alternative<show_timeline>(call.request))
+    {
+        // The process answers this call itself: the reducer keeps no events.
+        step.emit(answer_operator{call.call, operator_reply{}});
+        return;
+    }
+    policy_change::start(step, call.call, call.request);
+}
+
+void on_policy_update(context& step, peer_called const& call,
+                      policy_update const& update)
+{
+    bool const newer = update.policy.version > version(step.state);
+    policy_record record;
+    record.current = update.policy;
+    if (newer)
+    {
+        // The revision stays unknown; a change by this daemon reads it first.
+        policy_distribution::adopt(step, std::move(record), 0);
+    }
+    if (newer && update.relay)
+    {
+        policy_distribution::send_to_region(step);
+    }
+    step.emit(answer_peer{call.call, peer_acknowledgement{}});
+}
+
+void on_store_replied(context& step, store_replied const& event)
+{
+    if (!policy_change::on_store_replied(step, event))
+    {
+        policy_distribution::on_store_replied(step, event);
+    }
+}
+
+void on_store_failed(context& step, store_failed const& event)
+{
+    if (!policy_change::on_store_failed(step, event))
+    {
+        policy_distribution::on_store_failed(step, event);
+    }
+}
 
 void on_peer_replied(context&, peer_replied const&) {}
 
-void on_peer_failed(context&, peer_failed const&) {}
+void on_peer_failed(context& step, peer_failed const& event)
+{
+    // The next comparison of members sends the version again.
+    step.state.policy.sent_at.erase(event.daemon);
+}
 
-void on_early_closed(context&, std::span<std::string const>) {}
+void on_early_closed(context& step, std::span<std::string const> zones)
+{
+    auto& state = step.state.policy;
+    for (auto const& text : zones)
+    {
+        early_close close;
+        try
+        {
+            close = decode_early_close(text, step.now);
+        }
+        catch (record_error const&)
+        {
+            continue;
+        }
+        bool const known = std::any_of(
+            state.early_closes.begin(), state.early_closes.end(),
+            [&](early_close const& c) { return c.token == close.token; });
+        if (known || close.version < version(step.state)
+            || state.early_closes.size() >= max_early_closes)
+        {
+            continue;
+        }
+        step.log(log_level::warning, "policy",
+                 "Zone " + close.zone + " is closed before it is durable.");
+        step.record("zone_closed_early", {}, {}, close.zone);
+        state.early_closes.push_back(std::move(close));
+    }
+}
 
-std::uint64_t version(daemon_state const&) { return {}; }
+std::uint64_t version(daemon_state const& state)
+{
+    return state.policy.record.current.version;
+}
 
-policy_document const& current(daemon_state const&)
+policy_document const& current(daemon_state const& state)
 {
-    static policy_document const none;
-    return none;
+    return state.policy.record.current;
 }
 
-bool zone_open(daemon_state const&, std::string_view) { return {}; }
+bool zone_open(daemon_state const& state, std::string_view zone)
+{
+    auto const& zones = current(state).zones;
+    auto const found =
+        std::find_if(zones.begin(), zones.end(),
+                     [&](auto const& z) { return z.name == zone; });
+    auto const& closes = state.policy.early_closes;
+    bool const closed_early =
+        std::any_of(closes.begin(), closes.end(),
+                    [&](auto const& c) { return c.zone == zone; });
+    return found != zones.end() && found->open && !closed_early;
+}
 
-kind_policy const* find_kind(daemon_state const&, std::string_view)
+kind_policy const* find_kind(daemon_state const& state, std::string_view kind)
 {
-    return {};
+    auto const& kinds = current(state).kinds;
+    auto const found =
+        std::find_if(kinds.begin(), kinds.end(),
+                     [&](auto const& k) { return k.kind == kind; });
+    return found == kinds.end() ? nullptr : &*found;
 }
 
-std::uint32_t share(daemon_state const&, task_class) { return {}; }
+std::uint32_t share(daemon_state const& state, task_class priority)
+{
+    auto const& shares = current(state).shares;
+    auto const found =
+        std::find_if(shares.begin(), shares.end(),
+                     [&](auto const& s) { return s.priority == priority; });
+    return found == shares.end() ? default_share_percent : found->percent;
+}
 
-std::vector<std::string> early_closed(daemon_state const&) { return {}; }
+std::vector<std::string> early_closed(daemon_state const& state)
+{
+    std::vector<std::string> result;
+    for (auto const& close : state.policy.early_closes)
+    {
+        result.push_back(record_writer()
+                             .text(close.zone)
+                             .number(close.version)
+                             .text(close.token)
+                             .take());
+    }
+    return result;
+}
 
-time_ms next_timer(daemon_state const&)
+time_ms next_timer(daemon_state const& state)
 {
-    return time_ms(std::numeric_limits<std::int64_t>::max());
+    return std::min(policy_change::next_timer(state),
+                    policy_distribution::next_timer(state));
 }
 
 } // namespace jaydrift::decide::policy
--- a/src/jaydrift/decide/stop.cpp
+++ b/src/jaydrift/decide/stop.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr time_ms poll_interval{50};
+constexpr time_ms check_interval{50};
 
 } // namespace
 
@@ -22,6 +22,7 @@
         return;
     }
     stop.requested_at = step.now;
+    stop.next_check = step.now + step.state.settings.drain;
     step.log(log_level::info, "stop", "Planned stop begins.");
     step.record("stop_requested");
 }
@@ -33,10 +34,11 @@
     {
         return;
     }
-    if (step.now < *stop.requested_at + step.state.settings.drain)
+    if (step.now < stop.next_check)
     {
         return;
     }
+    stop.next_check = step.now + check_interval;
     if (!stop.handing_over)
     {
         stop.handing_over = true;
@@ -59,12 +61,9 @@
 time_ms next_timer(daemon_state const& state)
 {
     auto const& stop = state.stop;
-    if (!stop.requested_at || stop.exiting)
-    {
-        return time_ms(std::numeric_limits<std::int64_t>::max());
-    }
-    auto const first = *stop.requested_at + state.settings.drain;
-    return stop.handing_over ? first + poll_interval : first;
+    bool const active = stop.requested_at && !stop.exiting;
+    return active ? stop.next_check
+                  : time_ms(std::numeric_limits<std::int64_t>::max());
 }
 
 } // namespace jaydrift::decide::stop
