--- /dev/null
+++ b/include/jaydrift/scenario/world_settings.hpp
@@ -0,0 +1,37 @@
+#ifndef JAYDRIFT_SCENARIO_WORLD_SETTINGS_HPP
+#define JAYDRIFT_SCENARIO_WORLD_SETTINGS_HPP
+
+#include <jaydrift/core/resources.hpp>
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/core/zone_location.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jaydrift::scenario {
+
+/// Size and place of a scenario's deployment.
+struct world_settings
+{
+    std::vector<zone_location> zones;
+
+    /// Region of the store.
+    std::string store_region;
+    std::uint32_t workers_per_zone = 3;
+    std::uint32_t daemons_per_zone = 2;
+    std::uint32_t shards_per_region = 2;
+    resources worker_capacity{8000, 32000, 2};
+
+    /// Time that an executor takes for an urgent request.
+    time_ms service_time{20};
+    std::uint64_t seed = 1;
+};
+
+/// Returns the settings of a deployment, `formosa` or `kallaloo`.
+/// Throws `std::invalid_argument` for another name.
+world_settings deployment(std::string const& name);
+
+} // namespace jaydrift::scenario
+
+#endif // JAYDRIFT_SCENARIO_WORLD_SETTINGS_HPP
--- /dev/null
+++ b/src/jaydrift/scenario/world_callers.cpp
@@ -0,0 +1,167 @@
+#include <jaydrift/scenario/world.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace jaydrift::scenario {
+
+namespace {
+
+/// One-way delay between a caller and a daemon.
+constexpr time_ms caller_delay{1};
+
+std::string job_id(job_request const& request)
+{
+    return std::visit([](auto const& value) { return value.id; }, request);
+}
+
+policy_document default_policy(std::span<zone_location const> zones)
+{
+    policy_document policy;
+    policy.comment = "first policy";
+    for (auto const& zone : zones)
+    {
+        policy.zones.push_back({zone.zone, zone.region, true});
+    }
+    policy.kinds = {
+        {"triage", task_class::urgent, true, {500, 500, 0}},
+        {"tally", task_class::urgent, false, {500, 500, 0}},
+        {"route_watch", task_class::service, false, {500, 500, 0}},
+        {"recalculation", task_class::batch, false, {}},
+        {"menu_plan", task_class::batch, false, {}},
+        {"archive_sweep", task_class::background, false, {}},
+    };
+    policy.shares = {{task_class::urgent, 100},
+                     {task_class::service, 100},
+                     {task_class::batch, 80},
+                     {task_class::background, 40}};
+    return policy;
+}
+
+} // namespace
+
+void world::submit(std::string const& daemon, urgent_request const& request)
+{
+    oracle_.on_submitted(request.id, request.kind, request.payload);
+    auto const asked_at = now_;
+    at(now_ + caller_delay, [=, this] {
+        call_daemon(
+            daemon,
+            [&](std::uint64_t call) {
+                return decide::request_arrived{call, request};
+            },
+            [=, this](decide::effect const& item) {
+                auto const* const reply =
+                    std::get_if<decide::answer_caller>(&item);
+                if (reply == nullptr)
+                {
+                    return;
+                }
+                oracle_.on_answered(request.id, reply->result, now_);
+                answers_.push_back(
+                    {request.id, daemon, reply->result, asked_at, now_});
+            });
+    });
+}
+
+void world::submit_with_retries(urgent_request const& request, time_ms interval)
+{
+    retry(request, random_.below(daemons_.size()), interval,
+          now_ + request.patience);
+}
+
+void world::retry(urgent_request const& request, std::size_t turn,
+                  time_ms interval, time_ms give_up_at)
+{
+    auto const answered = answers_of(request.id);
+    bool const complete =
+        std::any_of(answered.begin(), answered.end(), [](auto const& a) {
+            return a.result.outcome == request_outcome::completed;
+        });
+    if (complete || now_ >= give_up_at)
+    {
+        return;
+    }
+    auto const names = daemon_names();
+    submit(names[turn % names.size()], request);
+    at(now_ + interval,
+       [=, this] { retry(request, turn + 1, interval, give_up_at); });
+}
+
+void world::send_job(std::string const& daemon, job_request const& request)
+{
+    at(now_ + caller_delay, [=, this] {
+        call_daemon(
+            daemon,
+            [&](std::uint64_t call) {
+                return decide::job_arrived{call, request};
+            },
+            [=, this](decide::effect const& item) {
+                auto const* const reply =
+                    std::get_if<decide::answer_job>(&item);
+                if (reply == nullptr)
+                {
+                    return;
+                }
+                if (reply->reply.job.state == job_state::finished
+                    && reply->reply.status == call_status::ok)
+                {
+                    oracle_.on_job_ended(job_id(request), now_);
+                }
+                job_replies_[job_id(request)] = reply->reply;
+            });
+    });
+}
+
+void world::send_operator(std::string const& daemon,
+                          operator_request const& request)
+{
+    auto const* const zone = std::get_if<set_zone>(&request);
+    if (zone != nullptr && zone->open)
+    {
+        oracle_.on_zone_opening(zone->zone);
+    }
+    if (std::holds_alternative<undo_policy>(request))
+    {
+        for (auto const& known : settings_.zones)
+        {
+            oracle_.on_zone_opening(known.zone);
+        }
+    }
+    at(now_ + caller_delay, [=, this] {
+        call_daemon(
+            daemon,
+            [&](std::uint64_t call) {
+                return decide::operator_called{call, request};
+            },
+            [=, this](decide::effect const& item) {
+                auto const* const reply =
+                    std::get_if<decide::answer_operator>(&item);
+                if (reply == nullptr)
+                {
+                    return;
+                }
+                ++operator_replies_;
+                last_operator_reply_ = reply->reply;
+                auto const* const change = std::get_if<set_zone>(&request);
+                if (change != nullptr && !change->open
+                    && reply->reply.status == call_status::ok)
+                {
+                    oracle_.on_zone_closed(change->zone, now_);
+                }
+            });
+    });
+}
+
+bool world::apply_default_policy(std::string const& daemon)
+{
+    auto const before = operator_replies_;
+    constexpr time_ms limit{20000};
+    send_operator(daemon, apply_policy{default_policy(settings_.zones), 0,
+                                       "default-policy"});
+    return run_until([&] { return operator_replies_ > before; }, limit)
+           && last_operator_reply_->status == call_status::ok;
+}
+
+} // namespace jaydrift::scenario
--- /dev/null
+++ b/src/jaydrift/scenario/world_platform.cpp
@@ -0,0 +1,201 @@
+#include <jaydrift/scenario/world.hpp>
+
+#include <jaydrift/standin/answer_body.hpp>
+#include <jaydrift/standin/reduce_store.hpp>
+#include <jaydrift/standin/reduce_worker.hpp>
+#include <jaydrift/standin/worker_oracle.hpp>
+
+#include <algorithm>
+#include <span>
+#include <utility>
+#include <variant>
+
+namespace jaydrift::scenario {
+
+namespace {
+
+constexpr time_ms never{std::int64_t{1} << 60U};
+
+} // namespace
+
+void world::kill_worker(std::string const& name)
+{
+    auto& node = workers_.at(name);
+    node.alive = false;
+    ++node.incarnation;
+    node.calls.clear();
+    oracle_.on_worker_died(name);
+    note(name, "dies");
+}
+
+void world::start_worker(std::string const& name)
+{
+    auto& node = workers_.at(name);
+    node.alive = true;
+    ++node.incarnation;
+    node.state = standin::worker_state();
+    node.state.settings.capacity = settings_.worker_capacity;
+    node.log_seen = 0;
+    node.timer_at = never;
+    note(name, "starts");
+    run_store(standin::mark_vm{name, vm_state::live});
+}
+
+void world::mark_worker(std::string const& name, vm_state state)
+{
+    note(name, state == vm_state::leaving ? "is leaving" : "changes state");
+    if (state == vm_state::leaving)
+    {
+        oracle_.on_leaving(name, now_);
+    }
+    run_store(standin::mark_vm{name, state});
+}
+
+void world::set_worker_fault(std::string const& name,
+                             standin::worker_fault fault, std::int64_t value)
+{
+    run_worker(workers_.at(name), standin::set_worker_fault{fault, value});
+}
+
+void world::set_store_fault(standin::store_fault fault, std::int64_t value)
+{
+    run_store(standin::set_store_fault{fault, value});
+}
+
+void world::call_worker(worker_node& node, worker_request const& request,
+                        std::function<void(worker_reply const&)> reply)
+{
+    auto const call = ++node.last_call;
+    node.calls.emplace(call, std::move(reply));
+    run_worker(node, standin::worker_called{call, request});
+}
+
+void world::run_worker(worker_node& node, standin::worker_event const& input)
+{
+    if (!node.alive)
+    {
+        return;
+    }
+    auto const effects =
+        standin::reduce(node.state, input, now_ + node.clock_offset);
+    observe(node);
+    for (auto const& item : effects)
+    {
+        if (auto const* const reply =
+                std::get_if<standin::answer_worker_call>(&item))
+        {
+            auto const found = node.calls.find(reply->number);
+            if (found != node.calls.end())
+            {
+                auto const respond = std::move(found->second);
+                node.calls.erase(found);
+                respond(reply->reply);
+            }
+        }
+        else if (auto const* const run =
+                     std::get_if<standin::run_on_executor>(&item))
+        {
+            at(now_ + settings_.service_time, [this, &node, run = *run,
+                                               life = node.incarnation] {
+                if (node.incarnation == life)
+                {
+                    run_worker(node, standin::executor_answered{
+                                         run.task, run.attempt,
+                                         standin::executor_result::finished,
+                                         standin::answer_body(
+                                             run.task, run.kind, run.payload)});
+                }
+            });
+        }
+    }
+    arm_timer(node);
+}
+
+void world::arm_timer(worker_node& node)
+{
+    auto const due = standin::next_timer(node.state);
+    if (due.count() >= never.count())
+    {
+        return;
+    }
+    auto const when = std::max(due - node.clock_offset, now_ + time_ms(1));
+    if (node.timer_at > now_ && node.timer_at <= when)
+    {
+        return;
+    }
+    node.timer_at = when;
+    at(when, [this, &node, when, life = node.incarnation] {
+        if (node.incarnation == life && node.timer_at == when)
+        {
+            node.timer_at = never;
+            run_worker(node, standin::timer_due{});
+        }
+    });
+}
+
+void world::observe(worker_node& node)
+{
+    auto const log = std::span(node.state.log);
+    oracle_.on_runs(node.vm.worker, node.vm.zone, log.subspan(node.log_seen),
+                    now_);
+    node.log_seen = log.size();
+    oracle_.on_resources(node.vm.worker, standin::held_resources(node.state),
+                         node.state.settings.capacity, now_);
+}
+
+void world::call_store(store_request const& request,
+                       std::function<void(store_reply const&)> reply)
+{
+    auto const call = ++last_store_call_;
+    store_calls_.emplace(call, std::move(reply));
+    run_store(standin::store_called{call, request});
+}
+
+void world::run_store(standin::store_event const& input)
+{
+    auto const effects = standin::reduce(store_, input, now_);
+    for (auto const& item : effects)
+    {
+        if (auto const* const reply =
+                std::get_if<standin::answer_store_call>(&item))
+        {
+            auto const found = store_calls_.find(reply->number);
+            if (found != store_calls_.end())
+            {
+                auto const respond = std::move(found->second);
+                store_calls_.erase(found);
+                respond(reply->reply);
+            }
+        }
+        else if (auto const* const drop =
+                     std::get_if<standin::drop_store_call>(&item))
+        {
+            store_calls_.erase(drop->number);
+        }
+    }
+    arm_store_timer();
+}
+
+void world::arm_store_timer()
+{
+    auto const due = standin::next_timer(store_);
+    if (due.count() >= never.count())
+    {
+        return;
+    }
+    auto const when = std::max(due, now_ + time_ms(1));
+    if (store_timer_at_ > now_ && store_timer_at_ <= when)
+    {
+        return;
+    }
+    store_timer_at_ = when;
+    at(when, [this, when] {
+        if (store_timer_at_ == when)
+        {
+            store_timer_at_ = time_ms(0);
+            run_store(standin::timer_due{});
+        }
+    });
+}
+
+} // namespace jaydrift::scenario
