Add the stand-ins of the platform as reducers

Cause: tests need a store, VM list, workers and backend servers. Change: library standin with one reducer each for the store with the VM list, the worker and the backend server; no clock, socket or log.

--- /dev/null
+++ b/include/jaydrift/standin/answer_execution.hpp
@@ -0,0 +1,19 @@
+#ifndef JAYDRIFT_STANDIN_ANSWER_EXECUTION_HPP
+#define JAYDRIFT_STANDIN_ANSWER_EXECUTION_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::standin {
+
+/// Answers an execution with an HTTP status.
+struct answer_execution
+{
+    std::uint64_t number = 0;
+    int status = 200;
+    std::string body;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_ANSWER_EXECUTION_HPP
--- /dev/null
+++ b/include/jaydrift/standin/backend_state.hpp
@@ -0,0 +1,30 @@
+#ifndef JAYDRIFT_STANDIN_BACKEND_STATE_HPP
+#define JAYDRIFT_STANDIN_BACKEND_STATE_HPP
+
+#include <jaydrift/core/random.hpp>
+#include <jaydrift/standin/backend_settings.hpp>
+#include <jaydrift/standin/running_execution.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jaydrift::standin {
+
+/// State of the stand-in of a backend server.
+struct backend_state
+{
+    backend_settings settings;
+    random_source random;
+    std::vector<running_execution> running;
+    /// Executions begun per request ID; more than 1 is a double execution.
+    std::map<std::string, std::uint64_t> executions;
+    time_ms slowness;
+    bool fail = false;
+    bool draining = false;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_BACKEND_STATE_HPP
--- /dev/null
+++ b/include/jaydrift/standin/cancel_on_executor.hpp
@@ -0,0 +1,18 @@
+#ifndef JAYDRIFT_STANDIN_CANCEL_ON_EXECUTOR_HPP
+#define JAYDRIFT_STANDIN_CANCEL_ON_EXECUTOR_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::standin {
+
+/// Gives up an urgent request that was passed to the executor.
+struct cancel_on_executor
+{
+    std::string task;
+    std::uint32_t attempt = 0;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_CANCEL_ON_EXECUTOR_HPP
--- /dev/null
+++ b/include/jaydrift/standin/delayed_answer.hpp
@@ -0,0 +1,18 @@
+#ifndef JAYDRIFT_STANDIN_DELAYED_ANSWER_HPP
+#define JAYDRIFT_STANDIN_DELAYED_ANSWER_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/standin/answer_store_call.hpp>
+
+namespace jaydrift::standin {
+
+/// An answer of a slow store on its way.
+struct delayed_answer
+{
+    time_ms due;
+    answer_store_call answer;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_DELAYED_ANSWER_HPP
--- /dev/null
+++ b/include/jaydrift/standin/mark_vm.hpp
@@ -0,0 +1,19 @@
+#ifndef JAYDRIFT_STANDIN_MARK_VM_HPP
+#define JAYDRIFT_STANDIN_MARK_VM_HPP
+
+#include <jaydrift/core/vm_state.hpp>
+
+#include <string>
+
+namespace jaydrift::standin {
+
+/// Changes the state of a VM in the platform's list.
+struct mark_vm
+{
+    std::string worker;
+    vm_state state = vm_state::leaving;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_MARK_VM_HPP
--- /dev/null
+++ b/include/jaydrift/standin/never.hpp
@@ -0,0 +1,16 @@
+#ifndef JAYDRIFT_STANDIN_NEVER_HPP
+#define JAYDRIFT_STANDIN_NEVER_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstdint>
+#include <limits>
+
+namespace jaydrift::standin {
+
+/// A point in time that is not reached; the timer of an idle reducer.
+inline constexpr time_ms never{std::numeric_limits<std::int64_t>::max()};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_NEVER_HPP
--- /dev/null
+++ b/include/jaydrift/standin/reduce_backend.hpp
@@ -0,0 +1,22 @@
+#ifndef JAYDRIFT_STANDIN_REDUCE_BACKEND_HPP
+#define JAYDRIFT_STANDIN_REDUCE_BACKEND_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/standin/backend_effect.hpp>
+#include <jaydrift/standin/backend_event.hpp>
+
+namespace jaydrift::standin {
+
+struct backend_state;
+
+/// Takes one step of a backend server: changes the state and returns what to
+/// do.
+backend_effects reduce(backend_state& state, backend_event const& input,
+                       time_ms now);
+
+/// Returns when the backend server next needs a `timer_due` event.
+time_ms next_timer(backend_state const& state);
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_REDUCE_BACKEND_HPP
--- /dev/null
+++ b/include/jaydrift/standin/reduce_store.hpp
@@ -0,0 +1,20 @@
+#ifndef JAYDRIFT_STANDIN_REDUCE_STORE_HPP
+#define JAYDRIFT_STANDIN_REDUCE_STORE_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/standin/store_effect.hpp>
+#include <jaydrift/standin/store_event.hpp>
+
+namespace jaydrift::standin {
+
+struct store_state;
+
+/// Takes one step of the store: changes the state and returns what to do.
+store_effects reduce(store_state& state, store_event const& input, time_ms now);
+
+/// Returns when the store next needs a `timer_due` event.
+time_ms next_timer(store_state const& state);
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_REDUCE_STORE_HPP
--- /dev/null
+++ b/include/jaydrift/standin/set_backend_fault.hpp
@@ -0,0 +1,19 @@
+#ifndef JAYDRIFT_STANDIN_SET_BACKEND_FAULT_HPP
+#define JAYDRIFT_STANDIN_SET_BACKEND_FAULT_HPP
+
+#include <jaydrift/standin/backend_fault.hpp>
+
+#include <cstdint>
+
+namespace jaydrift::standin {
+
+/// Sets or ends a fault of a backend server.
+struct set_backend_fault
+{
+    backend_fault fault = backend_fault::slowness;
+    std::int64_t value = 0;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_SET_BACKEND_FAULT_HPP
--- /dev/null
+++ b/include/jaydrift/standin/timer_due.hpp
@@ -0,0 +1,13 @@
+#ifndef JAYDRIFT_STANDIN_TIMER_DUE_HPP
+#define JAYDRIFT_STANDIN_TIMER_DUE_HPP
+
+namespace jaydrift::standin {
+
+/// Time has passed; sent when the reducer's next timer is due.
+struct timer_due
+{
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_TIMER_DUE_HPP
--- /dev/null
+++ b/include/jaydrift/standin/waiting_watch.hpp
@@ -0,0 +1,21 @@
+#ifndef JAYDRIFT_STANDIN_WAITING_WATCH_HPP
+#define JAYDRIFT_STANDIN_WAITING_WATCH_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/core/watch_request.hpp>
+
+#include <cstdint>
+
+namespace jaydrift::standin {
+
+/// A watch that has not been answered yet.
+struct waiting_watch
+{
+    std::uint64_t number = 0;
+    watch_request request;
+    time_ms expires_at;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_WAITING_WATCH_HPP
--- /dev/null
+++ b/include/jaydrift/standin/worker_calls.hpp
@@ -0,0 +1,27 @@
+#ifndef JAYDRIFT_STANDIN_WORKER_CALLS_HPP
+#define JAYDRIFT_STANDIN_WORKER_CALLS_HPP
+
+#include <jaydrift/core/worker_request.hpp>
+#include <jaydrift/standin/worker_step.hpp>
+
+#include <cstdint>
+
+namespace jaydrift::standin {
+
+/// The calls to a worker and the rules by which it refuses them.
+namespace worker_calls {
+
+void on_call(worker_step& step, std::uint64_t number,
+             fence_request const& request);
+void on_call(worker_step& step, std::uint64_t number,
+             renew_request const& request);
+void on_call(worker_step& step, std::uint64_t number,
+             start_request const& request);
+void on_call(worker_step& step, std::uint64_t number,
+             control_request const& request);
+
+} // namespace worker_calls
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_WORKER_CALLS_HPP
--- /dev/null
+++ b/include/jaydrift/standin/worker_oracle.hpp
@@ -0,0 +1,21 @@
+#ifndef JAYDRIFT_STANDIN_WORKER_ORACLE_HPP
+#define JAYDRIFT_STANDIN_WORKER_ORACLE_HPP
+
+#include <jaydrift/core/resources.hpp>
+#include <jaydrift/standin/run_log_entry.hpp>
+
+#include <span>
+
+namespace jaydrift::standin {
+
+struct worker_state;
+
+/// Returns the resources that running tasks hold, counted afresh.
+resources held_resources(worker_state const& state);
+
+/// Tells whether some task in a run log has two runs at the same time.
+bool has_overlapping_runs(std::span<run_log_entry const> log);
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_WORKER_ORACLE_HPP
--- /dev/null
+++ b/include/jaydrift/standin/worker_settings.hpp
@@ -0,0 +1,24 @@
+#ifndef JAYDRIFT_STANDIN_WORKER_SETTINGS_HPP
+#define JAYDRIFT_STANDIN_WORKER_SETTINGS_HPP
+
+#include <jaydrift/core/resources.hpp>
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstddef>
+
+namespace jaydrift::standin {
+
+/// Capacity and delays of a worker.
+struct worker_settings
+{
+    resources capacity;
+    /// Urgent requests of one kind that run at the same time.
+    std::size_t slots_per_kind = 8;
+    /// An ended task is remembered this long, so that it is not started again.
+    time_ms retention{600'000};
+    time_ms usage_interval{1'000};
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_WORKER_SETTINGS_HPP
--- /dev/null
+++ b/include/jaydrift/standin/worker_state.hpp
@@ -0,0 +1,60 @@
+#ifndef JAYDRIFT_STANDIN_WORKER_STATE_HPP
+#define JAYDRIFT_STANDIN_WORKER_STATE_HPP
+
+#include <jaydrift/core/resources.hpp>
+#include <jaydrift/core/shard_id.hpp>
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/core/usage_report.hpp>
+#include <jaydrift/standin/ended_run.hpp>
+#include <jaydrift/standin/run_log_entry.hpp>
+#include <jaydrift/standin/shard_term.hpp>
+#include <jaydrift/standin/task_run.hpp>
+#include <jaydrift/standin/worker_settings.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jaydrift::standin {
+
+/// State of the stand-in of a worker.
+struct worker_state
+{
+    worker_settings settings;
+
+    std::map<shard_id, shard_term> shards;
+    std::uint64_t policy_version = 0;
+
+    /// Running and remembered tasks by ID.
+    std::map<std::string, task_run, std::less<>> runs;
+    std::set<std::string, std::less<>> running;
+    std::deque<ended_run> ended;
+    /// Time up to which the work done is counted.
+    time_ms progressed_to;
+    resources used;
+    /// Highest use of each resource so far.
+    resources max_used;
+    std::vector<run_log_entry> log;
+
+    /// Measurements, oldest first, until a newer one may be reported.
+    std::deque<usage_report> usage;
+    std::uint64_t usage_generation = 0;
+    time_ms next_usage;
+
+    bool fail_starts = false;
+    bool leaving = false;
+    time_ms usage_lag{5'000};
+    std::int64_t run_time_permille = 1000;
+    std::int64_t usage_permille = 1000;
+    /// Slowdown of the first kind by the second, in thousandths.
+    std::map<std::pair<std::string, std::string>, std::int64_t> noise;
+};
+
+} // namespace jaydrift::standin
+
+#endif // JAYDRIFT_STANDIN_WORKER_STATE_HPP
--- /dev/null
+++ b/src/jaydrift/standin/reduce_worker.cpp
@@ -0,0 +1,94 @@
+#include <jaydrift/standin/reduce_worker.hpp>
+
+#include <jaydrift/standin/worker_calls.hpp>
+#include <jaydrift/standin/worker_progress.hpp>
+#include <jaydrift/standin/worker_step.hpp>
+#include <jaydrift/standin/worker_tasks.hpp>
+
+#include <algorithm>
+#include <variant>
+
+namespace jaydrift::standin {
+
+namespace {
+
+/// Handles one event of a worker.
+class dispatcher
+{
+public:
+    explicit dispatcher(worker_step& step) : step_(step) {}
+
+    void operator()(timer_due const&) {}
+
+    void operator()(worker_called const& input)
+    {
+        std::visit(
+            [&](auto const& request) {
+                worker_calls::on_call(step_, input.number, request);
+            },
+            input.request);
+    }
+
+    void operator()(executor_answered const& input)
+    {
+        worker_tasks::on_executor_answered(step_, input);
+    }
+
+    void operator()(set_worker_fault const& input)
+    {
+        auto& state = step_.state;
+        switch (input.fault)
+        {
+        case worker_fault::fail_starts:
+            state.fail_starts = input.value != 0;
+            return;
+        case worker_fault::leave:
+            state.leaving = input.value != 0;
+            step_.record(state.leaving ? "vm_leaving" : "vm_staying");
+            return;
+        case worker_fault::usage_lag:
+            state.usage_lag = time_ms(input.value);
+            return;
+        case worker_fault::run_time_permille:
+            state.run_time_permille = bounded(input.value);
+            return;
+        case worker_fault::usage_permille:
+            state.usage_permille = bounded(input.value);
+            return;
+        }
+    }
+
+    void operator()(set_noise const& input)
+    {
+        step_.state.noise[{input.kind, input.noisy_kind}] =
+            bounded(input.permille);
+    }
+
+private:
+    static std::int64_t bounded(std::int64_t permille)
+    {
+        return std::clamp<std::int64_t>(permille, 1, 100'000);
+    }
+
+    worker_step& step_;
+};
+
+} // namespace
+
+worker_effects reduce(worker_state& state, worker_event const& input,
+                      time_ms now)
+{
+    worker_effects effects;
+    worker_step step{state, now, effects};
+    worker_progress::advance(step);
+    worker_tasks::forget_old(step);
+    std::visit(dispatcher(step), input);
+    return effects;
+}
+
+time_ms next_timer(worker_state const& state)
+{
+    return worker_progress::next_due(state);
+}
+
+} // namespace jaydrift::standin
--- /dev/null
+++ b/src/jaydrift/standin/store_values.cpp
@@ -0,0 +1,205 @@
+#include <jaydrift/standin/store_values.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <vector>
+
+namespace jaydrift::standin::store_values {
+
+namespace {
+
+std::uint64_t revision_of(store_state const& state, std::string_view key)
+{
+    auto const found = state.values.find(key);
+    return found == state.values.end() ? 0 : found->second.revision;
+}
+
+void detach(store_state& state, std::uint64_t lease, std::string const& key)
+{
+    if (auto found = state.leases.find(lease); found != state.leases.end())
+    {
+        found->second.keys.erase(key);
+    }
+}
+
+void remove(store_state& state, std::string const& key)
+{
+    auto const found = state.values.find(key);
+    if (found == state.values.end())
+    {
+        return;
+    }
+    detach(state, found->second.lease, key);
+    state.values.erase(found);
+    state.deleted[key] = ++state.revision;
+}
+
+store_reply with_outcome(store_outcome outcome, std::uint64_t revision)
+{
+    store_reply reply;
+    reply.outcome = outcome;
+    reply.revision = revision;
+    return reply;
+}
+
+/// Calls `visit` with each item of a sorted map whose key has the prefix.
+template<class Map, class Visit>
+void for_prefix(Map const& map, std::string_view prefix, Visit visit)
+{
+    for (auto item = map.lower_bound(prefix);
+         item != map.end() && item->first.starts_with(prefix); ++item)
+    {
+        visit(*item);
+    }
+}
+
+store_entry entry_of(std::pair<std::string const, stored_value> const& item)
+{
+    return {item.first, item.second.value, item.second.revision,
+            item.second.token};
+}
+
+} // namespace
+
+store_reply run(store_step& step, put_request const& request)
+{
+    auto& state = step.state;
+    auto const current = revision_of(state, request.key);
+    if (request.value.size() > state.settings.max_value_bytes)
+    {
+        return with_outcome(store_outcome::too_large, current);
+    }
+    if (request.expected_revision.value_or(current) != current)
+    {
+        return with_outcome(store_outcome::conflict, current);
+    }
+    if (request.lease != 0 && !state.leases.contains(request.lease))
+    {
+        return with_outcome(store_outcome::lease_expired, current);
+    }
+    auto& kept = state.values[request.key];
+    detach(state, kept.lease, request.key);
+    kept = {request.value, ++state.revision, request.token, request.lease};
+    state.deleted.erase(request.key);
+    if (request.lease != 0)
+    {
+        state.leases[request.lease].keys.insert(request.key);
+    }
+    return with_outcome(store_outcome::ok, state.revision);
+}
+
+store_reply run(store_step& step, erase_request const& request)
+{
+    auto& state = step.state;
+    auto const current = revision_of(state, request.key);
+    if (request.expected_revision.value_or(current) != current)
+    {
+        return with_outcome(store_outcome::conflict, current);
+    }
+    if (current == 0)
+    {
+        return with_outcome(store_outcome::not_found, 0);
+    }
+    remove(state, request.key);
+    return with_outcome(store_outcome::ok, state.revision);
+}
+
+store_reply run(store_step& step, read_request const& request)
+{
+    auto reply = with_outcome(store_outcome::ok, step.state.revision);
+    for_prefix(step.state.values, request.prefix, [&](auto const& item) {
+        reply.entries.push_back(entry_of(item));
+    });
+    return reply;
+}
+
+store_reply run(store_step& step, grant_lease_request const& request)
+{
+    auto& state = step.state;
+    auto reply = with_outcome(store_outcome::ok, state.revision);
+    reply.lease = ++state.last_lease;
+    state.leases[reply.lease] = {
+        request.time_to_live, step.now + request.time_to_live, {}};
+    return reply;
+}
+
+store_reply run(store_step& step, keep_alive_request const& request)
+{
+    auto& state = step.state;
+    auto const found = state.leases.find(request.lease);
+    if (found == state.leases.end())
+    {
+        return with_outcome(store_outcome::lease_expired, state.revision);
+    }
+    found->second.expires_at = step.now + found->second.time_to_live;
+    auto reply = with_outcome(store_outcome::ok, state.revision);
+    reply.lease = request.lease;
+    return reply;
+}
+
+void expire_leases(store_step& step)
+{
+    auto& state = step.state;
+    for (auto lease = state.leases.begin(); lease != state.leases.end();)
+    {
+        if (lease->second.expires_at > step.now)
+        {
+            ++lease;
+            continue;
+        }
+        auto const expired = state.leases.extract(lease++);
+        step.record("lease_expired", std::to_string(expired.key()));
+        for (auto const& key : expired.mapped().keys)
+        {
+            remove(state, key);
+        }
+    }
+}
+
+void restart_leases(store_step& step)
+{
+    for (auto& [number, lease] : step.state.leases)
+    {
+        lease.expires_at = step.now + lease.time_to_live;
+    }
+}
+
+store_reply changes(store_state const& state, watch_request const& request)
+{
+    auto reply = with_outcome(store_outcome::ok, state.revision);
+    for_prefix(state.values, request.prefix, [&](auto const& item) {
+        if (item.second.revision > request.after_revision)
+        {
+            reply.entries.push_back(entry_of(item));
+        }
+    });
+    for_prefix(state.deleted, request.prefix, [&](auto const& item) {
+        if (item.second > request.after_revision)
+        {
+            reply.deleted.push_back(item.first);
+        }
+    });
+    return reply;
+}
+
+void answer_watches(store_step& step)
+{
+    std::vector<waiting_watch> waiting;
+    for (auto& watch : step.state.watches)
+    {
+        auto reply = changes(step.state, watch.request);
+        bool const changed = !reply.entries.empty() || !reply.deleted.empty();
+        if (changed || watch.expires_at <= step.now)
+        {
+            step.answer(watch.number, std::move(reply));
+        }
+        else
+        {
+            waiting.push_back(std::move(watch));
+        }
+    }
+    step.state.watches = std::move(waiting);
+}
+
+} // namespace jaydrift::standin::store_values
--- /dev/null
+++ b/src/jaydrift/standin/worker_property_test.cpp
@@ -0,0 +1,69 @@
+#include "test_worker.hpp"
+
+#include <jaydrift/standin/worker_oracle.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::standin {
+
+namespace {
+
+worker_event random_event(test_worker& worker)
+{
+    std::string const id(1, *rc::gen::elementOf(std::string("abcdef")));
+    auto const attempt = *rc::gen::inRange<std::uint32_t>(1, 4);
+    auto const by = term(*rc::gen::inRange<std::uint64_t>(1, 4));
+    switch (*rc::gen::inRange(0, 10))
+    {
+    case 0:
+        return worker_called{0, fence_request{by}};
+    case 1:
+    case 2:
+        return worker_called{0, renew(by, worker.now + 2'000_ms)};
+    case 3:
+        return executor_answered{
+            id, attempt, static_cast<executor_result>(*rc::gen::inRange(0, 3)),
+            ""};
+    case 4:
+        return worker_called{0, control_request{by, id, attempt,
+                                                static_cast<task_action>(
+                                                    *rc::gen::inRange(0, 5))}};
+    case 5:
+        return timer_due{};
+    default:
+        auto request = start(id, attempt,
+                             static_cast<task_class>(*rc::gen::inRange(0, 4)));
+        request.term = by;
+        request.task.demand = {*rc::gen::inRange(0, 3'000),
+                               *rc::gen::inRange(0, 6'000),
+                               *rc::gen::inRange(0, 2)};
+        return worker_called{0, request};
+    }
+}
+
+} // namespace
+
+// Guards against any order of events that overloads the VM, runs a task twice
+// at the same time, loses count of the resources, or leaves a timer in the
+// past, which would spin the control thread.
+RC_GTEST_PROP(worker, never_exceeds_capacity_nor_runs_a_task_twice, ())
+{
+    auto worker = leased_worker();
+    auto const steps = *rc::gen::inRange(1, 150);
+    for (int i = 0; i < steps; ++i)
+    {
+        worker.now += time_ms(*rc::gen::inRange(0, 300));
+        worker.apply(random_event(worker));
+        RC_ASSERT(worker.state.used == held_resources(worker.state));
+        RC_ASSERT(fits(worker.state.used, worker.state.settings.capacity));
+        RC_ASSERT(fits(worker.state.max_used, worker.state.settings.capacity));
+        RC_ASSERT(!has_overlapping_runs(worker.state.log));
+        RC_ASSERT(next_timer(worker.state) > worker.now);
+    }
+}
+
+} // namespace jaydrift::standin
