--- /dev/null
+++ b/include/jaydrift/app/control_loop.hpp
@@ -0,0 +1,145 @@
+#ifndef JAYDRIFT_APP_CONTROL_LOOP_HPP
+#define JAYDRIFT_APP_CONTROL_LOOP_HPP
+
+#include <algorithm>
+#include <atomic>
+#include <concepts>
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+#include <jaydrift/core/bounded_queue.hpp>
+#include <jaydrift/core/clock.hpp>
+#include <jaydrift/core/time_ms.hpp>
+
+namespace jaydrift::app {
+
+/// A reducer: its types `state`, `event` and `effect` and its functions.
+template<class Traits>
+concept reducer_traits = requires(typename Traits::state& state,
+                                  typename Traits::state const& unchanged,
+                                  typename Traits::event const& input,
+                                  time_ms now)
+{
+    typename Traits::effect;
+    Traits::reduce(state, input, now).begin();
+    {
+        Traits::next_timer(unchanged)
+        } -> std::same_as<time_ms>;
+    {
+        Traits::timer_event()
+        } -> std::convertible_to<typename Traits::event>;
+};
+
+/// Carries out the effects of a reducer. Both functions run on the control
+/// thread and must not block: `execute` once per effect, `state_changed` after
+/// each step, to publish parts of the state to other threads.
+template<class Interpreter, class Traits>
+concept effect_interpreter = requires(Interpreter& interpreter,
+                                      typename Traits::effect output,
+                                      typename Traits::state const& state)
+{
+    interpreter.execute(std::move(output));
+    interpreter.state_changed(state);
+};
+
+/// Runs a reducer on one thread, the control thread, which owns the state.
+template<reducer_traits Traits, clock Clock,
+         effect_interpreter<Traits> Interpreter>
+class control_loop
+{
+public:
+    using state = typename Traits::state;
+    using event = typename Traits::event;
+
+    /// `source` and `interpreter` must outlive the loop.
+    control_loop(state initial, Clock& source, Interpreter& interpreter,
+                 std::size_t queue_capacity)
+        : state_(std::move(initial)), source_(source),
+          interpreter_(interpreter), queue_(queue_capacity)
+    {
+    }
+
+    /// Queues an event from outside, on any thread. Returns false if the queue
+    /// is full, so that the caller can shed the load.
+    [[nodiscard]] bool post(event input)
+    {
+        return queue_.try_push(std::move(input));
+    }
+
+    /// Queues a reply to a call that the reducer itself has made, on any
+    /// thread; it is never shed.
+    void deliver(event input) { queue_.push(std::move(input)); }
+
+    /// Ends `run` after the current event, on any thread.
+    void finish()
+    {
+        finishing_ = true;
+        queue_.push(std::nullopt);
+    }
+
+    /// Takes steps until `finish` is called.
+    void run()
+    {
+        while (!finishing_)
+        {
+            run_once();
+        }
+    }
+
+    /// Waits for an event or a timer, at most `longest_wait`, and handles it.
+    void run_once()
+    {
+        auto input = queue_.pop(patience());
+        if (input && *input)
+        {
+            step(**input);
+        }
+        // Also after an event, so that a busy queue does not delay timers.
+        auto const now = source_.now();
+        if (!finishing_ && now >= next_timer())
+        {
+            last_timer_ = now;
+            step(Traits::timer_event());
+        }
+    }
+
+private:
+    static constexpr time_ms longest_wait{60000};
+
+    /// Bounds the processor time of a reducer whose timer stays due.
+    static constexpr time_ms shortest_timer{5};
+
+    time_ms next_timer() const
+    {
+        auto const due = Traits::next_timer(state_);
+        return last_timer_ ? std::max(due, *last_timer_ + shortest_timer) : due;
+    }
+
+    time_ms patience() const
+    {
+        auto const now = source_.now();
+        auto const due = next_timer();
+        return due <= now ? time_ms(0) : std::min(due - now, longest_wait);
+    }
+
+    void step(event const& input)
+    {
+        for (auto& output : Traits::reduce(state_, input, source_.now()))
+        {
+            interpreter_.execute(std::move(output));
+        }
+        interpreter_.state_changed(state_);
+    }
+
+    state state_;
+    Clock& source_;
+    Interpreter& interpreter_;
+    bounded_queue<std::optional<event>> queue_;
+    std::optional<time_ms> last_timer_;
+    std::atomic<bool> finishing_ = false;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_CONTROL_LOOP_HPP
--- /dev/null
+++ b/include/jaydrift/app/setting.hpp
@@ -0,0 +1,32 @@
+#ifndef JAYDRIFT_APP_SETTING_HPP
+#define JAYDRIFT_APP_SETTING_HPP
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jaydrift::app {
+
+/// Describes one setting of a program.
+struct setting
+{
+    /// Flag without dashes, such as `listen-http`.
+    std::string name;
+    /// What it is for, in one line.
+    std::string help;
+    /// Allowed values with their unit, such as `100 to 10000 ms`.
+    std::string allowed;
+    /// Shown by `--help`; empty if there is no default.
+    std::string default_text;
+    bool required = false;
+    /// The flag takes no value; the variable is `yes` or `no`.
+    bool toggle = false;
+    /// Stores a value, or returns what is wrong with it, such as `is too
+    /// small`.
+    std::function<std::optional<std::string>(std::string_view)> assign;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_SETTING_HPP
--- /dev/null
+++ b/include/jaydrift/app/setting_values.hpp
@@ -0,0 +1,52 @@
+#ifndef JAYDRIFT_APP_SETTING_VALUES_HPP
+#define JAYDRIFT_APP_SETTING_VALUES_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <jaydrift/app/region_zones.hpp>
+#include <jaydrift/core/log_level.hpp>
+#include <jaydrift/core/member_info.hpp>
+
+namespace jaydrift::app {
+
+/// What is wrong with a value; empty if it is right.
+using problem = std::optional<std::string>;
+
+/// Checks a name: 1 to 64 letters, digits, `-`, `_` or `.`, the first of them
+/// a letter or digit.
+problem check_name(std::string_view text);
+
+/// Checks `ip:port`. Port 0 lets the kernel choose and is allowed only where a
+/// program listens.
+problem check_address(std::string_view text, bool port_0_allowed);
+
+/// Reads a whole number from `low` to `high`.
+problem parse_number(std::string_view text, std::uint64_t low,
+                     std::uint64_t high, std::uint64_t& target);
+
+/// Reads `name=ip:port=region=zone`, separated by commas.
+problem parse_members(std::string_view text, std::vector<member_info>& target);
+
+/// Reads `region=zone,zone`, separated by semicolons.
+problem parse_zones(std::string_view text, std::vector<region_zones>& target);
+
+/// Reads names separated by commas.
+problem parse_names(std::string_view text, std::vector<std::string>& target);
+
+/// Reads addresses separated by commas.
+problem parse_addresses(std::string_view text,
+                        std::vector<std::string>& target);
+
+/// Reads `debug`, `info`, `warning` or `error`.
+problem parse_log_level(std::string_view text, log_level& target);
+
+/// Splits a text; an empty text has no parts.
+std::vector<std::string_view> split(std::string_view text, char separator);
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_SETTING_VALUES_HPP
--- /dev/null
+++ b/include/jaydrift/app/settings_reader.hpp
@@ -0,0 +1,115 @@
+#ifndef JAYDRIFT_APP_SETTINGS_READER_HPP
+#define JAYDRIFT_APP_SETTINGS_READER_HPP
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <iosfwd>
+#include <limits>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <jaydrift/app/presence.hpp>
+#include <jaydrift/app/region_zones.hpp>
+#include <jaydrift/app/setting.hpp>
+#include <jaydrift/app/setting_values.hpp>
+#include <jaydrift/core/log_level.hpp>
+#include <jaydrift/core/member_info.hpp>
+#include <jaydrift/core/time_ms.hpp>
+
+namespace jaydrift::app {
+
+/// Reads a program's settings from flags (`--listen-http`) and variables
+/// (`JAYDRIFT_LISTEN_HTTP`); flags take precedence. `--help`, `--version` and
+/// `--check-settings` are built in.
+///
+/// Each function below describes one setting. Its target holds the default and
+/// must outlive the reader; an empty text or list means that there is none.
+class settings_reader
+{
+public:
+    settings_reader(std::string_view program, std::string_view version,
+                    std::string_view summary);
+
+    void name(std::string_view flag, std::string& target, std::string_view help,
+              presence need = presence::required);
+    void text(std::string_view flag, std::string& target, std::string_view help,
+              presence need = presence::required);
+    void names(std::string_view flag, std::vector<std::string>& target,
+               std::string_view help, presence need = presence::required);
+
+    /// Address that the program listens on; port 0 lets the kernel choose.
+    void listen_address(std::string_view flag, std::string& target,
+                        std::string_view help,
+                        presence need = presence::required);
+    /// Address of another process.
+    void address(std::string_view flag, std::string& target,
+                 std::string_view help, presence need = presence::required);
+    void addresses(std::string_view flag, std::vector<std::string>& target,
+                   std::string_view help, presence need = presence::required);
+    void members(std::string_view flag, std::vector<member_info>& target,
+                 std::string_view help, presence need = presence::required);
+    void zones(std::string_view flag, std::vector<region_zones>& target,
+               std::string_view help, presence need = presence::required);
+
+    /// Duration in whole milliseconds; the flag should end in `-ms`.
+    void duration(std::string_view flag, time_ms& target, time_ms low,
+                  time_ms high, std::string_view help);
+    /// Whole number; `unit` is such as `MB` and may be empty.
+    template<std::unsigned_integral Number>
+    void number(std::string_view flag, Number& target, Number low, Number high,
+                std::string_view unit, std::string_view help)
+    {
+        add_number(flag, target, low, high, unit, help,
+                   [&target](std::uint64_t value) {
+                       target = static_cast<Number>(value);
+                   });
+    }
+
+    void level(std::string_view flag, log_level& target, std::string_view help);
+    /// Flag without a value; the variable is `yes` or `no`.
+    void toggle(std::string_view flag, bool& target, std::string_view help);
+    /// Argument without a flag, in the order of the calls; it is required.
+    void argument(std::string_view label, std::string& target,
+                  std::string_view help);
+
+    /// Describes a setting of any other kind.
+    void add(setting description);
+
+    /// Checks settings against each other once all are read. `check` returns
+    /// what is wrong and allowed.
+    void rule(std::string_view flag, std::function<problem()> check);
+
+    /// Reads all settings. Returns the exit status if the program should end
+    /// now: 0 after `--help`, `--version` and `--check-settings`, 2 after
+    /// writing every mistake to `errors`, one line each.
+    std::optional<int> read(std::span<char const* const> arguments,
+                            std::ostream& output, std::ostream& errors);
+
+private:
+    struct rule_entry
+    {
+        std::string flag;
+        std::function<problem()> check;
+    };
+
+    void add_number(std::string_view flag, std::uint64_t initial,
+                    std::uint64_t low, std::uint64_t high,
+                    std::string_view unit, std::string_view help,
+                    std::function<void(std::uint64_t)> assign);
+    void print_help(std::ostream& output) const;
+
+    std::string program_;
+    std::string version_;
+    std::string summary_;
+    std::vector<setting> settings_;
+    std::vector<setting> arguments_;
+    std::vector<rule_entry> rules_;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_SETTINGS_READER_HPP
--- /dev/null
+++ b/include/jaydrift/app/timeline.hpp
@@ -0,0 +1,40 @@
+#ifndef JAYDRIFT_APP_TIMELINE_HPP
+#define JAYDRIFT_APP_TIMELINE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <jaydrift/core/timeline_event.hpp>
+
+namespace jaydrift::app {
+
+/// The last events of a process; the oldest make room for new ones. Safe on
+/// any thread.
+class timeline
+{
+public:
+    timeline(std::string_view process, std::size_t capacity);
+
+    /// Adds an event at the current wall-clock time.
+    void record(std::string_view name, std::string_view request = {},
+                std::string_view task = {}, std::string_view detail = {});
+
+    /// Returns the events with a higher sequence number, oldest first.
+    std::vector<timeline_event> after(std::uint64_t sequence) const;
+
+private:
+    std::string const process_;
+    std::size_t const capacity_;
+    mutable std::mutex mutex_;
+    std::uint64_t last_sequence_ = 0;
+    std::deque<timeline_event> events_;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_TIMELINE_HPP
