--- /dev/null
+++ b/src/jaydrift/app/setting_values.cpp
@@ -0,0 +1,254 @@
+#include <jaydrift/app/setting_values.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstddef>
+#include <set>
+#include <utility>
+
+#include <arpa/inet.h>
+
+namespace jaydrift::app {
+
+namespace {
+
+constexpr std::size_t longest_name = 64;
+
+bool letter_or_digit(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+           || (c >= '0' && c <= '9');
+}
+
+bool ip_number(std::string const& text)
+{
+    in_addr address{};
+    return inet_pton(AF_INET, text.c_str(), &address) == 1;
+}
+
+problem in_list(std::string_view item, std::string_view wrong)
+{
+    return "has \"" + std::string(item) + "\", which " + std::string(wrong);
+}
+
+problem repeated(std::string_view name)
+{
+    return "names " + std::string(name) + " twice";
+}
+
+problem parse_member(std::string_view text, member_info& target)
+{
+    auto const parts = split(text, '=');
+    if (parts.size() != 4)
+    {
+        return in_list(text, "does not have 4 parts");
+    }
+    if (auto wrong = check_address(parts[1], false))
+    {
+        return in_list(parts[1], *wrong);
+    }
+    for (auto const part : {parts[0], parts[2], parts[3]})
+    {
+        if (auto wrong = check_name(part))
+        {
+            return in_list(part, *wrong);
+        }
+    }
+    target = {std::string(parts[0]), std::string(parts[1]),
+              std::string(parts[2]), std::string(parts[3])};
+    return std::nullopt;
+}
+
+problem parse_region(std::string_view text, region_zones& target)
+{
+    auto const parts = split(text, '=');
+    if (parts.size() != 2)
+    {
+        return in_list(text, "is not region=zone,zone");
+    }
+    if (auto wrong = check_name(parts[0]))
+    {
+        return in_list(parts[0], *wrong);
+    }
+    target.region = parts[0];
+    return parse_names(parts[1], target.zones);
+}
+
+} // namespace
+
+std::vector<std::string_view> split(std::string_view text, char separator)
+{
+    std::vector<std::string_view> parts;
+    while (!text.empty())
+    {
+        auto const end = std::min(text.find(separator), text.size());
+        parts.push_back(text.substr(0, end));
+        if (end + 1 == text.size())
+        {
+            parts.emplace_back();
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return parts;
+}
+
+problem check_name(std::string_view text)
+{
+    if (text.empty())
+    {
+        return "is empty";
+    }
+    if (text.size() > longest_name)
+    {
+        return "is too long";
+    }
+    auto const allowed = [](char c) {
+        return letter_or_digit(c) || c == '-' || c == '_' || c == '.';
+    };
+    if (!letter_or_digit(text.front()) || !std::ranges::all_of(text, allowed))
+    {
+        return "is not a name";
+    }
+    return std::nullopt;
+}
+
+problem check_address(std::string_view text, bool port_0_allowed)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string_view::npos
+        || !ip_number(std::string(text.substr(0, colon))))
+    {
+        return "is not ip:port";
+    }
+    std::uint64_t port = 0;
+    if (parse_number(text.substr(colon + 1), port_0_allowed ? 0 : 1, 65535,
+                     port))
+    {
+        return "has a port out of range";
+    }
+    return std::nullopt;
+}
+
+problem parse_number(std::string_view text, std::uint64_t low,
+                     std::uint64_t high, std::uint64_t& target)
+{
+    std::uint64_t value = 0;
+    auto const* const end = text.data() + text.size();
+    auto const [stop, fault] = std::from_chars(text.data(), end, value);
+    if (fault == std::errc::result_out_of_range)
+    {
+        return "is too large";
+    }
+    if (fault != std::errc() || stop != end)
+    {
+        return "is not a whole number";
+    }
+    if (value < low)
+    {
+        return "is too small";
+    }
+    if (value > high)
+    {
+        return "is too large";
+    }
+    target = value;
+    return std::nullopt;
+}
+
+problem parse_members(std::string_view text, std::vector<member_info>& target)
+{
+    std::vector<member_info> members;
+    std::set<std::string> seen;
+    for (auto const part : split(text, ','))
+    {
+        member_info member;
+        if (auto wrong = parse_member(part, member))
+        {
+            return wrong;
+        }
+        if (!seen.insert(member.daemon).second)
+        {
+            return repeated(member.daemon);
+        }
+        members.push_back(std::move(member));
+    }
+    target = std::move(members);
+    return std::nullopt;
+}
+
+problem parse_zones(std::string_view text, std::vector<region_zones>& target)
+{
+    std::vector<region_zones> regions;
+    std::set<std::string> seen;
+    for (auto const part : split(text, ';'))
+    {
+        region_zones region;
+        if (auto wrong = parse_region(part, region))
+        {
+            return wrong;
+        }
+        if (!seen.insert(region.region).second)
+        {
+            return repeated(region.region);
+        }
+        regions.push_back(std::move(region));
+    }
+    target = std::move(regions);
+    return std::nullopt;
+}
+
+problem parse_names(std::string_view text, std::vector<std::string>& target)
+{
+    std::vector<std::string> names;
+    std::set<std::string_view> seen;
+    for (auto const part : split(text, ','))
+    {
+        if (auto wrong = check_name(part))
+        {
+            return in_list(part, *wrong);
+        }
+        if (!seen.insert(part).second)
+        {
+            return repeated(part);
+        }
+        names.emplace_back(part);
+    }
+    target = std::move(names);
+    return std::nullopt;
+}
+
+problem parse_addresses(std::string_view text, std::vector<std::string>& target)
+{
+    std::vector<std::string> addresses;
+    for (auto const part : split(text, ','))
+    {
+        if (auto wrong = check_address(part, false))
+        {
+            return in_list(part, *wrong);
+        }
+        addresses.emplace_back(part);
+    }
+    target = std::move(addresses);
+    return std::nullopt;
+}
+
+problem parse_log_level(std::string_view text, log_level& target)
+{
+    static constexpr std::array<std::pair<std::string_view, log_level>, 4>
+        levels{{{"debug", log_level::debug},
+                {"info", log_level::info},
+                {"warning", log_level::warning},
+                {"error", log_level::error}}};
+    for (auto const& [name, level] : levels)
+    {
+        if (name == text)
+        {
+            target = level;
+            return std::nullopt;
+        }
+    }
+    return "is not a log level";
+}
+
+} // namespace jaydrift::app
--- /dev/null
+++ b/src/jaydrift/app/settings_input.cpp
@@ -0,0 +1,205 @@
+#include "settings_input.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <cstddef>
+#include <iterator>
+#include <utility>
+
+#include <boost/program_options.hpp>
+
+namespace jaydrift::app {
+
+namespace {
+
+namespace options = boost::program_options;
+
+options::options_description describe(std::span<setting const> settings)
+{
+    options::options_description result;
+    result.add_options()("help", "")("version", "")("check-settings", "");
+    for (auto const& entry : settings)
+    {
+        if (entry.toggle)
+        {
+            result.add_options()(entry.name.c_str(), "");
+            continue;
+        }
+        result.add_options()(entry.name.c_str(), options::value<std::string>(),
+                             "");
+    }
+    return result;
+}
+
+options::parsed_options parse(std::vector<std::string> const& words,
+                              options::options_description const& description)
+{
+    namespace style = options::command_line_style;
+    return options::command_line_parser(words)
+        .options(description)
+        .style(style::allow_long | style::long_allow_adjacent
+               | style::long_allow_next)
+        .allow_unregistered()
+        .run();
+}
+
+} // namespace
+
+std::string variable_of(std::string_view flag)
+{
+    std::string result = "JAYDRIFT_";
+    for (char const c : flag)
+    {
+        result += c == '-' ? '_'
+                           : static_cast<char>(
+                               std::toupper(static_cast<unsigned char>(c)));
+    }
+    return result;
+}
+
+void settings_input::read(std::span<char const* const> arguments)
+{
+    read_flags({arguments.begin(), arguments.end()});
+    read_variables();
+}
+
+void settings_input::read_flags(std::vector<std::string> words)
+{
+    auto const description = describe(settings_);
+    // Program_options stops at the first flag with a wrong form. The flag is
+    // noted and taken out, so that the others are still checked.
+    for (auto attempts = words.size() + 1; attempts > 0; --attempts)
+    {
+        try
+        {
+            for (auto& option : parse(words, description).options)
+            {
+                if (option.position_key >= 0)
+                {
+                    positional_.insert(positional_.end(), option.value.begin(),
+                                       option.value.end());
+                }
+                else if (option.unregistered)
+                {
+                    mistakes_.push_back(
+                        option.original_tokens.front()
+                        + ": is not a flag; --help lists the flags");
+                }
+                else
+                {
+                    auto& values = flags_[option.string_key];
+                    values.push_back(
+                        option.value.empty() ? "yes" : option.value.front());
+                }
+            }
+            return;
+        }
+        catch (options::error_with_option_name const& fault)
+        {
+            auto const flag = fault.get_option_name();
+            auto const wrong =
+                std::ranges::find_if(words, [&](std::string const& word) {
+                    return word == flag || word.starts_with(flag + "=");
+                });
+            mistakes_.push_back(flag + ": has a missing or unexpected value; "
+                                + "--help lists the flags");
+            if (wrong == words.end())
+            {
+                return;
+            }
+            words.erase(wrong);
+        }
+    }
+}
+
+void settings_input::read_variables()
+{
+    std::map<std::string, std::string> flag_of;
+    for (auto const& entry : settings_)
+    {
+        flag_of[variable_of(entry.name)] = entry.name;
+    }
+    auto const parsed = options::parse_environment(
+        describe(settings_), [&](std::string const& variable) {
+            auto const found = flag_of.find(variable);
+            return found == flag_of.end() ? std::string() : found->second;
+        });
+    for (auto const& option : parsed.options)
+    {
+        variables_[option.string_key] = option.value.front();
+    }
+}
+
+std::vector<std::string> settings_input::assign()
+{
+    for (auto const& entry : settings_)
+    {
+        assign_setting(entry);
+    }
+    assign_arguments();
+    return std::move(mistakes_);
+}
+
+void settings_input::assign_setting(setting const& entry)
+{
+    auto const label = "--" + entry.name;
+    if (auto const flag = flags_.find(entry.name); flag != flags_.end())
+    {
+        if (flag->second.size() > 1)
+        {
+            mistakes_.push_back(label + ": is given "
+                                + std::to_string(flag->second.size())
+                                + " times; allowed: once");
+            return;
+        }
+        assign_value(entry, label, flag->second.front());
+        return;
+    }
+    if (auto const found = variables_.find(entry.name);
+        found != variables_.end())
+    {
+        assign_value(entry, label + " (" + variable_of(entry.name) + ")",
+                     found->second);
+        return;
+    }
+    auto const reported =
+        std::ranges::any_of(mistakes_, [&](std::string const& mistake) {
+            return mistake.starts_with(label + ": ");
+        });
+    if (entry.required && !reported)
+    {
+        mistakes_.push_back(label + ": is required; allowed: " + entry.allowed);
+    }
+}
+
+void settings_input::assign_value(setting const& entry, std::string_view label,
+                                  std::string_view value)
+{
+    if (auto const wrong = entry.assign(value))
+    {
+        mistakes_.push_back(std::string(label) + ": \"" + std::string(value)
+                            + "\" " + *wrong + "; allowed: " + entry.allowed);
+    }
+}
+
+void settings_input::assign_arguments()
+{
+    for (std::size_t i = 0; i < arguments_.size(); ++i)
+    {
+        if (i < positional_.size())
+        {
+            assign_value(arguments_[i], arguments_[i].name, positional_[i]);
+            continue;
+        }
+        mistakes_.push_back(arguments_[i].name + ": is required; allowed: "
+                            + arguments_[i].allowed);
+    }
+    for (auto i = arguments_.size(); i < positional_.size(); ++i)
+    {
+        mistakes_.push_back("\"" + positional_[i]
+                            + "\": is an unexpected argument; flags begin "
+                              "with --");
+    }
+}
+
+} // namespace jaydrift::app
