Declare the interfaces of the net library

The programs need RPC, HTTP and JSON. This sets down the public headers first, so that the programs can be written against them. Every header compiles on its own; nothing implements them yet.

--- /dev/null
+++ b/include/jaydrift/net/http_post.hpp
@@ -0,0 +1,22 @@
+#ifndef JAYDRIFT_NET_HTTP_POST_HPP
+#define JAYDRIFT_NET_HTTP_POST_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/net/http_headers.hpp>
+#include <jaydrift/net/http_response.hpp>
+#include <jaydrift/net/rpc_result.hpp>
+
+#include <string_view>
+
+namespace jaydrift::net {
+
+/// Posts a body to `address` (`ip:port`) and waits for the whole answer. A
+/// failure tells through `never_sent` whether the request may have arrived.
+rpc_result<http_response> http_post(std::string_view address,
+                                    std::string_view path,
+                                    http_headers const& headers,
+                                    std::string_view body, time_ms timeout);
+
+} // namespace jaydrift::net
+
+#endif // JAYDRIFT_NET_HTTP_POST_HPP
--- /dev/null
+++ b/include/jaydrift/net/rpc_service.hpp
@@ -0,0 +1,22 @@
+#ifndef JAYDRIFT_NET_RPC_SERVICE_HPP
+#define JAYDRIFT_NET_RPC_SERVICE_HPP
+
+#include <concepts>
+
+namespace jaydrift::net {
+
+/// A trait of an RPC interface: its messages as plain structs and its generated
+/// interface. The codecs are overloads of `encode` and `decode`.
+template<class Service>
+concept rpc_service = requires
+{
+    typename Service::request;
+    typename Service::reply;
+    typename Service::interface;
+}
+&&std::movable<typename Service::request>&&
+    std::movable<typename Service::reply>;
+
+} // namespace jaydrift::net
+
+#endif // JAYDRIFT_NET_RPC_SERVICE_HPP
--- /dev/null
+++ b/include/jaydrift/net/worker_service.hpp
@@ -0,0 +1,23 @@
+#ifndef JAYDRIFT_NET_WORKER_SERVICE_HPP
+#define JAYDRIFT_NET_WORKER_SERVICE_HPP
+
+#include <jaydrift/core/worker_reply.hpp>
+#include <jaydrift/core/worker_request.hpp>
+
+namespace jaydrift::net::schema {
+struct Worker;
+}
+
+namespace jaydrift::net {
+
+/// The `Worker` interface of the schema.
+struct worker_service
+{
+    using request = worker_request;
+    using reply = worker_reply;
+    using interface = schema::Worker;
+};
+
+} // namespace jaydrift::net
+
+#endif // JAYDRIFT_NET_WORKER_SERVICE_HPP
