--- a/include/jaydrift/app/control_loop.hpp
+++ b/include/jaydrift/app/control_loop.hpp
@@ -2,13 +2,11 @@
 #define JAYDRIFT_APP_CONTROL_LOOP_HPP
 
 #include <algorithm>
-#include <atomic>
 #include <concepts>
-#include <cstddef>
 #include <optional>
 #include <utility>
 
-#include <jaydrift/core/bounded_queue.hpp>
+#include <jaydrift/app/event_queue.hpp>
 #include <jaydrift/core/clock.hpp>
 #include <jaydrift/core/time_ms.hpp>
 
@@ -52,52 +50,33 @@
     using state = typename Traits::state;
     using event = typename Traits::event;
 
-    /// `source` and `interpreter` must outlive the loop.
+    /// The references must outlive the loop.
     control_loop(state initial, Clock& source, Interpreter& interpreter,
-                 std::size_t queue_capacity)
+                 event_queue<event>& events)
         : state_(std::move(initial)), source_(source),
-          interpreter_(interpreter), queue_(queue_capacity)
+          interpreter_(interpreter), events_(events)
     {
     }
 
-    /// Queues an event from outside, on any thread. Returns false if the queue
-    /// is full, so that the caller can shed the load.
-    [[nodiscard]] bool post(event input)
-    {
-        return queue_.try_push(std::move(input));
-    }
-
-    /// Queues a reply to a call that the reducer itself has made, on any
-    /// thread; it is never shed.
-    void deliver(event input) { queue_.push(std::move(input)); }
-
-    /// Ends `run` after the current event, on any thread.
-    void finish()
-    {
-        finishing_ = true;
-        queue_.push(std::nullopt);
-    }
-
-    /// Takes steps until `finish` is called.
+    /// Takes steps until the queue is finished.
     void run()
     {
-        while (!finishing_)
+        while (!events_.finished())
         {
             run_once();
         }
     }
 
-    /// Waits for an event or a timer, at most `longest_wait`, and handles it.
+    /// Waits for an event or a timer, at most a minute, and handles it.
     void run_once()
     {
-        auto input = queue_.pop(patience());
-        if (input && *input)
+        if (auto const input = events_.pop(patience()))
         {
-            step(**input);
+            step(*input);
         }
         // Also after an event, so that a busy queue does not delay timers.
         auto const now = source_.now();
-        if (!finishing_ && now >= next_timer())
+        if (!events_.finished() && now >= next_timer())
         {
             last_timer_ = now;
             step(Traits::timer_event());
@@ -135,9 +114,8 @@
     state state_;
     Clock& source_;
     Interpreter& interpreter_;
-    bounded_queue<std::optional<event>> queue_;
+    event_queue<event>& events_;
     std::optional<time_ms> last_timer_;
-    std::atomic<bool> finishing_ = false;
 };
 
 } // namespace jaydrift::app
--- /dev/null
+++ b/include/jaydrift/app/event_queue.hpp
@@ -0,0 +1,69 @@
+#ifndef JAYDRIFT_APP_EVENT_QUEUE_HPP
+#define JAYDRIFT_APP_EVENT_QUEUE_HPP
+
+#include <atomic>
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+#include <jaydrift/core/bounded_queue.hpp>
+#include <jaydrift/core/time_ms.hpp>
+
+namespace jaydrift::app {
+
+/// Events on their way from traffic threads to the control thread.
+template<class Event>
+class event_queue
+{
+public:
+    /// `capacity` bounds the events that `post` queues.
+    explicit event_queue(std::size_t capacity) : queue_(capacity) {}
+
+    /// Queues an event from outside, on any thread. Returns false if the queue
+    /// is full, so that the caller can shed the load.
+    [[nodiscard]] bool post(Event input)
+    {
+        return queue_.try_push(std::move(input));
+    }
+
+    /// Queues a reply to a call that the reducer itself has made, on any
+    /// thread; it is never shed.
+    void deliver(Event input) { queue_.push(std::move(input)); }
+
+    /// Tells the control thread to end after the current event, on any thread.
+    void finish()
+    {
+        finished_ = true;
+        queue_.push(std::nullopt);
+    }
+
+    bool finished() const { return finished_; }
+
+    /// Waits at most `patience` for an event or `finish`.
+    std::optional<Event> pop(time_ms patience)
+    {
+        auto item = queue_.pop(patience);
+        return item ? std::move(*item) : std::nullopt;
+    }
+
+    /// Takes the events that are still queued after the control thread ended.
+    template<class Take>
+    void drain(Take take)
+    {
+        while (auto item = queue_.pop(time_ms(0)))
+        {
+            if (*item)
+            {
+                take(**item);
+            }
+        }
+    }
+
+private:
+    bounded_queue<std::optional<Event>> queue_;
+    std::atomic<bool> finished_ = false;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_EVENT_QUEUE_HPP
