--- /dev/null
+++ b/include/jaydrift/app/daemon_interpreter.hpp
@@ -0,0 +1,170 @@
+#ifndef JAYDRIFT_APP_DAEMON_INTERPRETER_HPP
+#define JAYDRIFT_APP_DAEMON_INTERPRETER_HPP
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include <jaydrift/app/daemon_transport.hpp>
+#include <jaydrift/app/effect_names.hpp>
+#include <jaydrift/app/event_queue.hpp>
+#include <jaydrift/app/log.hpp>
+#include <jaydrift/app/metrics.hpp>
+#include <jaydrift/app/open_calls.hpp>
+#include <jaydrift/app/timeline.hpp>
+#include <jaydrift/decide/daemon_state.hpp>
+#include <jaydrift/decide/effect.hpp>
+#include <jaydrift/decide/event.hpp>
+#include <jaydrift/decide/stop.hpp>
+
+namespace jaydrift::app {
+
+/// Carries out the effects of the daemon's reducer: sends requests and turns
+/// their results into events, answers calls, logs and measures.
+template<daemon_transport Transport>
+class daemon_interpreter
+{
+public:
+    /// The arguments must outlive the interpreter and every open request.
+    daemon_interpreter(Transport& transport, event_queue<decide::event>& events,
+                       open_calls& calls, timeline& history, metrics& measures)
+        : transport_(transport), events_(events), calls_(calls),
+          history_(history), measures_(measures)
+    {
+    }
+
+    void execute(decide::effect output)
+    {
+        measures_.count("effects_total", name_of(output));
+        std::visit([this](auto& effect) { run(std::move(effect)); }, output);
+    }
+
+    void state_changed(decide::daemon_state const& state)
+    {
+        stopping_ = decide::stop::requested(state);
+    }
+
+    /// Tells whether a planned stop has begun, on any thread.
+    bool stopping() const { return stopping_; }
+
+private:
+    void run(decide::send_worker effect)
+    {
+        transport_.call_worker(
+            std::move(effect.address), std::move(effect.request),
+            effect.timeout,
+            [this, worker = std::move(effect.worker),
+             correlation =
+                 effect.correlation](net::rpc_result<worker_reply> result) {
+                result_to<decide::worker_replied, decide::worker_failed>(
+                    std::move(result), worker, correlation);
+            });
+    }
+
+    void run(decide::send_peer effect)
+    {
+        transport_.call_peer(
+            std::move(effect.address), std::move(effect.request),
+            effect.timeout,
+            [this, daemon = std::move(effect.daemon),
+             correlation =
+                 effect.correlation](net::rpc_result<peer_reply> result) {
+                result_to<decide::peer_replied, decide::peer_failed>(
+                    std::move(result), daemon, correlation);
+            });
+    }
+
+    void run(decide::send_store effect)
+    {
+        transport_.call_store(
+            std::move(effect.request), effect.timeout,
+            [this, correlation = effect.correlation](
+                net::rpc_result<store_reply> result) {
+                result_to<decide::store_replied, decide::store_failed>(
+                    std::move(result), correlation);
+            });
+    }
+
+    void run(decide::answer_caller effect)
+    {
+        answered(calls_.callers.answer(effect.call, std::move(effect.result)));
+    }
+
+    void run(decide::answer_job effect)
+    {
+        answered(calls_.jobs.answer(effect.call, std::move(effect.reply)));
+    }
+
+    void run(decide::answer_operator effect)
+    {
+        answered(calls_.operators.answer(effect.call, std::move(effect.reply)));
+    }
+
+    void run(decide::answer_peer effect)
+    {
+        answered(calls_.peers.answer(effect.call, std::move(effect.reply)));
+    }
+
+    void run(decide::write_log effect)
+    {
+        log_line(effect.level, effect.part, effect.text);
+    }
+
+    void run(decide::record_event effect)
+    {
+        history_.record(effect.name, effect.request, effect.task,
+                        effect.detail);
+    }
+
+    void run(decide::observe effect)
+    {
+        measures_.observe(effect.metric, effect.value);
+    }
+
+    void run(decide::exit_process) { events_.finish(); }
+
+    /// Delivers a result as a `Replied` or `Failed` event; `source` is the
+    /// event's first fields.
+    template<class Replied, class Failed, class Reply, class... Source>
+    void result_to(net::rpc_result<Reply> result, Source const&... source)
+    {
+        if (auto* reply = std::get_if<Reply>(&result))
+        {
+            deliver(Replied{source..., std::move(*reply)});
+            return;
+        }
+        auto const& failure = std::get<net::rpc_failure>(result);
+        measures_.count("calls_failed_total",
+                        failure.never_sent ? "never_sent" : "answer_lost");
+        deliver(Failed{source..., failure.never_sent});
+    }
+
+    void deliver(decide::event input)
+    {
+        measures_.count("events_total", name_of(input));
+        events_.deliver(std::move(input));
+    }
+
+    /// Counts an answer to a call that is not open, which is a fault of the
+    /// reducer; the caller has its first answer.
+    void answered(bool open)
+    {
+        if (!open)
+        {
+            measures_.count("answers_dropped_total", "not_open");
+        }
+    }
+
+    Transport& transport_;
+    event_queue<decide::event>& events_;
+    open_calls& calls_;
+    timeline& history_;
+    metrics& measures_;
+    std::atomic<bool> stopping_ = false;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_DAEMON_INTERPRETER_HPP
--- /dev/null
+++ b/include/jaydrift/app/daemon_options.hpp
@@ -0,0 +1,36 @@
+#ifndef JAYDRIFT_APP_DAEMON_OPTIONS_HPP
+#define JAYDRIFT_APP_DAEMON_OPTIONS_HPP
+
+#include <cstdint>
+#include <string>
+
+#include <jaydrift/core/log_level.hpp>
+#include <jaydrift/decide/daemon_settings.hpp>
+
+namespace jaydrift::app {
+
+class settings_reader;
+
+/// Settings of jaydriftd.
+struct daemon_options
+{
+    decide::daemon_settings decisions;
+    std::string listen_http = "127.0.0.1:0";
+    std::string listen_peer = "127.0.0.1:0";
+    std::string listen_operator = "127.0.0.1:0";
+    /// Address that other daemons reach; empty: where it listens.
+    std::string advertise_peer;
+    std::string store;
+    std::uint32_t queue_capacity = 4096;
+    std::uint32_t max_open_calls = 4096;
+    std::uint32_t http_threads = 64;
+    std::uint32_t timeline_events = 10000;
+    log_level level = log_level::info;
+};
+
+/// Describes every setting of jaydriftd, with `options` as the target.
+void describe_settings(settings_reader& settings, daemon_options& options);
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_DAEMON_OPTIONS_HPP
--- a/include/jaydrift/app/event_queue.hpp
+++ b/include/jaydrift/app/event_queue.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <mutex>
 #include <optional>
 #include <utility>
 
@@ -20,10 +21,11 @@
     explicit event_queue(std::size_t capacity) : queue_(capacity) {}
 
     /// Queues an event from outside, on any thread. Returns false if the queue
-    /// is full, so that the caller can shed the load.
+    /// is full or closed, so that the caller can shed the load.
     [[nodiscard]] bool post(Event input)
     {
-        return queue_.try_push(std::move(input));
+        std::lock_guard const lock(mutex_);
+        return !closed_ && queue_.try_push(std::move(input));
     }
 
     /// Queues a reply to a call that the reducer itself has made, on any
@@ -46,7 +48,15 @@
         return item ? std::move(*item) : std::nullopt;
     }
 
+    /// Makes `post` refuse every later event.
+    void close()
+    {
+        std::lock_guard const lock(mutex_);
+        closed_ = true;
+    }
+
     /// Takes the events that are still queued after the control thread ended.
+    /// None of `post` is missed if the queue was closed before.
     template<class Take>
     void drain(Take take)
     {
@@ -62,6 +72,8 @@
 private:
     bounded_queue<std::optional<Event>> queue_;
     std::atomic<bool> finished_ = false;
+    std::mutex mutex_;
+    bool closed_ = false;
 };
 
 } // namespace jaydrift::app
--- /dev/null
+++ b/include/jaydrift/app/open_calls.hpp
@@ -0,0 +1,39 @@
+#ifndef JAYDRIFT_APP_OPEN_CALLS_HPP
+#define JAYDRIFT_APP_OPEN_CALLS_HPP
+
+#include <cstddef>
+
+#include <jaydrift/app/call_table.hpp>
+#include <jaydrift/core/job_reply.hpp>
+#include <jaydrift/core/operator_reply.hpp>
+#include <jaydrift/core/peer_reply.hpp>
+#include <jaydrift/core/request_result.hpp>
+
+namespace jaydrift::app {
+
+/// Calls from outside that wait for the reducer's answer, by who called.
+struct open_calls
+{
+    explicit open_calls(std::size_t capacity)
+        : callers(capacity), jobs(capacity), operators(capacity),
+          peers(capacity)
+    {
+    }
+
+    void clear()
+    {
+        callers.clear();
+        jobs.clear();
+        operators.clear();
+        peers.clear();
+    }
+
+    call_table<request_result> callers;
+    call_table<job_reply> jobs;
+    call_table<operator_reply> operators;
+    call_table<peer_reply> peers;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_OPEN_CALLS_HPP
--- /dev/null
+++ b/include/jaydrift/app/signal_watch.hpp
@@ -0,0 +1,33 @@
+#ifndef JAYDRIFT_APP_SIGNAL_WATCH_HPP
+#define JAYDRIFT_APP_SIGNAL_WATCH_HPP
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace jaydrift::app {
+
+/// Calls a function on its own thread when SIGTERM or SIGINT arrives.
+///
+/// @pre `block_stop_signals` was called before any thread was started.
+class signal_watch
+{
+public:
+    explicit signal_watch(std::function<void()> on_stop);
+    signal_watch(signal_watch const&) = delete;
+    signal_watch& operator=(signal_watch const&) = delete;
+    /// Ends the thread.
+    ~signal_watch();
+
+private:
+    std::atomic<bool> ending_ = false;
+    std::thread thread_;
+};
+
+/// Blocks SIGTERM and SIGINT in the calling thread and the threads that it
+/// starts, and ignores SIGPIPE.
+void block_stop_signals();
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_SIGNAL_WATCH_HPP
--- /dev/null
+++ b/programs/jaydriftd.cpp
@@ -0,0 +1,51 @@
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <span>
+
+#include <jaydrift/app/daemon.hpp>
+#include <jaydrift/app/daemon_options.hpp>
+#include <jaydrift/app/log.hpp>
+#include <jaydrift/app/settings_reader.hpp>
+#include <jaydrift/app/signal_watch.hpp>
+
+namespace {
+
+using namespace jaydrift;
+
+int serve(app::daemon_options const& options)
+{
+    app::block_stop_signals();
+    app::start_log(options.level);
+    app::daemon daemon(options);
+    app::signal_watch const signals([&daemon] { daemon.request_stop(); });
+    daemon.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        app::daemon_options options;
+        app::settings_reader settings(
+            "jaydriftd", JAYDRIFT_VERSION,
+            "Schedules latency-critical and batch work on shared VMs.");
+        app::describe_settings(settings, options);
+        std::span<char const* const> const arguments(
+            argv, static_cast<std::size_t>(argc));
+        if (auto const status =
+                settings.read(arguments.subspan(1), std::cout, std::cerr))
+        {
+            return *status;
+        }
+        return serve(options);
+    }
+    catch (std::exception const& fault)
+    {
+        std::cerr << "jaydriftd: " << fault.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/src/jaydrift/app/daemon.cpp
@@ -0,0 +1,206 @@
+#include <jaydrift/app/daemon.hpp>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <jaydrift/app/control_loop.hpp>
+#include <jaydrift/app/daemon_edge.hpp>
+#include <jaydrift/app/daemon_interpreter.hpp>
+#include <jaydrift/app/daemon_options.hpp>
+#include <jaydrift/app/daemon_traits.hpp>
+#include <jaydrift/app/event_queue.hpp>
+#include <jaydrift/app/log.hpp>
+#include <jaydrift/app/net_transport.hpp>
+#include <jaydrift/core/steady_clock.hpp>
+#include <jaydrift/net/http_front_end.hpp>
+#include <jaydrift/net/operator_service.hpp>
+#include <jaydrift/net/rpc_server.hpp>
+
+namespace jaydrift::app {
+
+namespace {
+
+std::string with_port(std::string_view address, std::uint16_t port)
+{
+    return std::string(address.substr(0, address.rfind(':') + 1))
+           + std::to_string(port);
+}
+
+/// Waits until the thread has run its work and written small answers. The
+/// first round runs the answers that were posted before; the writes that they
+/// cause come before the second one.
+void flush(net::rpc_thread& thread)
+{
+    for (int round = 0; round < 2; ++round)
+    {
+        auto done = std::make_shared<std::promise<void>>();
+        auto const passed = done->get_future();
+        thread.post([done = std::move(done)] { done->set_value(); });
+        passed.wait();
+    }
+}
+
+} // namespace
+
+class daemon::impl
+{
+public:
+    explicit impl(daemon_options options)
+        : options_(std::move(options)), events_(options_.queue_capacity),
+          calls_(options_.max_open_calls),
+          history_(options_.decisions.self.daemon, options_.timeline_events),
+          transport_(clients_, options_.store),
+          interpreter_(transport_, events_, calls_, history_, measures_),
+          edge_(events_, calls_, history_, measures_),
+          peer_port_(serve_peers()), operator_port_(serve_operators()),
+          front_end_(http(), handlers())
+    {
+    }
+
+    impl(impl const&) = delete;
+    impl& operator=(impl const&) = delete;
+
+    ~impl() { close(); }
+
+    std::uint16_t http_port() const { return front_end_.port(); }
+    std::uint16_t peer_port() const { return peer_port_; }
+    std::uint16_t operator_port() const { return operator_port_; }
+
+    void run()
+    {
+        announce();
+        control_loop<daemon_traits, steady_clock, interpreter> loop(
+            decide::daemon_state(decisions()), clock_, interpreter_, events_);
+        loop.run();
+        close();
+        log_line(log_level::info, "stop", "The process exits.");
+    }
+
+    void request_stop() { events_.deliver(decide::stop_requested{}); }
+
+private:
+    using interpreter = daemon_interpreter<net_transport>;
+
+    std::uint16_t serve_peers()
+    {
+        return net::serve<net::peer_service>(
+            servers_, options_.listen_peer,
+            [this](peer_request request, net::responder<peer_reply> respond) {
+                edge_.on_peer(std::move(request), std::move(respond));
+            });
+    }
+
+    std::uint16_t serve_operators()
+    {
+        return net::serve<net::operator_service>(
+            servers_, options_.listen_operator,
+            [this](operator_request request,
+                   net::responder<operator_reply> respond) {
+                edge_.on_operator(std::move(request), std::move(respond));
+            });
+    }
+
+    net::http_settings http() const
+    {
+        net::http_settings result;
+        result.address = options_.listen_http;
+        result.threads = options_.http_threads;
+        return result;
+    }
+
+    net::front_end_handlers handlers()
+    {
+        net::front_end_handlers result;
+        result.on_request = [this](urgent_request request,
+                                   net::responder<request_result> respond) {
+            edge_.on_request(std::move(request), std::move(respond));
+        };
+        result.on_job = [this](job_request request,
+                               net::responder<job_reply> respond) {
+            edge_.on_job(std::move(request), std::move(respond));
+        };
+        result.ready = [this] { return !interpreter_.stopping(); };
+        result.metrics = [this] { return measures_.text(); };
+        return result;
+    }
+
+    /// Returns the settings of the reducer with this daemon's real address.
+    decide::daemon_settings decisions() const
+    {
+        auto result = options_.decisions;
+        result.self.address = options_.advertise_peer.empty()
+                                  ? with_port(options_.listen_peer, peer_port_)
+                                  : options_.advertise_peer;
+        std::erase_if(result.peers, [&](member_info const& peer) {
+            return peer.daemon == result.self.daemon;
+        });
+        return result;
+    }
+
+    void announce()
+    {
+        auto const line = [](std::string_view whom, std::string_view address,
+                             std::uint16_t port) {
+            log_line(log_level::info, "daemon",
+                     "Listens for " + std::string(whom) + " on "
+                         + with_port(address, port) + '.');
+        };
+        line("callers", options_.listen_http, http_port());
+        line("peers", options_.listen_peer, peer_port_);
+        line("operators", options_.listen_operator, operator_port_);
+        history_.record("process_started");
+    }
+
+    /// Answers what is left and waits until the answers are written.
+    void close()
+    {
+        if (std::exchange(closed_, true))
+        {
+            return;
+        }
+        // Calls that arrive from here on are refused at the edge.
+        events_.close();
+        front_end_.stop_accepting();
+        events_.drain(
+            [this](decide::event const& left) { edge_.refuse(left); });
+        calls_.clear();
+        front_end_.stop();
+        flush(servers_);
+        servers_.stop();
+        clients_.stop();
+    }
+
+    daemon_options const options_;
+    steady_clock clock_;
+    event_queue<decide::event> events_;
+    open_calls calls_;
+    timeline history_;
+    metrics measures_;
+    net::rpc_thread clients_;
+    net_transport transport_;
+    interpreter interpreter_;
+    daemon_edge edge_;
+    net::rpc_thread servers_;
+    std::uint16_t const peer_port_;
+    std::uint16_t const operator_port_;
+    net::http_front_end front_end_;
+    bool closed_ = false;
+};
+
+daemon::daemon(daemon_options options)
+    : impl_(std::make_unique<impl>(std::move(options)))
+{
+}
+
+daemon::~daemon() = default;
+
+std::uint16_t daemon::http_port() const { return impl_->http_port(); }
+std::uint16_t daemon::peer_port() const { return impl_->peer_port(); }
+std::uint16_t daemon::operator_port() const { return impl_->operator_port(); }
+void daemon::run() { impl_->run(); }
+void daemon::request_stop() { impl_->request_stop(); }
+
+} // namespace jaydrift::app
--- /dev/null
+++ b/src/jaydrift/app/signal_watch.cpp
@@ -0,0 +1,50 @@
+#include <jaydrift/app/signal_watch.hpp>
+
+#include <csignal>
+#include <utility>
+
+#include <pthread.h>
+
+namespace jaydrift::app {
+
+namespace {
+
+sigset_t stop_signals()
+{
+    sigset_t result;
+    sigemptyset(&result);
+    sigaddset(&result, SIGTERM);
+    sigaddset(&result, SIGINT);
+    return result;
+}
+
+} // namespace
+
+void block_stop_signals()
+{
+    auto const blocked = stop_signals();
+    pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
+}
+
+signal_watch::signal_watch(std::function<void()> on_stop)
+    : thread_([this, on_stop = std::move(on_stop)] {
+          auto const awaited = stop_signals();
+          int received = 0;
+          while (sigwait(&awaited, &received) == 0 && !ending_)
+          {
+              on_stop();
+          }
+      })
+{
+}
+
+signal_watch::~signal_watch()
+{
+    ending_ = true;
+    pthread_kill(thread_.native_handle(), SIGTERM);
+    thread_.join();
+}
+
+} // namespace jaydrift::app
--- /dev/null
+++ b/src/jaydrift/app/timeline_text.cpp
@@ -0,0 +1,170 @@
+#include <jaydrift/app/timeline_text.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <iterator>
+#include <stdexcept>
+#include <utility>
+
+#include <capnp/compat/json.h>
+#include <capnp/message.h>
+
+#include <jaydrift/app/setting_values.hpp>
+#include <jaydrift/app/text_table.hpp>
+
+namespace jaydrift::app {
+
+namespace {
+
+using text_field = std::pair<std::string_view, std::string timeline_event::*>;
+
+/// Text fields by their names in the schema.
+constexpr std::array<text_field, 5> text_fields{{
+    {"process", &timeline_event::process},
+    {"name", &timeline_event::name},
+    {"request", &timeline_event::request},
+    {"task", &timeline_event::task},
+    {"detail", &timeline_event::detail},
+}};
+
+std::string print(timeline_event const& event, capnp::JsonCodec const& codec)
+{
+    capnp::MallocMessageBuilder message;
+    auto const root = message.initRoot<capnp::JsonValue>();
+    auto fields = root.initObject(2 + text_fields.size());
+    fields[0].setName("atMs");
+    fields[0].initValue().setNumber(static_cast<double>(event.at.count()));
+    fields[1].setName("sequence");
+    fields[1].initValue().setNumber(static_cast<double>(event.sequence));
+    unsigned position = 2;
+    for (auto const& [name, member] : text_fields)
+    {
+        fields[position].setName(std::string(name));
+        fields[position].initValue().setString(event.*member);
+        ++position;
+    }
+    return codec.encodeRaw(root).cStr();
+}
+
+/// Reads a number, which Cap'n Proto's JSON form puts in quotes if it has 64
+/// bits.
+std::uint64_t number_in(capnp::JsonValue::Reader const& value)
+{
+    if (value.isNumber())
+    {
+        return static_cast<std::uint64_t>(value.getNumber());
+    }
+    std::uint64_t result = 0;
+    if (parse_number(value.getString().cStr(), 0, UINT64_MAX, result))
+    {
+        throw std::invalid_argument("a number is malformed");
+    }
+    return result;
+}
+
+void read_field(std::string_view name, capnp::JsonValue::Reader const& value,
+                timeline_event& event)
+{
+    if (name == "atMs")
+    {
+        event.at = time_ms(static_cast<std::int64_t>(number_in(value)));
+        return;
+    }
+    if (name == "sequence")
+    {
+        event.sequence = number_in(value);
+        return;
+    }
+    for (auto const& [text_name, member] : text_fields)
+    {
+        if (name == text_name)
+        {
+            event.*member = value.getString().cStr();
+        }
+    }
+}
+
+timeline_event parse(std::string_view line, capnp::JsonCodec const& codec)
+{
+    capnp::MallocMessageBuilder message;
+    auto const root = message.initRoot<capnp::JsonValue>();
+    codec.decodeRaw(kj::arrayPtr(line.data(), line.size()), root);
+    timeline_event event;
+    for (auto const field : root.asReader().getObject())
+    {
+        read_field(field.getName().cStr(), field.getValue(), event);
+    }
+    return event;
+}
+
+} // namespace
+
+std::string timeline_lines(std::span<timeline_event const> events)
+{
+    capnp::JsonCodec const codec;
+    std::string result;
+    for (auto const& event : events)
+    {
+        result += print(event, codec) + '\n';
+    }
+    return result;
+}
+
+std::vector<timeline_event> parse_timeline_lines(std::string_view text)
+{
+    capnp::JsonCodec const codec;
+    std::vector<timeline_event> events;
+    std::size_t number = 0;
+    for (auto const line : split(text, '\n'))
+    {
+        ++number;
+        if (line.empty())
+        {
+            continue;
+        }
+        try
+        {
+            events.push_back(parse(line, codec));
+        }
+        catch (kj::Exception const& fault)
+        {
+            throw std::invalid_argument("line " + std::to_string(number) + ": "
+                                        + fault.getDescription().cStr());
+        }
+        catch (std::invalid_argument const& fault)
+        {
+            throw std::invalid_argument("line " + std::to_string(number) + ": "
+                                        + fault.what());
+        }
+    }
+    return events;
+}
+
+std::vector<timeline_event>
+merge_timelines(std::vector<std::vector<timeline_event>> timelines)
+{
+    std::vector<timeline_event> merged;
+    for (auto& events : timelines)
+    {
+        merged.insert(merged.end(), std::make_move_iterator(events.begin()),
+                      std::make_move_iterator(events.end()));
+    }
+    std::ranges::sort(merged, {}, [](timeline_event const& event) {
+        return std::tie(event.at, event.process, event.sequence);
+    });
+    return merged;
+}
+
+std::string timeline_table(std::span<timeline_event const> events)
+{
+    text_table table({"ms", "process", "event", "request", "task", "detail"});
+    for (auto const& event : events)
+    {
+        table.add({std::to_string(event.at.count()), event.process, event.name,
+                   event.request, event.task, event.detail});
+    }
+    return table.text();
+}
+
+} // namespace jaydrift::app
