--- /dev/null
+++ b/include/jaydrift/decide/forward_entry.hpp
@@ -0,0 +1,36 @@
+#ifndef JAYDRIFT_DECIDE_FORWARD_ENTRY_HPP
+#define JAYDRIFT_DECIDE_FORWARD_ENTRY_HPP
+
+#include <jaydrift/core/shard_id.hpp>
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/core/urgent_request.hpp>
+#include <jaydrift/decide/request_waiter.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::decide {
+
+/// A request on its way to the owner of its ID.
+struct forward_entry
+{
+    urgent_request request;
+    shard_id shard;
+    bool delegated = false;
+    request_waiter waiter;
+
+    /// The open call, if one is open.
+    std::uint64_t correlation = 0;
+    std::string daemon;
+    std::uint32_t attempts = 0;
+
+    /// A daemon may have received it.
+    bool sent = false;
+
+    /// When the next attempt or check of the owner is due.
+    time_ms due;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_FORWARD_ENTRY_HPP
--- /dev/null
+++ b/include/jaydrift/decide/queue_rate.hpp
@@ -0,0 +1,23 @@
+#ifndef JAYDRIFT_DECIDE_QUEUE_RATE_HPP
+#define JAYDRIFT_DECIDE_QUEUE_RATE_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace jaydrift::decide {
+
+/// Estimates the wait in a queue from the pace at which it moved lately.
+struct queue_rate
+{
+    std::size_t length = 0;
+
+    /// Smoothed time between two starts while the queue was not empty.
+    std::int64_t interval_us = 0;
+    time_ms last_start;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_QUEUE_RATE_HPP
--- /dev/null
+++ b/include/jaydrift/decide/request_key.hpp
@@ -0,0 +1,21 @@
+#ifndef JAYDRIFT_DECIDE_REQUEST_KEY_HPP
+#define JAYDRIFT_DECIDE_REQUEST_KEY_HPP
+
+#include <jaydrift/core/shard_id.hpp>
+
+#include <string>
+
+namespace jaydrift::decide {
+
+/// Names a request record: a request ID in the shard that keeps the record.
+struct request_key
+{
+    shard_id shard;
+    std::string id;
+
+    auto operator<=>(request_key const&) const = default;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_REQUEST_KEY_HPP
--- a/include/jaydrift/decide/request_state.hpp
+++ b/include/jaydrift/decide/request_state.hpp
@@ -1,11 +1,55 @@
 #ifndef JAYDRIFT_DECIDE_REQUEST_STATE_HPP
 #define JAYDRIFT_DECIDE_REQUEST_STATE_HPP
 
+#include <jaydrift/core/shard_id.hpp>
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/decide/forward_entry.hpp>
+#include <jaydrift/decide/queue_rate.hpp>
+#include <jaydrift/decide/request_key.hpp>
+#include <jaydrift/decide/retry_budget.hpp>
+#include <jaydrift/decide/shard_requests.hpp>
+#include <jaydrift/decide/start_in_flight.hpp>
+#include <jaydrift/decide/worker_booking.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
 namespace jaydrift::decide {
 
 /// State of the request module.
 struct request_state
 {
+    std::map<shard_id, shard_requests> shards;
+
+    /// Open starts by correlation number.
+    std::map<std::uint64_t, start_in_flight> starts;
+
+    std::map<std::uint64_t, forward_entry> forwards;
+    std::map<std::uint64_t, std::uint64_t> forward_of_call;
+    std::set<std::pair<time_ms, std::uint64_t>> forwards_due;
+    std::uint64_t last_forward = 0;
+
+    /// Deadlines of the waiters of records.
+    std::set<std::pair<time_ms, request_key>> deadlines;
+
+    /// Closed records in the order in which they are forgotten.
+    std::deque<std::pair<time_ms, request_key>> expiries;
+
+    /// Records that hold an answer, oldest first.
+    std::deque<request_key> answers;
+    std::uint64_t answer_bytes = 0;
+
+    /// Payloads of records and forwards that are open.
+    std::uint64_t payload_bytes = 0;
+    std::size_t entry_count = 0;
+    std::array<queue_rate, 2> queues;
+    retry_budget retries;
+    std::deque<worker_booking> lost_bookings;
+    time_ms next_dispatch;
 };
 
 } // namespace jaydrift::decide
--- /dev/null
+++ b/include/jaydrift/decide/retry_budget.hpp
@@ -0,0 +1,39 @@
+#ifndef JAYDRIFT_DECIDE_RETRY_BUDGET_HPP
+#define JAYDRIFT_DECIDE_RETRY_BUDGET_HPP
+
+#include <cstdint>
+
+namespace jaydrift::decide {
+
+/// Token bucket that bounds retries to a part of the first attempts.
+struct retry_budget
+{
+    /// A tenth of a token per first attempt, so that retries add 10 % at most.
+    static constexpr std::int64_t gain = 1;
+    static constexpr std::int64_t cost = 10;
+
+    /// Lets a few retries through after a quiet time.
+    static constexpr std::int64_t limit = 100;
+
+    std::int64_t tenths = limit;
+
+    void first_attempt()
+    {
+        tenths = tenths + gain < limit ? tenths + gain : limit;
+    }
+
+    /// Takes a token if there is one.
+    bool take()
+    {
+        if (tenths < cost)
+        {
+            return false;
+        }
+        tenths -= cost;
+        return true;
+    }
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_RETRY_BUDGET_HPP
--- /dev/null
+++ b/include/jaydrift/decide/start_history.hpp
@@ -0,0 +1,26 @@
+#ifndef JAYDRIFT_DECIDE_START_HISTORY_HPP
+#define JAYDRIFT_DECIDE_START_HISTORY_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jaydrift::decide {
+
+/// Results of the starts on a worker, as far as quarantine needs them.
+struct start_history
+{
+    /// Jobs that failed since the last success, without repetition.
+    std::vector<std::string> failed_jobs;
+    std::optional<time_ms> quarantined_until;
+
+    /// After a quarantine only one task runs until a start succeeds.
+    bool probation = false;
+    std::string probe_task;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_START_HISTORY_HPP
--- a/include/jaydrift/decide/workers.hpp
+++ b/include/jaydrift/decide/workers.hpp
@@ -9,6 +9,7 @@
 #include <jaydrift/decide/event.hpp>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,11 @@
 std::vector<std::string> of_shard(daemon_state const& state,
                                   shard_id const& shard);
 
+/// Returns the same names as `of_shard` without a copy. Any change of the list
+/// invalidates them.
+std::span<std::string const> names_of_shard(daemon_state const& state,
+                                            shard_id const& shard);
+
 /// Tells whether a worker may be given work: it is live, not leaving, its
 /// availability zone is open and it is not quarantined.
 bool usable(daemon_state const& state, std::string_view worker, time_ms now);
@@ -54,6 +60,17 @@
 void record_result(context& step, std::string_view worker, std::string_view job,
                    bool success);
 
+/// Tells whether the circuit breaker lets urgent work through to a worker.
+bool urgent_allowed(daemon_state const& state, std::string_view worker,
+                    time_ms now);
+
+/// Counts the result of an urgent start for the circuit breaker.
+void record_urgent_result(context& step, std::string_view worker, bool success);
+
+/// Returns the processors of a worker that are in use or booked, in thousandths
+/// of its capacity.
+std::int64_t load(daemon_state const& state, std::string_view worker);
+
 /// Returns the expected slowdown of a kind on a worker, in thousandths, from
 /// the kinds that run there.
 std::int64_t expected_slowdown(daemon_state const& state,
--- /dev/null
+++ b/src/jaydrift/decide/admission.cpp
@@ -0,0 +1,282 @@
+#include <jaydrift/decide/requests.hpp>
+
+#include <jaydrift/core/hash.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
+#include <jaydrift/decide/policy.hpp>
+
+#include "request_steps.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+/// Bounds the memory of records: 570 starts/s for 10 minutes on 7 daemons are
+/// 49,000 records each, and one daemon may hold the shards of three.
+constexpr std::size_t max_records = 150000;
+constexpr std::size_t max_joined = 64;
+constexpr std::uint64_t max_payload_bytes = 64U << 20U;
+constexpr std::size_t max_id_bytes = 256;
+
+/// Longer waits would keep payloads in memory without use.
+constexpr time_ms max_patience{300000};
+
+bool may_be_older(daemon_state const& state, shard_id const& shard,
+                  urgent_request const& request)
+{
+    auto const limit =
+        ownership::acquired_at(state, shard) + state.settings.clock_skew;
+    return !request.issued_at || *request.issued_at <= limit;
+}
+
+/// Names why an ID without a record may have run, or returns an empty text.
+std::string doubt(context const& step, shard_id const& shard,
+                  urgent_request const& request)
+{
+    auto const& settings = step.state.settings;
+    auto const retained = step.now - settings.request_retention;
+    if (request.issued_at
+        && *request.issued_at < retained + settings.clock_skew)
+    {
+        return "the request is older than the retention time of request IDs";
+    }
+    auto const acquired = ownership::acquired_at(step.state, shard);
+    if (acquired > retained && may_be_older(step.state, shard, request)
+        && !ownership::inventory_complete(step.state, shard))
+    {
+        return "an earlier owner may have run it on a worker that did not "
+               "answer";
+    }
+    return {};
+}
+
+/// Names the field that makes a request invalid, or returns an empty text.
+std::string fault(daemon_state const& state, urgent_request const& request)
+{
+    auto const* kind = policy::find_kind(state, request.kind);
+    if (kind == nullptr)
+    {
+        return "kind: \"" + request.kind + "\" is not in the policy";
+    }
+    if (kind->priority != task_class::urgent
+        && kind->priority != task_class::service)
+    {
+        return "kind: \"" + request.kind + "\" is not urgent or service work";
+    }
+    return {};
+}
+
+/// Names why a request cannot be queued, or returns an empty text.
+std::string overload(daemon_state const& state, task_class priority,
+                     urgent_request const& request)
+{
+    auto const& requests = state.requests;
+    auto const& queue = requests.queues.at(queue_index(priority));
+    if (queue.length >= state.settings.max_waiting_requests)
+    {
+        return "the queue of waiting requests is full";
+    }
+    auto const wait_us =
+        static_cast<std::int64_t>(queue.length) * queue.interval_us;
+    if (wait_us / 1000 > request.patience.count())
+    {
+        return "the expected wait is longer than the deadline allows";
+    }
+    if (requests.payload_bytes + request.payload.size() > max_payload_bytes)
+    {
+        return "the memory for waiting payloads is full";
+    }
+    return {};
+}
+
+std::uint64_t payload_hash(urgent_request const& request)
+{
+    return stable_hash(request.payload);
+}
+
+/// Names the field in which a repeat differs from the first request.
+std::string mismatch(request_entry const& entry, urgent_request const& request)
+{
+    if (!entry.request.kind.empty() && entry.request.kind != request.kind)
+    {
+        return "kind: differs from an earlier request with this ID";
+    }
+    if (entry.payload_hash && *entry.payload_hash != payload_hash(request))
+    {
+        return "payload: differs from an earlier request with this ID";
+    }
+    return {};
+}
+
+void join(context& step, request_key const& key, request_entry& entry,
+          urgent_request request, request_waiter waiter)
+{
+    if (auto const field = mismatch(entry, request); !field.empty())
+    {
+        send_result(step, waiter, key.id, not_run(field));
+        return;
+    }
+    step.record("request_joined", key.id);
+    auto const closed = entry.phase == request_phase::done
+                        || entry.phase == request_phase::unresolved;
+    // The other region's owner may know by now what came of it.
+    auto const ask_again =
+        entry.phase == request_phase::unresolved && entry.delegated;
+    if (closed && !ask_again)
+    {
+        send_result(step, waiter, key.id, entry.result);
+        return;
+    }
+    if (entry.waiters.size() >= max_joined)
+    {
+        send_result(step, waiter, key.id,
+                    unknown("too many repeats of the request are waiting"));
+        return;
+    }
+    add_waiter(step, key, entry, std::move(waiter));
+    if (ask_again)
+    {
+        step.state.requests.payload_bytes += request.payload.size();
+        entry.request.payload = std::move(request.payload);
+        delegate(step, key);
+    }
+}
+
+request_entry& create(context& step, request_key const& key,
+                      urgent_request request, bool delegated)
+{
+    auto& requests = step.state.requests;
+    auto& entry = requests.shards[key.shard].entries[key.id];
+    ++requests.entry_count;
+    requests.payload_bytes += request.payload.size();
+    entry.payload_hash = payload_hash(request);
+    entry.arrived = step.now;
+    entry.delegated_to_us = delegated;
+    if (auto const* kind = policy::find_kind(step.state, request.kind))
+    {
+        entry.priority = kind->priority;
+    }
+    entry.request = std::move(request);
+    return entry;
+}
+
+/// Keeps a record of the refusal, so that a delayed repeat does not run a
+/// request that was reported as not run.
+void refuse(context& step, request_key const& key, urgent_request request,
+            bool delegated, request_waiter waiter, std::string reason)
+{
+    auto& entry = create(step, key, std::move(request), delegated);
+    entry.phase = request_phase::unresolved;
+    add_waiter(step, key, entry, std::move(waiter));
+    finish(step, key, not_run(std::move(reason)));
+}
+
+void admit(context& step, request_key const& key, urgent_request request,
+           bool delegated, request_waiter waiter)
+{
+    auto reason = fault(step.state, request);
+    if (reason.empty())
+    {
+        auto const* kind = policy::find_kind(step.state, request.kind);
+        reason = overload(step.state, kind->priority, request);
+    }
+    if (!reason.empty())
+    {
+        refuse(step, key, std::move(request), delegated, std::move(waiter),
+               std::move(reason));
+        return;
+    }
+    auto& entry = create(step, key, std::move(request), delegated);
+    add_waiter(step, key, entry, std::move(waiter));
+    enqueue(step.state, key, entry, false);
+    dispatch(step, key.shard);
+}
+
+request_waiter make_waiter(context const& step, urgent_request& request,
+                           decltype(request_waiter::who) who)
+{
+    request.patience = std::clamp(request.patience, time_ms(0), max_patience);
+    return {std::move(who), step.now, step.now + request.patience};
+}
+
+} // namespace
+
+void execute_here(context& step, shard_id const& shard, urgent_request request,
+                  bool delegated, request_waiter waiter)
+{
+    request_key const key{shard, request.id};
+    if (auto* entry = find_entry(step.state, key))
+    {
+        join(step, key, *entry, std::move(request), std::move(waiter));
+        return;
+    }
+    if (auto const reason = doubt(step, shard, request); !reason.empty())
+    {
+        step.record("request_unknown", key.id, {}, reason);
+        send_result(step, waiter, key.id, unknown(reason));
+        return;
+    }
+    if (step.state.requests.entry_count >= max_records)
+    {
+        // Without a record, a delayed repeat could run a request that was
+        // reported as not run.
+        send_result(step, waiter, key.id,
+                    unknown("the table of request IDs is full"));
+        return;
+    }
+    admit(step, key, std::move(request), delegated, std::move(waiter));
+}
+
+void on_request_arrived(context& step, request_arrived const& event)
+{
+    auto request = event.request;
+    if (request.home_region.empty())
+    {
+        request.home_region = step.state.settings.self.region;
+    }
+    auto waiter = make_waiter(step, request, waiting_caller{event.call});
+    step.record("request_arrived", request.id);
+    if (request.id.empty() || request.id.size() > max_id_bytes)
+    {
+        send_result(step, waiter, request.id,
+                    not_run("id: must have 1 to 256 bytes"));
+        return;
+    }
+    auto const& regions = step.state.settings.regions;
+    if (std::find(regions.begin(), regions.end(), request.home_region)
+        == regions.end())
+    {
+        send_result(step, waiter, request.id,
+                    not_run("home region: \"" + request.home_region
+                            + "\" is not a region of this deployment"));
+        return;
+    }
+    auto const shard =
+        ownership::shard_of_key(step.state, request.home_region, request.id);
+    forward(step, std::move(request), shard, false, std::move(waiter));
+}
+
+void on_execute(context& step, peer_called const& call,
+                execute_request const& input)
+{
+    auto request = input.request;
+    auto waiter = make_waiter(step, request, waiting_peer{call.call});
+    auto const shard =
+        input.delegated
+            ? delegate_shard(step.state, request.home_region, request.id)
+            : ownership::shard_of_key(step.state, request.home_region,
+                                      request.id);
+    if (!shard || request.id.empty() || request.id.size() > max_id_bytes)
+    {
+        step.emit(answer_peer{call.call, peer_acknowledgement{false}});
+        return;
+    }
+    forward(step, std::move(request), *shard, input.delegated,
+            std::move(waiter));
+}
+
+} // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/delegation.cpp
@@ -0,0 +1,99 @@
+#include "request_steps.hpp"
+
+#include <jaydrift/core/hash.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+time_ms last_deadline(request_entry const& entry)
+{
+    time_ms latest;
+    for (auto const& waiter : entry.waiters)
+    {
+        latest = std::max(latest, waiter.deadline);
+    }
+    return latest;
+}
+
+} // namespace
+
+std::optional<shard_id> delegate_shard(daemon_state const& state,
+                                       std::string_view home_region,
+                                       std::string_view id)
+{
+    std::vector<std::string> others;
+    for (auto const& region : state.settings.regions)
+    {
+        if (region != home_region)
+        {
+            others.push_back(region);
+        }
+    }
+    if (others.empty())
+    {
+        return std::nullopt;
+    }
+    auto const& region = others[rendezvous(id, others)];
+    return ownership::shard_of_key(state, region, id);
+}
+
+void delegate(context& step, request_key const& key)
+{
+    auto* entry = find_entry(step.state, key);
+    auto const shard =
+        delegate_shard(step.state, entry->request.home_region, key.id);
+    if (!shard)
+    {
+        return;
+    }
+    if (entry->phase == request_phase::waiting)
+    {
+        dequeue(step.state, key, *entry);
+    }
+    entry->phase = request_phase::delegated;
+    entry->delegated = true;
+    request_waiter link{waiting_record{key}, step.now, last_deadline(*entry)};
+    auto const number =
+        forward(step, entry->request, *shard, true, std::move(link));
+    // The forward may have been answered already.
+    entry = find_entry(step.state, key);
+    if (entry != nullptr && entry->phase == request_phase::delegated)
+    {
+        entry->forward = number;
+    }
+}
+
+void on_delegated_result(context& step, request_key const& key,
+                         request_result const& result)
+{
+    auto const* entry = find_entry(step.state, key);
+    if (entry == nullptr || entry->phase != request_phase::delegated)
+    {
+        return;
+    }
+    if (result.outcome == request_outcome::unknown)
+    {
+        leave_unresolved(step, key, result.reason);
+        return;
+    }
+    finish(step, key, result);
+}
+
+void on_delegation_returned(context& step, request_key const& key)
+{
+    auto const* entry = find_entry(step.state, key);
+    if (entry != nullptr && entry->phase == request_phase::delegated)
+    {
+        delegate(step, key);
+    }
+}
+
+} // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/request_answer.cpp
@@ -0,0 +1,205 @@
+#include "request_steps.hpp"
+
+#include <jaydrift/decide/context.hpp>
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+/// A quarter of the daemon's memory of 256 MB.
+constexpr std::uint64_t max_answer_bytes = 64U << 20U;
+
+void close(context& step, request_key const& key, request_entry& entry)
+{
+    if (entry.phase == request_phase::waiting)
+    {
+        dequeue(step.state, key, entry);
+    }
+    drop_payload(step.state, entry);
+    entry.forward = 0;
+    if (!entry.expires_at)
+    {
+        auto& requests = step.state.requests;
+        entry.expires_at = step.now + step.state.settings.request_retention;
+        requests.expiries.emplace_back(*entry.expires_at, key);
+    }
+}
+
+void answer_all(context& step, request_key const& key, request_entry& entry,
+                request_result const& result)
+{
+    for (auto const& waiter : take_waiters(step.state, key, entry))
+    {
+        send_result(step, waiter, key.id, result);
+    }
+}
+
+std::string_view event_name(request_outcome outcome)
+{
+    switch (outcome)
+    {
+    case request_outcome::completed:
+        return "request_completed";
+    case request_outcome::not_run:
+        return "request_not_run";
+    case request_outcome::unknown:
+        break;
+    }
+    return "request_unknown";
+}
+
+} // namespace
+
+request_result not_run(std::string reason)
+{
+    return {request_outcome::not_run, {}, std::move(reason)};
+}
+
+request_result unknown(std::string reason)
+{
+    return {request_outcome::unknown, {}, std::move(reason)};
+}
+
+void send_result(context& step, request_waiter const& waiter,
+                 std::string_view id, request_result const& result)
+{
+    step.emit(
+        observe{"request_latency_ms", (step.now - waiter.arrived).count()});
+    if (auto const* caller = std::get_if<waiting_caller>(&waiter.who))
+    {
+        step.record("request_answered", id, {}, event_name(result.outcome));
+        step.emit(answer_caller{caller->call, result});
+    }
+    else if (auto const* peer = std::get_if<waiting_peer>(&waiter.who))
+    {
+        step.emit(answer_peer{peer->call, result});
+    }
+    else if (auto const* record = std::get_if<waiting_record>(&waiter.who))
+    {
+        on_delegated_result(step, record->key, result);
+    }
+}
+
+void add_waiter(context& step, request_key const& key, request_entry& entry,
+                request_waiter waiter)
+{
+    auto& requests = step.state.requests;
+    if (entry.waiters.empty())
+    {
+        ++requests.shards[key.shard].open;
+    }
+    requests.deadlines.emplace(waiter.deadline, key);
+    entry.waiters.push_back(std::move(waiter));
+}
+
+std::vector<request_waiter>
+take_waiters(daemon_state& state, request_key const& key, request_entry& entry)
+{
+    auto& requests = state.requests;
+    if (!entry.waiters.empty())
+    {
+        --requests.shards[key.shard].open;
+    }
+    for (auto const& waiter : entry.waiters)
+    {
+        requests.deadlines.erase({waiter.deadline, key});
+    }
+    return std::exchange(entry.waiters, {});
+}
+
+void finish(context& step, request_key const& key, request_result result)
+{
+    auto* entry = find_entry(step.state, key);
+    if (entry == nullptr || entry->phase == request_phase::done)
+    {
+        return;
+    }
+    close(step, key, *entry);
+    entry->phase = request_phase::done;
+    entry->result = result;
+    step.record(event_name(result.outcome), key.id, {}, result.reason);
+    if (!result.answer.empty())
+    {
+        step.state.requests.answer_bytes += result.answer.size();
+        step.state.requests.answers.push_back(key);
+        bound_answers(step.state);
+    }
+    answer_all(step, key, *entry, result);
+}
+
+void leave_unresolved(context& step, request_key const& key,
+                      std::string_view reason)
+{
+    auto* entry = find_entry(step.state, key);
+    if (entry == nullptr || entry->phase == request_phase::done)
+    {
+        return;
+    }
+    close(step, key, *entry);
+    entry->phase = request_phase::unresolved;
+    entry->result = unknown(std::string(reason));
+    step.record("request_unknown", key.id, {}, reason);
+    answer_all(step, key, *entry, unknown(std::string(reason)));
+}
+
+void bound_answers(daemon_state& state)
+{
+    auto& requests = state.requests;
+    while (!requests.answers.empty())
+    {
+        auto* entry = find_entry(state, requests.answers.front());
+        auto const held = entry != nullptr && !entry->result.answer.empty();
+        if (held && requests.answer_bytes <= max_answer_bytes)
+        {
+            return;
+        }
+        if (held)
+        {
+            requests.answer_bytes -= entry->result.answer.size();
+            entry->result = unknown("the answer is no longer kept");
+        }
+        requests.answers.pop_front();
+    }
+}
+
+void drop_payload(daemon_state& state, request_entry& entry)
+{
+    state.requests.payload_bytes -= entry.request.payload.size();
+    entry.request.payload = {};
+}
+
+void forget_old(context& step)
+{
+    auto& requests = step.state.requests;
+    while (!requests.expiries.empty()
+           && requests.expiries.front().first <= step.now)
+    {
+        auto const [at, key] = requests.expiries.front();
+        requests.expiries.pop_front();
+        auto* entry = find_entry(step.state, key);
+        if (entry == nullptr || entry->expires_at != at)
+        {
+            continue;
+        }
+        if (!entry->waiters.empty())
+        {
+            entry->expires_at =
+                step.now + step.state.settings.request_retention;
+            requests.expiries.emplace_back(*entry->expires_at, key);
+            continue;
+        }
+        cancel_forward(step.state, entry->forward);
+        drop_payload(step.state, *entry);
+        requests.answer_bytes -= entry->result.answer.size();
+        requests.shards[key.shard].entries.erase(key.id);
+        --requests.entry_count;
+    }
+    bound_answers(step.state);
+}
+
+} // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/request_deadline.cpp
@@ -0,0 +1,76 @@
+#include "request_steps.hpp"
+
+#include <jaydrift/decide/context.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+/// Nobody waits any longer, so the record gets its outcome as far as it is
+/// known.
+void give_up(context& step, request_key const& key, request_entry& entry)
+{
+    auto const never_left = entry.phase == request_phase::delegated
+                            && entry.forward != 0
+                            && !forward_sent(step.state, entry.forward);
+    if (never_left)
+    {
+        cancel_forward(step.state, entry.forward);
+    }
+    if (never_left || entry.phase == request_phase::waiting)
+    {
+        finish(step, key, not_run("no worker had room before the deadline"));
+        return;
+    }
+    auto const late = unknown("no answer before the deadline");
+    for (auto const& waiter : take_waiters(step.state, key, entry))
+    {
+        send_result(step, waiter, key.id, late);
+    }
+}
+
+/// A waiter whose patience ends while others still wait cannot be told
+/// `not_run`, because the request may yet start for the others.
+void expire(context& step, request_key const& key)
+{
+    auto* entry = find_entry(step.state, key);
+    if (entry == nullptr || entry->waiters.empty())
+    {
+        return;
+    }
+    auto& waiters = entry->waiters;
+    auto const patient =
+        std::partition(waiters.begin(), waiters.end(), [&](auto const& waiter) {
+            return waiter.deadline > step.now;
+        });
+    if (patient == waiters.begin())
+    {
+        give_up(step, key, *entry);
+        return;
+    }
+    std::vector<request_waiter> const expired(patient, waiters.end());
+    waiters.erase(patient, waiters.end());
+    for (auto const& waiter : expired)
+    {
+        send_result(step, waiter, key.id,
+                    unknown("no answer before the deadline"));
+    }
+}
+
+} // namespace
+
+void expire_waiters(context& step)
+{
+    auto& deadlines = step.state.requests.deadlines;
+    while (!deadlines.empty() && deadlines.begin()->first <= step.now)
+    {
+        auto const key = deadlines.begin()->second;
+        deadlines.erase(deadlines.begin());
+        expire(step, key);
+    }
+}
+
+} // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/request_queue.cpp
@@ -0,0 +1,232 @@
+#include "request_steps.hpp"
+#include "worker_choice.hpp"
+
+#include <jaydrift/decide/batch.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
+#include <jaydrift/decide/policy.hpp>
+#include <jaydrift/decide/workers.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+/// How far a request is looked for behind one that does not fit.
+constexpr std::size_t max_passed_over = 16;
+
+/// A gap in usable workers that is shorter, such as a renewal that comes late,
+/// is not worth the region link.
+constexpr time_ms delegate_after{300};
+
+/// Evictions take time; room is asked for again only after it.
+constexpr time_ms make_room_interval{1000};
+
+/// A late answer still completes the record for repeats.
+constexpr time_ms late_answer_window{10000};
+
+time_ms answer_timeout(context const& step, request_entry const& entry)
+{
+    auto latest = step.now;
+    for (auto const& waiter : entry.waiters)
+    {
+        latest = std::max(latest, waiter.deadline);
+    }
+    return latest - step.now + late_answer_window;
+}
+
+void observe_start(context& step, request_entry const& entry)
+{
+    auto& requests = step.state.requests;
+    auto& queue = requests.queues.at(queue_index(entry.priority));
+    if (entry.attempt == 1)
+    {
+        step.emit(
+            observe{"request_queue_ms", (step.now - entry.arrived).count()});
+        requests.retries.first_attempt();
+    }
+    constexpr std::int64_t longest_sample_us = 1000000;
+    auto const sample = std::min((step.now - queue.last_start).count() * 1000,
+                                 longest_sample_us);
+    // An empty queue says nothing about the pace of the workers.
+    queue.interval_us =
+        queue.length == 0 ? 0 : (queue.interval_us * 7 + sample) / 8;
+    queue.last_start = step.now;
+}
+
+void start(context& step, request_key const& key, request_entry& entry,
+           std::string const& worker, resources const& demand)
+{
+    dequeue(step.state, key, entry);
+    entry.phase = request_phase::started;
+    entry.worker = worker;
+    ++entry.attempt;
+    observe_start(step, entry);
+
+    start_request message;
+    message.term = ownership::term(step.state, key.shard);
+    message.task.id = key.id;
+    message.task.kind = entry.request.kind;
+    message.task.priority = entry.priority;
+    message.task.demand = demand;
+    message.attempt = entry.attempt;
+    message.start_before = ownership::start_deadline(step.state, worker);
+    message.payload = entry.request.payload;
+    workers::reserve(step, worker, message.task);
+    auto const* vm = workers::find(step.state, worker);
+    step.record("request_started", key.id, {}, worker);
+    auto const correlation =
+        step.ask_worker(part::requests, worker, vm->address, std::move(message),
+                        answer_timeout(step, entry));
+    step.state.requests.starts[correlation] =
+        start_in_flight{key, entry.attempt, worker};
+}
+
+void make_room(context& step, request_entry& entry, std::string const& worker,
+               resources const& demand)
+{
+    if (entry.room_made_at
+        && step.now < *entry.room_made_at + make_room_interval)
+    {
+        return;
+    }
+    entry.room_made_at = step.now;
+    batch::make_room(step, worker, demand);
+}
+
+bool region_closed(daemon_state const& state, std::string_view region)
+{
+    auto const& zones = policy::current(state).zones;
+    auto const here = [&](auto const& zone) { return zone.region == region; };
+    return std::any_of(zones.begin(), zones.end(), here)
+           && std::none_of(zones.begin(), zones.end(), [&](auto const& zone) {
+                  return here(zone) && policy::zone_open(state, zone.name);
+              });
+}
+
+/// Only an owner with valid authority delegates: a successor would not know of
+/// it.
+bool should_delegate(context const& step, request_key const& key,
+                     request_entry const& entry)
+{
+    if (entry.delegated_to_us
+        || !ownership::serving(step.state, key.shard, step.now)
+        || !delegate_shard(step.state, entry.request.home_region, key.id))
+    {
+        return false;
+    }
+    return region_closed(step.state, key.shard.region)
+           || (step.now >= entry.arrived + delegate_after
+               && !any_usable(step, key.shard));
+}
+
+/// Tries to start or delegate a waiting request. Returns whether it left the
+/// queue.
+bool place(context& step, request_key const& key, request_entry& entry)
+{
+    auto const* kind = policy::find_kind(step.state, entry.request.kind);
+    if (kind == nullptr)
+    {
+        finish(step, key,
+               not_run("kind: \"" + entry.request.kind
+                       + "\" was removed from the policy"));
+        return true;
+    }
+    auto const choice =
+        choose_worker(step, key.shard,
+                      {kind->kind, entry.priority, kind->demand, entry.worker});
+    if (!choice.worker)
+    {
+        if (should_delegate(step, key, entry))
+        {
+            delegate(step, key);
+            return true;
+        }
+        if (choice.least_loaded)
+        {
+            make_room(step, entry, *choice.least_loaded, kind->demand);
+        }
+        return false;
+    }
+    if (entry.attempt > 0 && !step.state.requests.retries.take())
+    {
+        return false;
+    }
+    start(step, key, entry, *choice.worker, kind->demand);
+    return true;
+}
+
+void dispatch_queue(context& step, shard_id const& shard, std::size_t queue)
+{
+    auto& waiting = step.state.requests.shards[shard].waiting.at(queue);
+    std::size_t passed_over = 0;
+    while (passed_over < waiting.size() && passed_over < max_passed_over)
+    {
+        request_key const key{shard, waiting[passed_over]};
+        auto* entry = find_entry(step.state, key);
+        if (step.now < entry->not_before || !place(step, key, *entry))
+        {
+            ++passed_over;
+        }
+    }
+}
+
+} // namespace
+
+std::size_t queue_index(task_class priority)
+{
+    return priority == task_class::urgent ? 0 : 1;
+}
+
+void enqueue(daemon_state& state, request_key const& key, request_entry& entry,
+             bool first)
+{
+    auto& requests = state.requests;
+    auto const queue = queue_index(entry.priority);
+    auto& waiting = requests.shards[key.shard].waiting.at(queue);
+    entry.phase = request_phase::waiting;
+    if (first)
+    {
+        waiting.push_front(key.id);
+    }
+    else
+    {
+        waiting.push_back(key.id);
+    }
+    ++requests.queues.at(queue).length;
+}
+
+void dequeue(daemon_state& state, request_key const& key,
+             request_entry const& entry)
+{
+    auto& requests = state.requests;
+    auto const queue = queue_index(entry.priority);
+    auto& waiting = requests.shards[key.shard].waiting.at(queue);
+    auto const found = std::find(waiting.begin(), waiting.end(), key.id);
+    if (found != waiting.end())
+    {
+        waiting.erase(found);
+        --requests.queues.at(queue).length;
+    }
+}
+
+void dispatch(context& step, shard_id const& shard)
+{
+    auto const& shards = step.state.requests.shards;
+    for (std::size_t queue = 0; queue < 2; ++queue)
+    {
+        auto const found = shards.find(shard);
+        if (found == shards.end())
+        {
+            return;
+        }
+        if (!found->second.waiting.at(queue).empty())
+        {
+            dispatch_queue(step, shard, queue);
+        }
+    }
+}
+
+} // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/request_shard.cpp
@@ -0,0 +1,248 @@
+#include <jaydrift/decide/requests.hpp>
+
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/workers.hpp>
+
+#include "request_steps.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+/// Keeps a hand-over message within what a daemon accepts.
+constexpr std::size_t max_handed_over_bytes = 16U << 20U;
+
+request_entry& rebuild(context& step, request_key const& key)
+{
+    auto& requests = step.state.requests;
+    auto& entry = requests.shards[key.shard].entries[key.id];
+    ++requests.entry_count;
+    entry.phase = request_phase::unresolved;
+    entry.arrived = step.now;
+    entry.result = unknown("an earlier owner started it");
+    entry.expires_at = step.now + step.state.settings.request_retention;
+    requests.expiries.emplace_back(*entry.expires_at, key);
+    return entry;
+}
+
+/// The worker runs it although this daemon did not start it there.
+void mark_running(context& step, request_key const& key,
+                  std::string_view worker, task_report const& report)
+{
+    auto* entry = find_entry(step.state, key);
+    if (entry->phase == request_phase::started
+        || entry->phase == request_phase::done)
+    {
+        return;
+    }
+    if (entry->phase != request_phase::unresolved)
+    {
+        leave_unresolved(step, key, "an earlier owner started it");
+    }
+    entry->worker = std::string(worker);
+    entry->attempt = std::max(entry->attempt, report.attempt);
+    workers::reserve(step, worker, report.task);
+}
+
+void take_over(context& step, request_key const& key, std::string_view worker,
+               task_report const& report)
+{
+    if (find_entry(step.state, key) == nullptr)
+    {
+        auto& entry = rebuild(step, key);
+        entry.request.id = key.id;
+        entry.request.kind = report.task.kind;
+        entry.priority = report.task.priority;
+    }
+    switch (report.state)
+    {
+    case task_state::running:
+        mark_running(step, key, worker, report);
+        return;
+    case task_state::finished:
+        finish(step, key, {request_outcome::completed, report.answer, {}});
+        return;
+    default:
+        leave_unresolved(step, key, "it ended without a result");
+        return;
+    }
+}
+
+bool may_have_run(daemon_state const& state, request_entry const& entry)
+{
+    switch (entry.phase)
+    {
+    case request_phase::waiting:
+        return false;
+    case request_phase::delegated:
+        return entry.forward == 0 || forward_sent(state, entry.forward);
+    default:
+        return true;
+    }
+}
+
+/// Sends a request that did not start to the next owner.
+void pass_on(context& step, shard_id const& shard, request_entry const& entry,
+             request_waiter const& waiter)
+{
+    if (auto const* peer = std::get_if<waiting_peer>(&waiter.who))
+    {
+        step.emit(answer_peer{peer->call, peer_acknowledgement{false}});
+    }
+    else if (auto const* record = std::get_if<waiting_record>(&waiter.who))
+    {
+        on_delegation_returned(step, record->key);
+    }
+    else
+    {
+        forward(step, entry.request, shard, false, waiter);
+    }
+}
+
+void drop_entry(context& step, request_key const& key, request_entry& entry)
+{
+    auto& requests = step.state.requests;
+    auto const ran = may_have_run(step.state, entry);
+    if (!entry.worker.empty())
+    {
+        workers::release(step, entry.worker, key.id);
+    }
+    if (entry.phase == request_phase::waiting)
+    {
+        --requests.queues.at(queue_index(entry.priority)).length;
+    }
+    for (auto const& waiter : entry.waiters)
+    {
+        requests.deadlines.erase({waiter.deadline, key});
+    }
+    requests.payload_bytes -= entry.request.payload.size();
+    requests.answer_bytes -= entry.result.answer.size();
+    --requests.entry_count;
+    cancel_forward(step.state, entry.forward);
+    for (auto const& waiter : entry.waiters)
+    {
+        if (ran)
+        {
+            send_result(step, waiter, key.id,
+                        unknown("another daemon took the shard over"));
+        }
+        else
+        {
+            pass_on(step, key.shard, entry, waiter);
+        }
+    }
+}
+
+request_record to_record(std::string const& id, request_entry const& entry,
+                         std::size_t& room)
+{
+    request_record record;
+    record.id = id;
+    record.worker = entry.worker;
+    record.attempt = entry.attempt;
+    record.started = entry.result.outcome != request_outcome::not_run
+                     || entry.phase != request_phase::done;
+    record.finished = entry.phase == request_phase::done;
+    record.result = entry.result;
+    if (!record.finished)
+    {
+        record.result = unknown("an earlier owner started it");
+    }
+    else if (record.result.answer.size() > room)
+    {
+        record.result = unknown("the answer is no longer kept");
+    }
+    room -= record.result.answer.size();
+    return record;
+}
+
+} // namespace
+
+void on_inventory(context& step, shard_id const& shard, std::string_view worker,
+                  std::span<task_report const> tasks)
+{
+    for (auto const& report : tasks)
+    {
+        if (report.task.priority == task_class::urgent
+            || report.task.priority == task_class::service)
+        {
+            take_over(step, {shard, report.task.id}, worker, report);
+        }
+    }
+}
+
+void on_handed_over(context& step, shard_id const& shard,
+                    std::span<request_record const> records)
+{
+    for (auto const& record : records)
+    {
+        request_key const key{shard, record.id};
+        if (find_entry(step.state, key) == nullptr)
+        {
+            auto& entry = rebuild(step, key);
+            entry.request.id = record.id;
+            entry.worker = record.worker;
+            entry.attempt = record.attempt;
+        }
+        if (record.finished)
+        {
+            finish(step, key, record.result);
+        }
+    }
+}
+
+void on_shard_acquired(context& step, shard_id const& shard)
+{
+    retry_forwards(step, shard);
+    dispatch(step, shard);
+}
+
+void on_shard_lost(context& step, shard_id const& shard)
+{
+    auto& requests = step.state.requests;
+    auto lost = requests.shards.extract(shard);
+    if (lost.empty())
+    {
+        return;
+    }
+    std::erase_if(requests.starts, [&](auto const& item) {
+        return item.second.key.shard == shard;
+    });
+    for (auto& [id, entry] : lost.mapped().entries)
+    {
+        drop_entry(step, {shard, id}, entry);
+    }
+    bound_answers(step.state);
+}
+
+std::vector<request_record> records(daemon_state const& state,
+                                    shard_id const& shard)
+{
+    std::vector<request_record> result;
+    auto const found = state.requests.shards.find(shard);
+    if (found == state.requests.shards.end())
+    {
+        return result;
+    }
+    auto room = max_handed_over_bytes;
+    for (auto const& [id, entry] : found->second.entries)
+    {
+        if (may_have_run(state, entry))
+        {
+            result.push_back(to_record(id, entry, room));
+        }
+    }
+    return result;
+}
+
+std::uint32_t open_requests(daemon_state const& state, shard_id const& shard)
+{
+    auto const found = state.requests.shards.find(shard);
+    return found == state.requests.shards.end() ? 0 : found->second.open;
+}
+
+} // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/request_steps.hpp
@@ -0,0 +1,122 @@
+#ifndef JAYDRIFT_DECIDE_REQUEST_STEPS_HPP
+#define JAYDRIFT_DECIDE_REQUEST_STEPS_HPP
+
+#include <jaydrift/core/request_result.hpp>
+#include <jaydrift/core/shard_id.hpp>
+#include <jaydrift/core/task_class.hpp>
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/core/urgent_request.hpp>
+#include <jaydrift/decide/request_key.hpp>
+#include <jaydrift/decide/request_waiter.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaydrift::decide {
+
+struct context;
+struct daemon_state;
+struct request_entry;
+
+// Steps of the request module that its source files share.
+namespace requests {
+
+/// Returns the record, or null.
+request_entry* find_entry(daemon_state& state, request_key const& key);
+
+/// Returns the index of a class in the queues.
+std::size_t queue_index(task_class priority);
+
+request_result not_run(std::string reason);
+request_result unknown(std::string reason);
+
+/// Answers one waiter.
+void send_result(context& step, request_waiter const& waiter,
+                 std::string_view id, request_result const& result);
+
+void add_waiter(context& step, request_key const& key, request_entry& entry,
+                request_waiter waiter);
+
+/// Removes and returns all waiters of a record.
+std::vector<request_waiter>
+take_waiters(daemon_state& state, request_key const& key, request_entry& entry);
+
+/// Sets the final result of a record and answers its waiters.
+void finish(context& step, request_key const& key, request_result result);
+
+/// Answers the waiters with `unknown` and never sends the request again.
+void leave_unresolved(context& step, request_key const& key,
+                      std::string_view reason);
+
+/// Answers the waiters whose patience is over.
+void expire_waiters(context& step);
+
+/// Forgets records after the retention time.
+void forget_old(context& step);
+
+/// Frees the payload of a record that will not be sent again.
+void drop_payload(daemon_state& state, request_entry& entry);
+
+/// Drops the oldest answers until the rest fits the memory for answers.
+void bound_answers(daemon_state& state);
+
+/// Puts a record into its queue.
+void enqueue(daemon_state& state, request_key const& key, request_entry& entry,
+             bool first);
+
+/// Takes a record out of its queue.
+void dequeue(daemon_state& state, request_key const& key,
+             request_entry const& entry);
+
+/// Handles a request at the owner of its shard.
+void execute_here(context& step, shard_id const& shard, urgent_request request,
+                  bool delegated, request_waiter waiter);
+
+/// Starts waiting requests of a shard as far as there is room.
+void dispatch(context& step, shard_id const& shard);
+
+/// Makes a refused start wait for another place.
+void requeue(context& step, request_key const& key, std::string_view reason);
+
+/// Sends a request to the owner of a shard until a result arrives or the
+/// waiter's patience ends. Returns the number of the forward, or 0 if the
+/// request was executed here or answered at once.
+std::uint64_t forward(context& step, urgent_request request,
+                      shard_id const& shard, bool delegated,
+                      request_waiter waiter);
+
+/// Makes the attempts and checks that are due.
+void advance_forwards(context& step);
+
+/// Retries the forwards that wait for an owner of this shard.
+void retry_forwards(context& step, shard_id const& shard);
+
+/// Tells whether a daemon may have received a forward.
+bool forward_sent(daemon_state const& state, std::uint64_t number);
+void cancel_forward(daemon_state& state, std::uint64_t number);
+
+/// Returns the shard that runs a request for its home region's owner, if there
+/// is another region.
+std::optional<shard_id> delegate_shard(daemon_state const& state,
+                                       std::string_view home_region,
+                                       std::string_view id);
+
+/// Passes a record to the other region.
+void delegate(context& step, request_key const& key);
+
+/// Takes over the result of a delegated record.
+void on_delegated_result(context& step, request_key const& key,
+                         request_result const& result);
+
+/// The other region's shard moved before it started the request.
+void on_delegation_returned(context& step, request_key const& key);
+
+} // namespace requests
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_REQUEST_STEPS_HPP
--- a/src/jaydrift/decide/requests.cpp
+++ b/src/jaydrift/decide/requests.cpp
@@ -1,52 +1,135 @@
 #include <jaydrift/decide/requests.hpp>
 
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/workers.hpp>
 
+#include "request_steps.hpp"
+
+#include <algorithm>
 #include <limits>
+#include <vector>
 
 namespace jaydrift::decide::requests {
 
-void on_timer(context&) {}
-
-void on_request_arrived(context&, request_arrived const&) {}
-
-void on_execute(context&, peer_called const&, execute_request const&) {}
-
-void on_query(context&, peer_called const&, query_request const&) {}
+namespace {
 
-void on_worker_replied(context&, worker_replied const&) {}
+/// Room on workers also appears through other modules, without an event here.
+constexpr time_ms dispatch_interval{20};
 
-void on_worker_failed(context&, worker_failed const&) {}
-
-void on_peer_replied(context&, peer_replied const&) {}
-
-void on_peer_failed(context&, peer_failed const&) {}
+bool any_waiting(request_state const& requests)
+{
+    return std::any_of(requests.queues.begin(), requests.queues.end(),
+                       [](auto const& queue) { return queue.length > 0; });
+}
 
-void on_inventory(context&, shard_id const&, std::string_view,
-                  std::span<task_report const>)
+void dispatch_all(context& step)
 {
+    auto& requests = step.state.requests;
+    if (!any_waiting(requests) || step.now < requests.next_dispatch)
+    {
+        return;
+    }
+    requests.next_dispatch = step.now + dispatch_interval;
+    std::vector<shard_id> shards;
+    for (auto const& [shard, records] : requests.shards)
+    {
+        shards.push_back(shard);
+    }
+    for (auto const& shard : shards)
+    {
+        dispatch(step, shard);
+    }
 }
 
-void on_handed_over(context&, shard_id const&, std::span<request_record const>)
+void release_lost(context& step)
 {
+    auto& bookings = step.state.requests.lost_bookings;
+    while (!bookings.empty() && bookings.front().until <= step.now)
+    {
+        workers::release(step, bookings.front().worker, bookings.front().task);
+        bookings.pop_front();
+    }
 }
 
-void on_shard_acquired(context&, shard_id const&) {}
+} // namespace
 
-void on_shard_lost(context&, shard_id const&) {}
+request_entry* find_entry(daemon_state& state, request_key const& key)
+{
+    auto const shard = state.requests.shards.find(key.shard);
+    if (shard == state.requests.shards.end())
+    {
+        return nullptr;
+    }
+    auto const found = shard->second.entries.find(key.id);
+    return found == shard->second.entries.end() ? nullptr : &found->second;
+}
 
-std::vector<request_record> records(daemon_state const&, shard_id const&)
+void on_timer(context& step)
 {
-    return {};
+    expire_waiters(step);
+    advance_forwards(step);
+    release_lost(step);
+    forget_old(step);
+    dispatch_all(step);
 }
 
-std::uint32_t open_requests(daemon_state const&, shard_id const&) { return {}; }
+void on_query(context& step, peer_called const& call,
+              query_request const& request)
+{
+    auto result = unknown("no record of this request ID");
+    for (auto const& [shard, records] : step.state.requests.shards)
+    {
+        auto const found = records.entries.find(request.request);
+        if (found == records.entries.end())
+        {
+            continue;
+        }
+        auto const& entry = found->second;
+        if (entry.phase == request_phase::done)
+        {
+            result = entry.result;
+            break;
+        }
+        result = unknown("the request has no result yet");
+    }
+    step.emit(answer_peer{call.call, std::move(result)});
+}
 
-bool idle(daemon_state const&) { return {}; }
+bool idle(daemon_state const& state)
+{
+    auto const& requests = state.requests;
+    return requests.forwards.empty()
+           && std::all_of(
+               requests.shards.begin(), requests.shards.end(),
+               [](auto const& item) { return item.second.open == 0; });
+}
 
-time_ms next_timer(daemon_state const&)
+time_ms next_timer(daemon_state const& state)
 {
-    return time_ms(std::numeric_limits<std::int64_t>::max());
+    auto const& requests = state.requests;
+    auto next = time_ms(std::numeric_limits<std::int64_t>::max());
+    auto const at = [&](time_ms due) { next = std::min(next, due); };
+    if (!requests.deadlines.empty())
+    {
+        at(requests.deadlines.begin()->first);
+    }
+    if (!requests.forwards_due.empty())
+    {
+        at(requests.forwards_due.begin()->first);
+    }
+    if (!requests.expiries.empty())
+    {
+        at(requests.expiries.front().first);
+    }
+    if (!requests.lost_bookings.empty())
+    {
+        at(requests.lost_bookings.front().until);
+    }
+    if (any_waiting(requests))
+    {
+        at(requests.next_dispatch);
+    }
+    return next;
 }
 
 } // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/routing.cpp
@@ -0,0 +1,103 @@
+#include "worker_choice.hpp"
+
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
+#include <jaydrift/decide/workers.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+/// Workers that are looked at per decision. A shard of the design size has 25.
+constexpr std::size_t max_looked_at = 32;
+
+/// Smaller differences of the expected slowdown are noise of lagging reports.
+constexpr std::int64_t slowdown_step = 50;
+
+bool may_place(context const& step, std::string_view worker)
+{
+    return ownership::may_start(step.state, worker, step.now)
+           && workers::usable(step.state, worker, step.now);
+}
+
+/// Lower is better: the expected slowdown first, then the load.
+std::tuple<std::int64_t, std::int64_t>
+cost(context const& step, std::string_view worker, std::string_view kind)
+{
+    return {workers::expected_slowdown(step.state, worker, kind)
+                / slowdown_step,
+            workers::load(step.state, worker)};
+}
+
+void keep_least_loaded(context const& step, worker_choice& choice,
+                       std::string const& worker)
+{
+    if (!choice.least_loaded
+        || workers::load(step.state, worker)
+               < workers::load(step.state, *choice.least_loaded))
+    {
+        choice.least_loaded = worker;
+    }
+}
+
+} // namespace
+
+worker_choice choose_worker(context& step, shard_id const& shard,
+                            placement_demand const& demand)
+{
+    worker_choice choice;
+    auto const names = workers::names_of_shard(step.state, shard);
+    if (names.empty())
+    {
+        return choice;
+    }
+    auto const first = step.state.random.below(names.size());
+    auto const count = std::min(names.size(), max_looked_at);
+    std::size_t found = 0;
+    auto refused_fits = false;
+    for (std::size_t i = 0; i < count && found < 2; ++i)
+    {
+        auto const& name = names[(first + i) % names.size()];
+        if (!may_place(step, name)
+            || !workers::urgent_allowed(step.state, name, step.now))
+        {
+            continue;
+        }
+        auto const room = workers::available(step.state, name, demand.priority);
+        if (!fits(demand.demand, room))
+        {
+            keep_least_loaded(step, choice, name);
+            continue;
+        }
+        if (name == demand.refused_by)
+        {
+            refused_fits = true;
+            continue;
+        }
+        ++found;
+        if (!choice.worker
+            || cost(step, name, demand.kind)
+                   < cost(step, *choice.worker, demand.kind))
+        {
+            choice.worker = name;
+        }
+    }
+    if (!choice.worker && refused_fits)
+    {
+        choice.worker = std::string(demand.refused_by);
+    }
+    return choice;
+}
+
+bool any_usable(context const& step, shard_id const& shard)
+{
+    auto const names = workers::names_of_shard(step.state, shard);
+    return std::any_of(names.begin(), names.end(),
+                       [&](auto const& name) { return may_place(step, name); });
+}
+
+} // namespace jaydrift::decide::requests
--- /dev/null
+++ b/src/jaydrift/decide/vm_list.cpp
@@ -0,0 +1,163 @@
+#include <jaydrift/decide/workers.hpp>
+
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
+
+#include "interference.hpp"
+
+#include <algorithm>
+
+namespace jaydrift::decide::workers {
+
+namespace {
+
+/// The list lags and may name a VM as gone and then as live again, so what is
+/// known about a VM is kept for a while.
+constexpr time_ms gone_retention{3600000};
+
+/// Far above the design size of 700; bounds the memory if the list is wrong.
+constexpr std::size_t max_workers = 20000;
+
+void remove_name(worker_state& workers, worker_entry const& entry)
+{
+    auto const shard = workers.by_shard.find(entry.shard);
+    if (shard == workers.by_shard.end())
+    {
+        return;
+    }
+    std::erase(shard->second, entry.vm.worker);
+    if (shard->second.empty())
+    {
+        workers.by_shard.erase(shard);
+    }
+}
+
+void insert_name(worker_state& workers, worker_entry const& entry)
+{
+    auto& names = workers.by_shard[entry.shard];
+    auto const at =
+        std::lower_bound(names.begin(), names.end(), entry.vm.worker);
+    if (at == names.end() || *at != entry.vm.worker)
+    {
+        names.insert(at, entry.vm.worker);
+    }
+}
+
+void take_over(context& step, vm_info const& vm)
+{
+    auto& workers = step.state.workers;
+    if (!workers.entries.contains(vm.worker)
+        && workers.entries.size() >= max_workers)
+    {
+        step.log(log_level::error, "workers",
+                 "VM " + vm.worker + " is ignored: too many VMs in the list.");
+        return;
+    }
+    auto& entry = workers.entries[vm.worker];
+    if (!entry.vm.worker.empty())
+    {
+        remove_name(workers, entry);
+    }
+    if (vm.state == vm_state::gone && entry.vm.state != vm_state::gone)
+    {
+        entry.gone_at = step.now;
+    }
+    entry.vm = vm;
+    entry.shard = ownership::shard_of_worker(step.state, vm.region, vm.worker);
+    if (vm.state != vm_state::gone)
+    {
+        insert_name(workers, entry);
+    }
+}
+
+void drop_gone(worker_state& workers, time_ms now)
+{
+    std::erase_if(workers.entries, [&](auto const& item) {
+        auto const& entry = item.second;
+        return entry.vm.state == vm_state::gone
+               && now >= entry.gone_at + gone_retention;
+    });
+}
+
+} // namespace
+
+void on_timer(context& step)
+{
+    auto& workers = step.state.workers;
+    age_interference(workers.interference, step.now);
+    if (step.now < workers.next_list_query)
+    {
+        return;
+    }
+    workers.next_list_query = step.now + step.state.settings.vm_list_interval;
+    if (workers.list_query)
+    {
+        return;
+    }
+    drop_gone(workers, step.now);
+    workers.list_query =
+        step.ask_store(part::workers, list_vms_request{workers.list_revision});
+}
+
+void on_store_replied(context& step, store_replied const& event)
+{
+    auto& workers = step.state.workers;
+    if (workers.list_query != event.correlation)
+    {
+        return;
+    }
+    workers.list_query.reset();
+    if (event.reply.outcome != store_outcome::ok)
+    {
+        return;
+    }
+    for (auto const& vm : event.reply.vms)
+    {
+        take_over(step, vm);
+    }
+    // A lower revision means that the platform rebuilt its list, so the next
+    // query asks for the whole of it.
+    auto const rebuilt = event.reply.revision < workers.list_revision;
+    workers.list_revision = rebuilt ? 0 : event.reply.revision;
+}
+
+void on_store_failed(context& step, store_failed const& event)
+{
+    auto& workers = step.state.workers;
+    if (workers.list_query == event.correlation)
+    {
+        workers.list_query.reset();
+    }
+}
+
+vm_info const* find(daemon_state const& state, std::string_view worker)
+{
+    auto const found = state.workers.entries.find(worker);
+    return found == state.workers.entries.end() ? nullptr : &found->second.vm;
+}
+
+std::span<std::string const> names_of_shard(daemon_state const& state,
+                                            shard_id const& shard)
+{
+    auto const found = state.workers.by_shard.find(shard);
+    if (found == state.workers.by_shard.end())
+    {
+        return {};
+    }
+    return found->second;
+}
+
+std::vector<std::string> of_shard(daemon_state const& state,
+                                  shard_id const& shard)
+{
+    auto const names = names_of_shard(state, shard);
+    return {names.begin(), names.end()};
+}
+
+time_ms next_timer(daemon_state const& state)
+{
+    return std::min(state.workers.next_list_query,
+                    state.workers.interference.next_ageing);
+}
+
+} // namespace jaydrift::decide::workers
