--- a/include/jaydrift/decide/batch.hpp
+++ b/include/jaydrift/decide/batch.hpp
@@ -5,6 +5,7 @@
 #include <jaydrift/core/resources.hpp>
 #include <jaydrift/core/shard_id.hpp>
 #include <jaydrift/core/task_report.hpp>
+#include <jaydrift/core/usage_report.hpp>
 #include <jaydrift/decide/event.hpp>
 
 #include <cstdint>
@@ -35,6 +36,10 @@
 /// The journal has made every record up to `sequence` of a shard durable.
 void on_durable(context& step, shard_id const& shard, std::uint64_t sequence);
 
+/// The store cannot be reached, and records of the shard that wait were not
+/// written. Submissions among them are refused.
+void on_store_unavailable(context& step, shard_id const& shard);
+
 /// The journal lost its place to another owner; nothing after the last durable
 /// record was written.
 void on_journal_lost(context& step, shard_id const& shard);
@@ -50,10 +55,17 @@
 void on_inventory(context& step, shard_id const& shard, std::string_view worker,
                   std::span<task_report const> tasks);
 
-/// Takes over finished, failed and evicted tasks of a renewal reply.
+/// Takes over finished, failed and evicted tasks of a renewal reply. Called
+/// with every renewal reply, also without tasks: a task that the worker no
+/// longer reports was forgotten by it.
 void on_reports(context& step, std::string_view worker,
                 std::span<task_report const> tasks);
 
+/// Takes over the lagging usage report of a renewal reply and takes at most one
+/// step against interference on that worker.
+void on_usage(context& step, std::string_view worker,
+              usage_report const& report);
+
 /// The worker's lease as the shard's owner last granted it has lapsed, so its
 /// tasks of the shard have stopped.
 void on_lease_lapsed(context& step, shard_id const& shard,
--- /dev/null
+++ b/include/jaydrift/decide/field_writer.hpp
@@ -0,0 +1,31 @@
+#ifndef JAYDRIFT_DECIDE_FIELD_WRITER_HPP
+#define JAYDRIFT_DECIDE_FIELD_WRITER_HPP
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace jaydrift::decide {
+
+/// Writes text fields with their lengths (`5:hello,`), so that a field may hold
+/// any byte.
+class field_writer
+{
+public:
+    field_writer& add(std::string_view field);
+
+    template<std::integral Number>
+    field_writer& add(Number number)
+    {
+        return add(std::string_view(std::to_string(number)));
+    }
+
+    std::string take() { return std::move(text_); }
+
+private:
+    std::string text_;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_FIELD_WRITER_HPP
--- a/include/jaydrift/decide/journal.hpp
+++ b/include/jaydrift/decide/journal.hpp
@@ -31,7 +31,12 @@
 std::uint64_t append(context& step, shard_id const& shard,
                      std::string_view record);
 
-/// Tells whether the shard's records have been read.
+/// Removes a record that was never sent to the store. Returns false if it may
+/// have been written.
+bool withdraw(context& step, shard_id const& shard, std::uint64_t sequence);
+
+/// Tells whether the shard's records have been read and the previous owner can
+/// write no more.
 bool ready(daemon_state const& state, shard_id const& shard);
 
 /// Returns when `on_timer` is next due.
--- a/src/jaydrift/decide/batch.cpp
+++ b/src/jaydrift/decide/batch.cpp
@@ -24,6 +24,10 @@
 
 void on_durable(context&, shard_id const&, std::uint64_t) {}
 
+void on_store_unavailable(context&, shard_id const&) {}
+
+void on_usage(context&, std::string_view, usage_report const&) {}
+
 void on_journal_lost(context&, shard_id const&) {}
 
 void on_loaded(context&, shard_id const&, std::string_view,
--- a/src/jaydrift/decide/journal.cpp
+++ b/src/jaydrift/decide/journal.cpp
@@ -1,28 +1,81 @@
 #include <jaydrift/decide/journal.hpp>
 
+#include "journal_detail.hpp"
+
+#include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace jaydrift::decide::journal {
 
-void on_timer(context&) {}
-
-void on_store_replied(context&, store_replied const&) {}
+void on_timer(context& step)
+{
+    for (auto& [shard, journal] : step.state.journal.shards)
+    {
+        if (due(journal) <= step.now)
+        {
+            advance(step, shard, journal);
+        }
+    }
+}
 
-void on_store_failed(context&, store_failed const&) {}
+void back_off(context& step, shard_journal& journal)
+{
+    // Doubles from 250 ms to 8 s; the jitter keeps the owners of many shards
+    // from reaching a store that returns at the same moment.
+    auto const longest = 250U << std::min(journal.failures, 5U);
+    ++journal.failures;
+    auto const delay = longest / 2 + step.state.random.below(longest / 2 + 1);
+    journal.retry_at = step.now + time_ms(static_cast<std::int64_t>(delay));
+}
 
-void load(context&, shard_id const&, std::uint64_t) {}
+void lose(context& step, shard_id const& shard, std::uint64_t epoch)
+{
+    shard_id const lost = shard;
+    step.log(log_level::warning, "journal",
+             "Lost " + to_string(lost) + " to epoch " + std::to_string(epoch)
+                 + '.');
+    step.state.journal.shards.erase(lost);
+    batch::on_journal_lost(step, lost);
+    ownership::on_stale_epoch(step, lost, epoch);
+}
 
-void drop(context&, shard_id const&) {}
+void load(context& step, shard_id const& shard, std::uint64_t epoch)
+{
+    auto const [entry, added] = step.state.journal.shards.try_emplace(shard);
+    if (!added && entry->second.epoch == epoch)
+    {
+        return;
+    }
+    entry->second = {};
+    entry->second.epoch = epoch;
+    entry->second.retry_at = step.now;
+    entry->second.write_at = step.now;
+}
 
-std::uint64_t append(context&, shard_id const&, std::string_view) { return {}; }
+void drop(context& step, shard_id const& shard)
+{
+    step.state.journal.shards.erase(shard);
+}
 
-bool ready(daemon_state const&, shard_id const&) { return {}; }
+bool ready(daemon_state const& state, shard_id const& shard)
+{
+    auto const found = state.journal.shards.find(shard);
+    return found != state.journal.shards.end()
+           && found->second.phase == journal_phase::ready;
+}
 
-time_ms next_timer(daemon_state const&)
+time_ms next_timer(daemon_state const& state)
 {
-    return time_ms(std::numeric_limits<std::int64_t>::max());
+    time_ms next(std::numeric_limits<std::int64_t>::max());
+    for (auto const& [shard, journal] : state.journal.shards)
+    {
+        next = std::min(next, due(journal));
+    }
+    return next;
 }
 
 } // namespace jaydrift::decide::journal
--- /dev/null
+++ b/src/jaydrift/decide/journal_append.cpp
@@ -0,0 +1,179 @@
+#include "journal_detail.hpp"
+
+#include <jaydrift/core/put_request.hpp>
+#include <jaydrift/core/read_request.hpp>
+#include <jaydrift/decide/batch.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/journal.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace jaydrift::decide::journal {
+
+namespace {
+
+void ask(context& step, shard_id const& shard, shard_journal& journal,
+         store_request request)
+{
+    journal.call = step.ask_store(part::journal, std::move(request));
+    step.state.journal.calls.emplace(journal.call, shard);
+}
+
+bool snapshot_due(shard_journal const& journal)
+{
+    return journal.content.last_slot - journal.content.snapshot_slot
+           >= snapshot_after;
+}
+
+std::string new_token(context& step, journal_write const& write)
+{
+    return step.state.settings.self.daemon + '/' + write.key + '/'
+           + std::to_string(write.slot) + '/'
+           + std::to_string(step.state.random.next());
+}
+
+void set_write(context& step, shard_journal& journal, journal_write write)
+{
+    write.token = new_token(step, write);
+    journal.write = std::move(write);
+}
+
+void prepare_snapshot(context& step, shard_id const& shard,
+                      shard_journal& journal, std::string value)
+{
+    journal_write write;
+    write.key = snapshot_key(shard);
+    write.value = std::move(value);
+    write.expected_revision = journal.content.snapshot_revision;
+    write.slot = journal.content.last_slot;
+    write.is_snapshot = true;
+    set_write(step, journal, std::move(write));
+}
+
+void prepare_slot(context& step, shard_id const& shard, shard_journal& journal,
+                  std::vector<journal_record> records)
+{
+    journal_write write;
+    write.slot = journal.content.last_slot + 1;
+    write.key = slot_key(shard, write.slot);
+    write.value = slot_value(write.slot, journal.epoch, records);
+    write.expected_revision =
+        journal.content.revisions[write.slot % journal_slots];
+    write.records = std::move(records);
+    set_write(step, journal, std::move(write));
+}
+
+std::vector<journal_record> take_group(shard_journal& journal)
+{
+    std::vector<journal_record> group;
+    std::size_t bytes = 0;
+    while (!journal.pending.empty())
+    {
+        bytes += journal.pending.front().text.size() + 16;
+        if (!group.empty() && bytes > max_group_bytes)
+        {
+            break;
+        }
+        group.push_back(std::move(journal.pending.front()));
+        journal.pending.pop_front();
+    }
+    return group;
+}
+
+void send_write(context& step, shard_id const& shard, shard_journal& journal)
+{
+    auto const& write = *journal.write;
+    journal.write_at = step.now + write_interval;
+    ask(step, shard, journal,
+        put_request{write.key, write.value, write.expected_revision,
+                    write.token, 0});
+}
+
+} // namespace
+
+void start_fence(context& step, shard_id const& shard, shard_journal& journal)
+{
+    auto const& content = journal.content;
+    journal.phase = journal_phase::fencing;
+    if (content.last_slot - content.snapshot_slot >= journal_slots)
+    {
+        prepare_snapshot(step, shard, journal,
+                         snapshot_value(content.last_slot, journal.epoch,
+                                        content.snapshot, content.records));
+        return;
+    }
+    prepare_slot(step, shard, journal, {});
+}
+
+void advance(context& step, shard_id const& shard, shard_journal& journal)
+{
+    if (journal.phase == journal_phase::reading)
+    {
+        return ask(step, shard, journal, read_request{prefix_of(shard)});
+    }
+    if (journal.write && journal.write->unresolved)
+    {
+        // The key alone is read, because the link between regions is paid for
+        // per byte.
+        return ask(step, shard, journal, read_request{journal.write->key});
+    }
+    if (!journal.write && snapshot_due(journal))
+    {
+        prepare_snapshot(
+            step, shard, journal,
+            snapshot_value(journal.content.last_slot, journal.epoch,
+                           batch::snapshot(step.state, shard), {}));
+    }
+    else if (!journal.write)
+    {
+        prepare_slot(step, shard, journal, take_group(journal));
+    }
+    send_write(step, shard, journal);
+}
+
+time_ms due(shard_journal const& journal)
+{
+    if (journal.call != 0)
+    {
+        return time_ms(std::numeric_limits<std::int64_t>::max());
+    }
+    if (journal.phase == journal_phase::reading
+        || (journal.write && journal.write->unresolved))
+    {
+        return journal.retry_at;
+    }
+    if (journal.write || !journal.pending.empty() || snapshot_due(journal))
+    {
+        return std::max(journal.retry_at, journal.write_at);
+    }
+    return time_ms(std::numeric_limits<std::int64_t>::max());
+}
+
+std::uint64_t append(context& step, shard_id const& shard,
+                     std::string_view record)
+{
+    auto const found = step.state.journal.shards.find(shard);
+    if (found == step.state.journal.shards.end())
+    {
+        return 0;
+    }
+    auto const sequence = ++step.state.journal.last_sequence;
+    found->second.pending.push_back({sequence, std::string(record)});
+    return sequence;
+}
+
+bool withdraw(context& step, shard_id const& shard, std::uint64_t sequence)
+{
+    auto const found = step.state.journal.shards.find(shard);
+    if (found == step.state.journal.shards.end())
+    {
+        return false;
+    }
+    return std::erase_if(
+               found->second.pending,
+               [&](auto const& record) { return record.sequence == sequence; })
+           > 0;
+}
+
+} // namespace jaydrift::decide::journal
--- /dev/null
+++ b/src/jaydrift/decide/journal_recovery.cpp
@@ -0,0 +1,250 @@
+#include "journal_detail.hpp"
+
+#include <jaydrift/decide/batch.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/field_error.hpp>
+#include <jaydrift/decide/journal.hpp>
+#include <jaydrift/decide/ownership.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace jaydrift::decide::journal {
+
+namespace {
+
+void report_loaded(context& step, shard_id const& shard, shard_journal& journal)
+{
+    journal.phase = journal_phase::ready;
+    auto const snapshot = std::move(journal.content.snapshot);
+    auto const records = std::move(journal.content.records);
+    journal.content.snapshot.clear();
+    journal.content.records.clear();
+    step.log(log_level::info, "journal",
+             "Loaded " + to_string(shard) + " with "
+                 + std::to_string(records.size()) + " records.");
+    batch::on_loaded(step, shard, snapshot, records);
+}
+
+void complete(context& step, shard_id const& shard, shard_journal& journal,
+              std::uint64_t revision)
+{
+    auto const write = std::move(*journal.write);
+    journal.write.reset();
+    journal.failures = 0;
+    journal.retry_at = step.now;
+    if (write.is_snapshot)
+    {
+        journal.content.snapshot_slot = write.slot;
+        journal.content.snapshot_revision = revision;
+        if (journal.phase == journal_phase::fencing)
+        {
+            start_fence(step, shard, journal);
+        }
+        return;
+    }
+    journal.content.last_slot = write.slot;
+    journal.content.revisions[write.slot % journal_slots] = revision;
+    if (journal.phase == journal_phase::fencing)
+    {
+        return report_loaded(step, shard, journal);
+    }
+    if (!write.records.empty())
+    {
+        batch::on_durable(step, shard, write.records.back().sequence);
+    }
+}
+
+/// Nothing of the write can have taken effect: its records wait again.
+void take_back(shard_journal& journal)
+{
+    if (journal.phase != journal_phase::ready || journal.write->maybe_sent)
+    {
+        return;
+    }
+    auto& records = journal.write->records;
+    journal.pending.insert(journal.pending.begin(),
+                           std::make_move_iterator(records.begin()),
+                           std::make_move_iterator(records.end()));
+    journal.write.reset();
+}
+
+void on_loaded(context& step, shard_id const& shard, shard_journal& journal,
+               store_reply const& reply)
+{
+    if (reply.outcome != store_outcome::ok)
+    {
+        return back_off(step, journal);
+    }
+    try
+    {
+        journal.content = recover(shard, reply.entries);
+    }
+    catch (field_error const& error)
+    {
+        step.log(log_level::error, "journal",
+                 "Cannot read " + prefix_of(shard) + ": " + error.what() + '.');
+        return back_off(step, journal);
+    }
+    if (journal.content.epoch > journal.epoch)
+    {
+        return lose(step, shard, journal.content.epoch);
+    }
+    journal.failures = 0;
+    journal.retry_at = step.now;
+    start_fence(step, shard, journal);
+}
+
+/// Another value than ours is under the key.
+void on_other_value(context& step, shard_id const& shard,
+                    shard_journal& journal, store_entry const& entry)
+{
+    auto const epoch = epoch_of(entry.value);
+    auto& write = *journal.write;
+    if (epoch <= journal.epoch && journal.phase == journal_phase::fencing)
+    {
+        // A write of the previous owner arrived before the epoch record.
+        journal.write.reset();
+        journal.phase = journal_phase::reading;
+        journal.retry_at = step.now;
+    }
+    else if (epoch <= journal.epoch && write.is_snapshot)
+    {
+        // A late snapshot of the previous owner covers fewer slots than this
+        // one, so this one replaces it.
+        write.expected_revision = entry.revision;
+        write.unresolved = false;
+    }
+    else
+    {
+        lose(step, shard, epoch);
+    }
+}
+
+void on_read_back(context& step, shard_id const& shard, shard_journal& journal,
+                  store_reply const& reply)
+{
+    if (reply.outcome != store_outcome::ok)
+    {
+        return back_off(step, journal);
+    }
+    auto& write = *journal.write;
+    auto const entry =
+        std::find_if(reply.entries.begin(), reply.entries.end(),
+                     [&](auto const& found) { return found.key == write.key; });
+    if (entry != reply.entries.end() && entry->token == write.token)
+    {
+        return complete(step, shard, journal, entry->revision);
+    }
+    auto const revision = entry == reply.entries.end() ? 0 : entry->revision;
+    if (revision == write.expected_revision)
+    {
+        // The same write with the same token is safe to send again, even if
+        // the first one is still on its way.
+        write.unresolved = false;
+        return;
+    }
+    if (entry == reply.entries.end())
+    {
+        return lose(step, shard, journal.epoch);
+    }
+    try
+    {
+        on_other_value(step, shard, journal, *entry);
+    }
+    catch (field_error const& error)
+    {
+        step.log(log_level::error, "journal",
+                 "Cannot read " + entry->key + ": " + error.what() + '.');
+        back_off(step, journal);
+    }
+}
+
+void on_put(context& step, shard_id const& shard, shard_journal& journal,
+            store_reply const& reply)
+{
+    switch (reply.outcome)
+    {
+    case store_outcome::ok:
+        return complete(step, shard, journal, reply.revision);
+    case store_outcome::conflict:
+        journal.write->unresolved = true;
+        journal.retry_at = step.now;
+        return;
+    case store_outcome::too_large:
+        step.log(log_level::error, "journal",
+                 "The store refused " + journal.write->key + " with "
+                     + std::to_string(journal.write->value.size())
+                     + " bytes as too large.");
+        break;
+    default:
+        break;
+    }
+    take_back(journal);
+    back_off(step, journal);
+}
+
+shard_journal* find_call(context& step, std::uint64_t correlation,
+                         shard_id& shard)
+{
+    auto const call = step.state.journal.calls.extract(correlation);
+    if (call.empty())
+    {
+        return nullptr;
+    }
+    shard = call.mapped();
+    auto const found = step.state.journal.shards.find(shard);
+    if (found == step.state.journal.shards.end()
+        || found->second.call != correlation)
+    {
+        return nullptr;
+    }
+    found->second.call = 0;
+    return &found->second;
+}
+
+} // namespace
+
+void on_store_replied(context& step, store_replied const& event)
+{
+    shard_id shard;
+    auto* const journal = find_call(step, event.correlation, shard);
+    if (journal == nullptr)
+    {
+        return;
+    }
+    if (journal->phase == journal_phase::reading)
+    {
+        return on_loaded(step, shard, *journal, event.reply);
+    }
+    if (journal->write->unresolved)
+    {
+        return on_read_back(step, shard, *journal, event.reply);
+    }
+    on_put(step, shard, *journal, event.reply);
+}
+
+void on_store_failed(context& step, store_failed const& event)
+{
+    shard_id shard;
+    auto* const journal = find_call(step, event.correlation, shard);
+    if (journal == nullptr)
+    {
+        return;
+    }
+    back_off(step, *journal);
+    if (!journal->write || journal->write->unresolved)
+    {
+        return;
+    }
+    if (!event.never_sent)
+    {
+        journal->write->maybe_sent = true;
+        journal->write->unresolved = true;
+        return;
+    }
+    take_back(*journal);
+    batch::on_store_unavailable(step, shard);
+}
+
+} // namespace jaydrift::decide::journal
--- /dev/null
+++ b/src/jaydrift/decide/journal_text.cpp
@@ -0,0 +1,135 @@
+#include "journal_detail.hpp"
+
+#include <jaydrift/decide/field_reader.hpp>
+#include <jaydrift/decide/field_writer.hpp>
+#include <jaydrift/decide/journal_record.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace jaydrift::decide::journal {
+
+namespace {
+
+struct slot_text
+{
+    std::uint64_t epoch = 0;
+    std::vector<std::string> records;
+};
+
+std::vector<std::string> read_rest(field_reader& reader)
+{
+    std::vector<std::string> records;
+    while (!reader.empty())
+    {
+        records.emplace_back(reader.text());
+    }
+    return records;
+}
+
+void read_snapshot(journal_content& content, store_entry const& entry)
+{
+    field_reader reader(entry.value);
+    content.snapshot_revision = entry.revision;
+    content.snapshot_slot = reader.number<std::uint64_t>();
+    content.epoch = std::max(content.epoch, reader.number<std::uint64_t>());
+    content.snapshot = reader.text();
+    content.records = read_rest(reader);
+}
+
+} // namespace
+
+std::string prefix_of(shard_id const& shard)
+{
+    return "batch/" + to_string(shard) + '/';
+}
+
+std::string snapshot_key(shard_id const& shard)
+{
+    return prefix_of(shard) + "snapshot";
+}
+
+std::string slot_key(shard_id const& shard, std::uint64_t slot)
+{
+    // Two digits, so that no slot's key is the prefix of another's.
+    auto const index = slot % journal_slots;
+    return prefix_of(shard) + "slot-" + (index < 10 ? "0" : "")
+           + std::to_string(index);
+}
+
+std::string slot_value(std::uint64_t slot, std::uint64_t epoch,
+                       std::span<journal_record const> records)
+{
+    field_writer writer;
+    writer.add(slot).add(epoch);
+    for (auto const& record : records)
+    {
+        writer.add(std::string_view(record.text));
+    }
+    return writer.take();
+}
+
+std::string snapshot_value(std::uint64_t slot, std::uint64_t epoch,
+                           std::string_view base,
+                           std::span<std::string const> records)
+{
+    field_writer writer;
+    writer.add(slot).add(epoch).add(base);
+    for (auto const& record : records)
+    {
+        writer.add(std::string_view(record));
+    }
+    return writer.take();
+}
+
+std::uint64_t epoch_of(std::string_view value)
+{
+    field_reader reader(value);
+    reader.text();
+    return reader.number<std::uint64_t>();
+}
+
+journal_content recover(shard_id const& shard,
+                        std::span<store_entry const> entries)
+{
+    journal_content content;
+    std::map<std::uint64_t, slot_text> slots;
+    for (auto const& entry : entries)
+    {
+        if (entry.key == snapshot_key(shard))
+        {
+            read_snapshot(content, entry);
+            continue;
+        }
+        field_reader reader(entry.value);
+        auto const slot = reader.number<std::uint64_t>();
+        if (entry.key != slot_key(shard, slot))
+        {
+            throw field_error("slot " + std::to_string(slot)
+                              + " is under the key " + entry.key);
+        }
+        content.revisions[slot % journal_slots] = entry.revision;
+        auto const epoch = reader.number<std::uint64_t>();
+        content.epoch = std::max(content.epoch, epoch);
+        slots[slot] = {epoch, read_rest(reader)};
+    }
+    content.last_slot = content.snapshot_slot;
+    for (auto& [slot, text] : slots)
+    {
+        if (slot <= content.snapshot_slot)
+        {
+            continue;
+        }
+        if (slot != content.last_slot + 1)
+        {
+            throw field_error("slot " + std::to_string(content.last_slot + 1)
+                              + " is missing");
+        }
+        content.last_slot = slot;
+        std::move(text.records.begin(), text.records.end(),
+                  std::back_inserter(content.records));
+    }
+    return content;
+}
+
+} // namespace jaydrift::decide::journal
