--- /dev/null
+++ b/include/jaydrift/decide/batch_job.hpp
@@ -0,0 +1,64 @@
+#ifndef JAYDRIFT_DECIDE_BATCH_JOB_HPP
+#define JAYDRIFT_DECIDE_BATCH_JOB_HPP
+
+#include <jaydrift/core/job_spec.hpp>
+#include <jaydrift/core/job_status.hpp>
+#include <jaydrift/core/task_class.hpp>
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/decide/batch_task.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jaydrift::decide {
+
+/// A batch job with its tasks.
+struct batch_job
+{
+    job_spec spec;
+    task_class priority = task_class::batch;
+    /// Place in the order of submissions.
+    std::uint64_t order = 0;
+    bool cancelled = false;
+    std::uint32_t finished = 0;
+    std::uint32_t evictions = 0;
+    /// Why the job is parked for good; empty if it is not.
+    std::string failure;
+    /// Why no worker can run a task of the job today; empty if one can.
+    std::string obstacle;
+    /// Empty once the job is closed and no task of it is placed.
+    std::vector<batch_task> tasks;
+    /// Tasks that wait; entries in another phase are skipped.
+    std::deque<std::uint32_t> waiting;
+    /// Tasks that a worker runs or may run.
+    std::set<std::uint32_t> placed;
+    /// Number of placed tasks in each rack.
+    std::map<std::string, std::uint32_t> racks;
+    /// No placement is tried before this time.
+    time_ms retry_at;
+    /// Since when no worker had room for the job.
+    std::optional<time_ms> blocked_since;
+
+    /// Tells whether the job's result is durable.
+    bool closed() const { return cancelled || finished == spec.task_count; }
+
+    /// Tells whether tasks of the job may be started.
+    bool startable() const
+    {
+        return !closed() && failure.empty() && obstacle.empty();
+    }
+};
+
+job_status status_of(batch_job const& job);
+
+/// Tells whether two submissions ask for the same.
+bool same_content(job_spec const& a, job_spec const& b);
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_BATCH_JOB_HPP
--- a/include/jaydrift/decide/batch_state.hpp
+++ b/include/jaydrift/decide/batch_state.hpp
@@ -1,11 +1,29 @@
 #ifndef JAYDRIFT_DECIDE_BATCH_STATE_HPP
 #define JAYDRIFT_DECIDE_BATCH_STATE_HPP
 
+#include <jaydrift/core/shard_id.hpp>
+#include <jaydrift/decide/forwarded_call.hpp>
+#include <jaydrift/decide/run_time_estimate.hpp>
+#include <jaydrift/decide/shard_batch.hpp>
+#include <jaydrift/decide/task_call.hpp>
+#include <jaydrift/decide/worker_batch.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
 namespace jaydrift::decide {
 
 /// State of the batch module.
 struct batch_state
 {
+    std::map<shard_id, shard_batch> shards;
+    std::map<std::string, worker_batch, std::less<>> workers;
+    std::map<std::string, run_time_estimate, std::less<>> estimates;
+    /// Calls in flight, by correlation number.
+    std::map<std::uint64_t, task_call> calls;
+    std::map<std::uint64_t, forwarded_call> forwarded;
 };
 
 } // namespace jaydrift::decide
--- /dev/null
+++ b/include/jaydrift/decide/pending_record.hpp
@@ -0,0 +1,28 @@
+#ifndef JAYDRIFT_DECIDE_PENDING_RECORD_HPP
+#define JAYDRIFT_DECIDE_PENDING_RECORD_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/decide/batch_record.hpp>
+#include <jaydrift/decide/job_caller.hpp>
+
+#include <string>
+#include <vector>
+
+namespace jaydrift::decide {
+
+/// A record that is not durable yet.
+struct pending_record
+{
+    batch_record record;
+    /// Who is answered once the record is durable.
+    std::vector<job_caller> callers;
+    /// Worker that may forget the task once the record is durable.
+    std::string worker;
+    std::string task;
+    /// A submission or cancellation that was not sent by then is refused.
+    time_ms refuse_at;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_PENDING_RECORD_HPP
--- /dev/null
+++ b/include/jaydrift/decide/task_call.hpp
@@ -0,0 +1,25 @@
+#ifndef JAYDRIFT_DECIDE_TASK_CALL_HPP
+#define JAYDRIFT_DECIDE_TASK_CALL_HPP
+
+#include <jaydrift/core/task_action.hpp>
+#include <jaydrift/decide/task_ref.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace jaydrift::decide {
+
+/// A call to a worker that is not answered yet.
+struct task_call
+{
+    task_ref task;
+    std::string worker;
+    std::uint32_t attempt = 0;
+    /// Absent for a start.
+    std::optional<task_action> action;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_TASK_CALL_HPP
--- /dev/null
+++ b/include/jaydrift/decide/task_ref.hpp
@@ -0,0 +1,33 @@
+#ifndef JAYDRIFT_DECIDE_TASK_REF_HPP
+#define JAYDRIFT_DECIDE_TASK_REF_HPP
+
+#include <jaydrift/core/shard_id.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jaydrift::decide {
+
+/// Names a task of a batch job.
+struct task_ref
+{
+    shard_id shard;
+    std::string job;
+    std::uint32_t index = 0;
+
+    auto operator<=>(task_ref const&) const = default;
+};
+
+/// Returns the task's ID at a worker.
+std::string task_id(std::string_view job, std::uint32_t index);
+
+/// Splits a task's ID, or returns nothing if it is not one of a batch task.
+std::optional<task_ref> parse_task_id(shard_id const& shard,
+                                      std::string_view id);
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_TASK_REF_HPP
--- /dev/null
+++ b/include/jaydrift/decide/unforgotten_task.hpp
@@ -0,0 +1,18 @@
+#ifndef JAYDRIFT_DECIDE_UNFORGOTTEN_TASK_HPP
+#define JAYDRIFT_DECIDE_UNFORGOTTEN_TASK_HPP
+
+#include <jaydrift/core/shard_id.hpp>
+
+namespace jaydrift::decide {
+
+/// An ended task that its worker still reports.
+struct unforgotten_task
+{
+    shard_id shard;
+    /// The end is durable, so that the worker may forget the task.
+    bool durable = false;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_UNFORGOTTEN_TASK_HPP
--- /dev/null
+++ b/include/jaydrift/decide/worker_batch.hpp
@@ -0,0 +1,29 @@
+#ifndef JAYDRIFT_DECIDE_WORKER_BATCH_HPP
+#define JAYDRIFT_DECIDE_WORKER_BATCH_HPP
+
+#include <jaydrift/decide/interference_state.hpp>
+#include <jaydrift/decide/task_ref.hpp>
+#include <jaydrift/decide/unforgotten_task.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace jaydrift::decide {
+
+/// What the batch module knows about a worker.
+struct worker_batch
+{
+    std::string rack;
+    /// Tasks that the worker runs or may run.
+    std::set<task_ref> placed;
+    /// Ended tasks by ID. No new attempt of them is started on this worker,
+    /// because its answer could be about the old one.
+    std::map<std::string, unforgotten_task, std::less<>> unforgotten;
+    interference_state interference;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_WORKER_BATCH_HPP
--- /dev/null
+++ b/include/jaydrift/decide/worker_reservation.hpp
@@ -0,0 +1,17 @@
+#ifndef JAYDRIFT_DECIDE_WORKER_RESERVATION_HPP
+#define JAYDRIFT_DECIDE_WORKER_RESERVATION_HPP
+
+#include <string>
+
+namespace jaydrift::decide {
+
+/// A worker that is kept free for a job that found no room for long.
+struct worker_reservation
+{
+    std::string job;
+    std::string worker;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_WORKER_RESERVATION_HPP
--- a/src/jaydrift/decide/batch.cpp
+++ b/src/jaydrift/decide/batch.cpp
@@ -1,69 +1,118 @@
 #include <jaydrift/decide/batch.hpp>
 
-#include <jaydrift/decide/context.hpp>
+#include "batch_detail.hpp"
 
+#include <jaydrift/decide/ownership.hpp>
+
+#include <algorithm>
 #include <limits>
 
 namespace jaydrift::decide::batch {
 
-void on_timer(context&) {}
-
-void on_job_arrived(context&, job_arrived const&) {}
-
-void on_job_forwarded(context&, peer_called const&, job_request const&) {}
-
-void on_operator_called(context&, operator_called const&, job_request const&) {}
-
-void on_worker_replied(context&, worker_replied const&) {}
-
-void on_worker_failed(context&, worker_failed const&) {}
-
-void on_peer_replied(context&, peer_replied const&) {}
-
-void on_peer_failed(context&, peer_failed const&) {}
-
-void on_durable(context&, shard_id const&, std::uint64_t) {}
-
-void on_store_unavailable(context&, shard_id const&) {}
+namespace {
 
-void on_usage(context&, std::string_view, usage_report const&) {}
+constexpr time_ms never{std::numeric_limits<std::int64_t>::max()};
+constexpr time_ms obstacle_interval{5000};
 
-void on_journal_lost(context&, shard_id const&) {}
-
-void on_loaded(context&, shard_id const&, std::string_view,
-               std::span<std::string const>)
+/// Looks again at jobs that no worker could run: workers and policies change.
+void review_obstacles(shard_step const& at)
 {
+    if (at.work.obstructed.empty())
+    {
+        return;
+    }
+    for (auto entry = at.work.obstructed.begin();
+         entry != at.work.obstructed.end();)
+    {
+        auto* const job = find_job(at.work, *entry);
+        if (job != nullptr && !job->closed())
+        {
+            job->obstacle = obstacle(at.step.state, at.shard, *job);
+            refresh_queue(at, *job);
+        }
+        bool const stays =
+            job != nullptr && !job->closed() && !job->obstacle.empty();
+        entry = stays ? std::next(entry) : at.work.obstructed.erase(entry);
+    }
+    wake(at, at.step.now + obstacle_interval);
 }
 
-std::string snapshot(daemon_state const&, shard_id const&) { return {}; }
-
-void on_inventory(context&, shard_id const&, std::string_view,
-                  std::span<task_report const>)
+void run(shard_step const& at)
 {
+    at.work.wake_at = never;
+    refuse_unsent(at, at.step.now,
+                  "store unavailable: nothing was written; try again later");
+    for (auto const& [sequence, entry] : at.work.pending)
+    {
+        if (!entry.callers.empty() && entry.refuse_at > at.step.now)
+        {
+            wake(at, entry.refuse_at);
+        }
+    }
+    if (!at.work.loaded)
+    {
+        return;
+    }
+    resolve(at);
+    release_delayed(at);
+    cancel_placed(at);
+    probe_doubted(at);
+    review_obstacles(at);
+    schedule(at);
 }
 
-void on_reports(context&, std::string_view, std::span<task_report const>) {}
-
-void on_lease_lapsed(context&, shard_id const&, std::string_view) {}
-
-void on_shard_acquired(context&, shard_id const&) {}
-
-void on_shard_lost(context&, shard_id const&) {}
+} // namespace
 
-std::vector<std::string> acknowledged(daemon_state const&, std::string_view)
+void on_timer(context& step)
 {
-    return {};
+    for (auto& [shard, work] : step.state.batch.shards)
+    {
+        if (work.wake_at <= step.now)
+        {
+            run({step, shard, work});
+        }
+    }
 }
 
-bool make_room(context&, std::string_view, resources const&) { return {}; }
-
-std::uint32_t running_tasks(daemon_state const&, shard_id const&) { return {}; }
+std::uint32_t running_tasks(daemon_state const& state, shard_id const& shard)
+{
+    std::size_t count = 0;
+    auto const found = state.batch.shards.find(shard);
+    if (found != state.batch.shards.end())
+    {
+        for (auto const& [id, job] : found->second.table.jobs)
+        {
+            count += job.placed.size();
+        }
+    }
+    return static_cast<std::uint32_t>(count);
+}
 
-std::uint32_t waiting_tasks(daemon_state const&, shard_id const&) { return {}; }
+std::uint32_t waiting_tasks(daemon_state const& state, shard_id const& shard)
+{
+    std::size_t count = 0;
+    auto const found = state.batch.shards.find(shard);
+    if (found != state.batch.shards.end())
+    {
+        for (auto const& [id, job] : found->second.table.jobs)
+        {
+            if (!job.closed())
+            {
+                count += job.spec.task_count - job.finished - job.placed.size();
+            }
+        }
+    }
+    return static_cast<std::uint32_t>(count);
+}
 
-time_ms next_timer(daemon_state const&)
+time_ms next_timer(daemon_state const& state)
 {
-    return time_ms(std::numeric_limits<std::int64_t>::max());
+    time_ms next = never;
+    for (auto const& [shard, work] : state.batch.shards)
+    {
+        next = std::min(next, work.wake_at);
+    }
+    return next;
 }
 
 } // namespace jaydrift::decide::batch
--- /dev/null
+++ b/src/jaydrift/decide/job_table.cpp
@@ -0,0 +1,189 @@
+#include <jaydrift/decide/job_table.hpp>
+
+#include <algorithm>
+
+namespace jaydrift::decide {
+
+namespace {
+
+/// Applies one record to a table.
+class record_applier
+{
+public:
+    explicit record_applier(job_table& table) : table_(table) {}
+
+    bool operator()(submit_record const& record)
+    {
+        auto const [entry, added] = table_.jobs.try_emplace(record.spec.id);
+        if (!added)
+        {
+            return false;
+        }
+        auto& job = entry->second;
+        job.spec = record.spec;
+        job.priority = record.priority;
+        job.order = ++table_.last_order;
+        job.tasks.resize(record.spec.task_count);
+        return true;
+    }
+
+    bool operator()(finish_record const& record)
+    {
+        auto* const job = open_job(record.job);
+        auto* const task = open_task(job, record.index);
+        if (task == nullptr)
+        {
+            return false;
+        }
+        task->phase = task_phase::done;
+        ++job->finished;
+        close_if_finished(*job);
+        return true;
+    }
+
+    bool operator()(evict_record const& record)
+    {
+        auto* const job = open_job(record.job);
+        auto* const task = open_task(job, record.index);
+        if (task == nullptr || record.attempt <= task->ended_attempt)
+        {
+            return false;
+        }
+        end_attempt(*task, record.attempt);
+        task->checkpoint_ms =
+            std::max(task->checkpoint_ms, record.checkpoint_ms);
+        ++job->evictions;
+        return true;
+    }
+
+    bool operator()(fail_record const& record)
+    {
+        auto* const job = open_job(record.job);
+        auto* const task = open_task(job, record.index);
+        if (task == nullptr || record.attempt <= task->ended_attempt)
+        {
+            return false;
+        }
+        end_attempt(*task, record.attempt);
+        if (++task->failures >= max_failures && job->failure.empty())
+        {
+            job->failure = "task " + std::to_string(record.index) + " failed "
+                           + std::to_string(max_failures)
+                           + " times: " + record.reason;
+        }
+        return true;
+    }
+
+    bool operator()(cancel_record const& record)
+    {
+        auto* const job = open_job(record.job);
+        if (job == nullptr)
+        {
+            return false;
+        }
+        job->cancelled = true;
+        job->waiting.clear();
+        table_.closed.push_back(record.job);
+        return true;
+    }
+
+private:
+    batch_job* open_job(std::string const& id)
+    {
+        auto const found = table_.jobs.find(id);
+        return found == table_.jobs.end() || found->second.closed()
+                   ? nullptr
+                   : &found->second;
+    }
+
+    static batch_task* open_task(batch_job* job, std::uint32_t index)
+    {
+        if (job == nullptr || index >= job->tasks.size()
+            || job->tasks[index].phase == task_phase::done)
+        {
+            return nullptr;
+        }
+        return &job->tasks[index];
+    }
+
+    static void end_attempt(batch_task& task, std::uint32_t attempt)
+    {
+        task.ended_attempt = attempt;
+        task.attempt = std::max(task.attempt, attempt);
+    }
+
+    void close_if_finished(batch_job& job)
+    {
+        if (job.closed())
+        {
+            job.waiting.clear();
+            table_.closed.push_back(job.spec.id);
+        }
+    }
+
+    job_table& table_;
+};
+
+job_state state_of(batch_job const& job)
+{
+    if (job.cancelled)
+    {
+        return job_state::cancelled;
+    }
+    if (job.closed())
+    {
+        return job_state::finished;
+    }
+    if (!job.failure.empty() || !job.obstacle.empty())
+    {
+        return job_state::parked;
+    }
+    return job.placed.empty() && job.finished == 0 ? job_state::waiting
+                                                   : job_state::running;
+}
+
+} // namespace
+
+bool apply(job_table& table, batch_record const& record)
+{
+    return std::visit(record_applier(table), record);
+}
+
+void forget_old_jobs(job_table& table)
+{
+    while (table.closed.size() > max_closed_jobs)
+    {
+        auto const job = table.jobs.find(table.closed.front());
+        if (job != table.jobs.end() && !job->second.placed.empty())
+        {
+            return;
+        }
+        if (job != table.jobs.end())
+        {
+            table.jobs.erase(job);
+        }
+        table.closed.pop_front();
+    }
+}
+
+job_status status_of(batch_job const& job)
+{
+    job_status status;
+    status.id = job.spec.id;
+    status.state = state_of(job);
+    status.task_count = job.spec.task_count;
+    status.finished = job.finished;
+    status.running = static_cast<std::uint32_t>(job.placed.size());
+    status.evictions = job.evictions;
+    status.reason = job.failure.empty() ? job.obstacle : job.failure;
+    return status;
+}
+
+bool same_content(job_spec const& a, job_spec const& b)
+{
+    return a.id == b.id && a.kind == b.kind && a.team == b.team
+           && a.home_region == b.home_region && a.task_count == b.task_count
+           && a.demand == b.demand && a.run_time_ms == b.run_time_ms;
+}
+
+} // namespace jaydrift::decide
