Exchange heartbeats and keep the member key

The daemons did not know of each other. Each now sends heartbeats to the daemons of its settings and of the members/ prefix, keeps a leased key there, and suspects a daemon that is silent for suspect_after. A pause of this process restarts the count, because the heartbeats of others waited as well.

--- /dev/null
+++ b/include/jaydrift/decide/heartbeats.hpp
@@ -0,0 +1,23 @@
+#ifndef JAYDRIFT_DECIDE_HEARTBEATS_HPP
+#define JAYDRIFT_DECIDE_HEARTBEATS_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+namespace jaydrift::decide {
+
+struct context;
+struct daemon_state;
+
+/// Sends the heartbeats of the membership module.
+namespace heartbeats {
+
+/// Sends every heartbeat that is due.
+void drive(context& step);
+
+time_ms next_timer(daemon_state const& state);
+
+} // namespace heartbeats
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_HEARTBEATS_HPP
--- /dev/null
+++ b/include/jaydrift/decide/member_text.hpp
@@ -0,0 +1,20 @@
+#ifndef JAYDRIFT_DECIDE_MEMBER_TEXT_HPP
+#define JAYDRIFT_DECIDE_MEMBER_TEXT_HPP
+
+#include <jaydrift/core/member_info.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jaydrift::decide {
+
+/// Returns the value of a daemon's key in the store.
+std::string encode_member(member_info const& member);
+
+/// Returns nothing if the text is not a member.
+std::optional<member_info> decode_member(std::string_view text);
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_MEMBER_TEXT_HPP
--- a/include/jaydrift/decide/membership_state.hpp
+++ b/include/jaydrift/decide/membership_state.hpp
@@ -1,11 +1,33 @@
 #ifndef JAYDRIFT_DECIDE_MEMBERSHIP_STATE_HPP
 #define JAYDRIFT_DECIDE_MEMBERSHIP_STATE_HPP
 
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/decide/member_key.hpp>
+#include <jaydrift/decide/member_view.hpp>
+#include <jaydrift/decide/prefix_watch.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
 namespace jaydrift::decide {
 
 /// State of the membership module.
 struct membership_state
 {
+    /// The other daemons, by name.
+    std::map<std::string, member_view, std::less<>> members;
+
+    member_key key;
+    prefix_watch watch{"members/", 0, 0, {}, false, false};
+    bool store_answers = false;
+    std::optional<time_ms> started_at;
+    time_ms last_timer;
+
+    /// When this process last ran again after it was paused. Silence of others
+    /// counts from here, because their heartbeats waited as well.
+    time_ms resumed_at;
 };
 
 } // namespace jaydrift::decide
--- /dev/null
+++ b/include/jaydrift/decide/text_fields.hpp
@@ -0,0 +1,38 @@
+#ifndef JAYDRIFT_DECIDE_TEXT_FIELDS_HPP
+#define JAYDRIFT_DECIDE_TEXT_FIELDS_HPP
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jaydrift::decide {
+
+/// Fields of a small value in the store, one `name=value` a line. Values hold
+/// no line breaks, and elements of lists hold no commas.
+class text_fields
+{
+public:
+    text_fields() = default;
+    explicit text_fields(std::string_view text);
+
+    void set(std::string_view name, std::string_view value);
+    void set(std::string_view name, std::uint64_t value);
+    void set(std::string_view name, std::span<std::string const> values);
+
+    std::optional<std::string> text(std::string_view name) const;
+    std::optional<std::uint64_t> number(std::string_view name) const;
+    std::vector<std::string> list(std::string_view name) const;
+
+    std::string encode() const;
+
+private:
+    std::map<std::string, std::string, std::less<>> fields_;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_TEXT_FIELDS_HPP
--- /dev/null
+++ b/src/jaydrift/decide/member_key_calls.cpp
@@ -0,0 +1,88 @@
+#include <jaydrift/decide/member_key_calls.hpp>
+
+#include <jaydrift/core/store_reply.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/member_text.hpp>
+
+#include <limits>
+
+namespace jaydrift::decide::member_key_calls {
+
+namespace {
+
+constexpr time_ms retry_delay{1000};
+
+store_request next_request(context& step)
+{
+    auto const& key = step.state.membership.key;
+    auto const& settings = step.state.settings;
+    if (key.lease == 0)
+    {
+        return grant_lease_request{settings.member_lease};
+    }
+    if (key.written)
+    {
+        return keep_alive_request{key.lease};
+    }
+    auto const& self = settings.self;
+    return put_request{"members/" + self.daemon,
+                       encode_member(self),
+                       {},
+                       self.daemon + '/' + std::to_string(key.lease) + '/'
+                           + std::to_string(step.state.last_correlation),
+                       key.lease};
+}
+
+} // namespace
+
+void drive(context& step)
+{
+    auto& key = step.state.membership.key;
+    if (key.correlation == 0 && step.now >= key.next_call)
+    {
+        key.correlation = step.ask_store(part::membership, next_request(step));
+    }
+}
+
+void on_replied(context& step, store_reply const& reply)
+{
+    auto& key = step.state.membership.key;
+    key.correlation = 0;
+    key.next_call = step.now + retry_delay;
+    if (reply.outcome == store_outcome::overloaded)
+    {
+        return;
+    }
+    if (reply.outcome != store_outcome::ok)
+    {
+        key.lease = 0;
+        key.written = false;
+        return;
+    }
+    if (key.lease == 0)
+    {
+        key.lease = reply.lease;
+        key.next_call = step.now;
+        return drive(step);
+    }
+    key.written = true;
+    // Two keep-alives may be lost before the lease expires.
+    key.next_call =
+        step.now + time_ms(step.state.settings.member_lease.count() / 3);
+}
+
+void on_failed(context& step)
+{
+    auto& key = step.state.membership.key;
+    key.correlation = 0;
+    key.next_call = step.now + retry_delay;
+}
+
+time_ms next_timer(member_key const& key)
+{
+    return key.correlation != 0
+               ? time_ms(std::numeric_limits<std::int64_t>::max())
+               : key.next_call;
+}
+
+} // namespace jaydrift::decide::member_key_calls
--- a/src/jaydrift/decide/membership.cpp
+++ b/src/jaydrift/decide/membership.cpp
@@ -1,47 +1,239 @@
 #include <jaydrift/decide/membership.hpp>
 
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/heartbeats.hpp>
+#include <jaydrift/decide/member_key_calls.hpp>
+#include <jaydrift/decide/member_text.hpp>
+#include <jaydrift/decide/stop.hpp>
 
-#include <limits>
+#include <algorithm>
+#include <set>
 
 namespace jaydrift::decide::membership {
 
-void on_timer(context&) {}
+namespace {
 
-void on_heartbeat(context&, peer_called const&, heartbeat const&) {}
+void start(context& step)
+{
+    auto& self = step.state.membership;
+    self.started_at = step.now;
+    self.resumed_at = step.now;
+    for (auto const& peer : step.state.settings.peers)
+    {
+        if (peer.daemon != step.state.settings.self.daemon)
+        {
+            auto& view = self.members[peer.daemon];
+            view.member = peer;
+            view.configured = true;
+            view.next_beat = step.now;
+        }
+    }
+}
 
-void on_peer_replied(context&, peer_replied const&) {}
+/// Notices that this process was paused.
+void check_pause(context& step)
+{
+    auto& self = step.state.membership;
+    auto const longest = step.state.settings.suspect_after
+                         - step.state.settings.heartbeat_interval;
+    if (step.now - self.last_timer > longest)
+    {
+        self.resumed_at = step.now;
+    }
+    self.last_timer = step.now;
+}
 
-void on_peer_failed(context&, peer_failed const&) {}
+void add_registered(context& step, store_entry const& entry)
+{
+    auto const member = decode_member(entry.value);
+    if (!member || member->daemon == step.state.settings.self.daemon)
+    {
+        return;
+    }
+    auto& view = step.state.membership.members[member->daemon];
+    view.member = *member;
+    view.registered = true;
+    if (!view.heard_at)
+    {
+        view.next_beat = step.now;
+    }
+}
 
-void on_store_replied(context&, store_replied const&) {}
+void remove_registered(context& step, std::string_view daemon)
+{
+    auto& members = step.state.membership.members;
+    if (auto const found = members.find(daemon); found != members.end())
+    {
+        found->second.registered = false;
+    }
+}
 
-void on_store_failed(context&, store_failed const&) {}
+/// Forgets daemons that neither the settings nor the store name and that do
+/// not answer.
+void forget_members(context& step)
+{
+    std::erase_if(step.state.membership.members, [&](auto const& entry) {
+        auto const& [name, view] = entry;
+        return !view.configured && !view.registered
+               && !live(step.state, name, step.now);
+    });
+}
 
-std::optional<member_info> find(daemon_state const&, std::string_view)
+void take_members(context& step, store_reply const& reply, bool full)
 {
-    return {};
+    std::set<std::string, std::less<>> listed;
+    for (auto const& entry : reply.entries)
+    {
+        add_registered(step, entry);
+        listed.insert(entry.key);
+    }
+    for (auto const& key : reply.deleted)
+    {
+        remove_registered(step,
+                          std::string_view(key).substr(sizeof("members/") - 1));
+    }
+    for (auto& [name, view] : step.state.membership.members)
+    {
+        view.registered =
+            view.registered && (!full || listed.contains("members/" + name));
+    }
+    forget_members(step);
 }
 
-std::vector<member_info> live_members(daemon_state const&, time_ms)
+} // namespace
+
+void on_timer(context& step)
 {
-    return {};
+    auto& self = step.state.membership;
+    if (!self.started_at)
+    {
+        start(step);
+    }
+    check_pause(step);
+    member_key_calls::drive(step);
+    drive(step, part::membership, self.watch);
+    heartbeats::drive(step);
 }
 
-bool live(daemon_state const&, std::string_view, time_ms) { return {}; }
+void on_store_replied(context& step, store_replied const& event)
+{
+    auto& self = step.state.membership;
+    self.store_answers = true;
+    if (self.watch.owns(event.correlation))
+    {
+        bool const full =
+            on_watch_replied(step, part::membership, self.watch, event.reply);
+        if (event.reply.outcome == store_outcome::ok)
+        {
+            take_members(step, event.reply, full);
+        }
+    }
+    else if (event.correlation == self.key.correlation)
+    {
+        member_key_calls::on_replied(step, event.reply);
+    }
+}
 
-heartbeat const* last_heartbeat(daemon_state const&, std::string_view)
+void on_store_failed(context& step, store_failed const& event)
 {
-    return {};
+    auto& self = step.state.membership;
+    if (self.watch.owns(event.correlation))
+    {
+        // A watch may time out only because nothing changed.
+        self.store_answers =
+            self.store_answers && self.watch.watching && !event.never_sent;
+        on_watch_failed(step, self.watch);
+    }
+    else if (event.correlation == self.key.correlation)
+    {
+        self.store_answers = false;
+        member_key_calls::on_failed(step);
+    }
 }
 
-bool store_available(daemon_state const&, time_ms) { return {}; }
+std::optional<member_info> find(daemon_state const& state,
+                                std::string_view daemon)
+{
+    if (daemon == state.settings.self.daemon)
+    {
+        return state.settings.self;
+    }
+    auto const found = state.membership.members.find(daemon);
+    return found == state.membership.members.end()
+               ? std::nullopt
+               : std::optional(found->second.member);
+}
 
-std::vector<member_status> status(daemon_state const&, time_ms) { return {}; }
+std::vector<member_info> live_members(daemon_state const& state, time_ms now)
+{
+    std::vector<member_info> result;
+    if (!stop::requested(state))
+    {
+        result.push_back(state.settings.self);
+    }
+    for (auto const& [name, view] : state.membership.members)
+    {
+        if (!view.last.draining && live(state, name, now))
+        {
+            result.push_back(view.member);
+        }
+    }
+    return result;
+}
+
+bool live(daemon_state const& state, std::string_view daemon, time_ms now)
+{
+    if (daemon == state.settings.self.daemon)
+    {
+        return true;
+    }
+    auto const found = state.membership.members.find(daemon);
+    if (found == state.membership.members.end() || !found->second.heard_at)
+    {
+        return false;
+    }
+    auto const since =
+        std::max(*found->second.heard_at, state.membership.resumed_at);
+    return now - since < state.settings.suspect_after;
+}
+
+heartbeat const* last_heartbeat(daemon_state const& state,
+                                std::string_view daemon)
+{
+    auto const found = state.membership.members.find(daemon);
+    return found == state.membership.members.end() || !found->second.heard_at
+               ? nullptr
+               : &found->second.last;
+}
+
+bool store_available(daemon_state const& state, time_ms)
+{
+    return state.membership.store_answers;
+}
+
+std::vector<member_status> status(daemon_state const& state, time_ms now)
+{
+    std::vector<member_status> result{
+        {state.settings.self, true, stop::requested(state)}};
+    for (auto const& [name, view] : state.membership.members)
+    {
+        result.push_back(
+            {view.member, live(state, name, now), view.last.draining});
+    }
+    return result;
+}
 
-time_ms next_timer(daemon_state const&)
+time_ms next_timer(daemon_state const& state)
 {
-    return time_ms(std::numeric_limits<std::int64_t>::max());
+    auto const& self = state.membership;
+    if (!self.started_at)
+    {
+        return {};
+    }
+    return std::min({decide::next_timer(self.watch),
+                     member_key_calls::next_timer(self.key),
+                     heartbeats::next_timer(state),
+                     self.last_timer + state.settings.heartbeat_interval});
 }
 
 } // namespace jaydrift::decide::membership
--- /dev/null
+++ b/src/jaydrift/decide/prefix_watch.cpp
@@ -0,0 +1,66 @@
+#include <jaydrift/decide/prefix_watch.hpp>
+
+#include <jaydrift/core/store_reply.hpp>
+#include <jaydrift/decide/context.hpp>
+
+#include <limits>
+
+namespace jaydrift::decide {
+
+namespace {
+
+// Bounds how long a watch waits on a connection that has silently died.
+constexpr time_ms watch_timeout{10000};
+
+constexpr time_ms retry_delay{1000};
+
+void send_watch(context& step, part owner, prefix_watch& watch)
+{
+    watch.correlation = step.next_correlation(owner);
+    watch.watching = true;
+    step.emit(send_store{watch.correlation, watch_timeout,
+                         watch_request{watch.prefix, watch.revision}});
+}
+
+} // namespace
+
+void drive(context& step, part owner, prefix_watch& watch)
+{
+    if (watch.correlation != 0 || step.now < watch.retry_at)
+    {
+        return;
+    }
+    watch.watching = false;
+    watch.correlation = step.ask_store(owner, read_request{watch.prefix});
+}
+
+bool on_watch_replied(context& step, part owner, prefix_watch& watch,
+                      store_reply const& reply)
+{
+    bool const full = !watch.watching && reply.outcome == store_outcome::ok;
+    if (reply.outcome != store_outcome::ok)
+    {
+        on_watch_failed(step, watch);
+        return false;
+    }
+    watch.revision = reply.revision;
+    watch.loaded = true;
+    send_watch(step, owner, watch);
+    return full;
+}
+
+void on_watch_failed(context& step, prefix_watch& watch)
+{
+    watch.correlation = 0;
+    watch.retry_at = watch.watching ? step.now : step.now + retry_delay;
+    watch.watching = false;
+}
+
+time_ms next_timer(prefix_watch const& watch)
+{
+    return watch.correlation != 0
+               ? time_ms(std::numeric_limits<std::int64_t>::max())
+               : watch.retry_at;
+}
+
+} // namespace jaydrift::decide
