Take, renew, hand over and give up shards

No daemon owned a shard. The ownership module now claims a shard's record with compare-and-swap, fences its workers, waits out the previous owner's authority, renews its own in rounds, replaces voters by generations and hands shards over. A lost answer of a record write is resolved by reading the token back.

--- a/include/jaydrift/decide/membership_state.hpp
+++ b/include/jaydrift/decide/membership_state.hpp
@@ -24,10 +24,6 @@
     bool store_answers = false;
     std::optional<time_ms> started_at;
     time_ms last_timer;
-
-    /// When this process last ran again after it was paused. Silence of others
-    /// counts from here, because their heartbeats waited as well.
-    time_ms resumed_at;
 };
 
 } // namespace jaydrift::decide
--- /dev/null
+++ b/include/jaydrift/decide/policy_mark.hpp
@@ -0,0 +1,24 @@
+#ifndef JAYDRIFT_DECIDE_POLICY_MARK_HPP
+#define JAYDRIFT_DECIDE_POLICY_MARK_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstdint>
+
+namespace jaydrift::decide {
+
+/// Policy version on its way to be in force in a shard.
+struct policy_mark
+{
+    std::uint64_t version = 0;
+
+    /// When every start that was sent before is past its deadline.
+    time_ms starts_end;
+
+    /// A majority of the voters keeps the version.
+    bool kept = false;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_POLICY_MARK_HPP
--- /dev/null
+++ b/include/jaydrift/decide/record_write.hpp
@@ -0,0 +1,30 @@
+#ifndef JAYDRIFT_DECIDE_RECORD_WRITE_HPP
+#define JAYDRIFT_DECIDE_RECORD_WRITE_HPP
+
+#include <jaydrift/core/shard_record.hpp>
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::decide {
+
+/// Write of a shard's record that is not known to have succeeded or failed.
+struct record_write
+{
+    shard_record value;
+    std::string token;
+    std::uint64_t expected_revision = 0;
+
+    /// Outstanding call; 0 means that the next is due at `retry_at`.
+    std::uint64_t correlation = 0;
+
+    /// The next or outstanding call reads the record back.
+    bool reading = false;
+
+    time_ms retry_at;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_RECORD_WRITE_HPP
--- /dev/null
+++ b/include/jaydrift/decide/renewal.hpp
@@ -0,0 +1,49 @@
+#ifndef JAYDRIFT_DECIDE_RENEWAL_HPP
+#define JAYDRIFT_DECIDE_RENEWAL_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstdint>
+#include <string_view>
+
+namespace jaydrift {
+
+struct store_reply;
+struct worker_reply;
+
+} // namespace jaydrift
+
+namespace jaydrift::decide {
+
+struct context;
+struct shard_view;
+struct tenure;
+struct worker_call;
+
+/// Renews the authority of an owner in rounds.
+namespace renewal {
+
+/// Sends a round if one is due.
+void drive(context& step, shard_view& view);
+
+/// Sends a renewal of the newest round to one worker.
+void send_to(context& step, shard_view& view, std::string_view worker);
+
+void on_replied(context& step, shard_view& view, worker_call const& call,
+                std::string_view worker, worker_reply const& reply);
+
+void on_failed(context& step, shard_view& view, worker_call const& call,
+               std::string_view worker);
+
+/// Counts the store's vote for a round.
+void on_record_read(context& step, shard_view& view, worker_call const& call,
+                    store_reply const& reply);
+
+/// Returns the policy version that is in force in the shard.
+std::uint64_t policy_in_force(tenure const& mine, time_ms now);
+
+} // namespace renewal
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_RENEWAL_HPP
--- a/src/jaydrift/decide/membership.cpp
+++ b/src/jaydrift/decide/membership.cpp
@@ -17,7 +17,7 @@
 {
     auto& self = step.state.membership;
     self.started_at = step.now;
-    self.resumed_at = step.now;
+    self.last_timer = step.now;
     for (auto const& peer : step.state.settings.peers)
     {
         if (peer.daemon != step.state.settings.self.daemon)
@@ -30,15 +30,20 @@
     }
 }
 
-/// Notices that this process was paused.
+/// After a pause of this process, counts the silence of the daemons that were
+/// live before from now, because their heartbeats waited as well.
 void check_pause(context& step)
 {
     auto& self = step.state.membership;
     auto const longest = step.state.settings.suspect_after
                          - step.state.settings.heartbeat_interval;
-    if (step.now - self.last_timer > longest)
+    for (auto& [name, view] : self.members)
     {
-        self.resumed_at = step.now;
+        if (step.now - self.last_timer > longest
+            && live(step.state, name, self.last_timer))
+        {
+            view.heard_at = step.now;
+        }
     }
     self.last_timer = step.now;
 }
@@ -192,9 +197,7 @@
     {
         return false;
     }
-    auto const since =
-        std::max(*found->second.heard_at, state.membership.resumed_at);
-    return now - since < state.settings.suspect_after;
+    return now - *found->second.heard_at < state.settings.suspect_after;
 }
 
 heartbeat const* last_heartbeat(daemon_state const& state,
--- a/src/jaydrift/decide/ownership.cpp
+++ b/src/jaydrift/decide/ownership.cpp
@@ -1,70 +1,295 @@
 #include <jaydrift/decide/ownership.hpp>
 
+#include <jaydrift/decide/claims.hpp>
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/hand_over.hpp>
+#include <jaydrift/decide/membership.hpp>
+#include <jaydrift/decide/policy.hpp>
+#include <jaydrift/decide/ranking.hpp>
+#include <jaydrift/decide/record_text.hpp>
+#include <jaydrift/decide/record_writes.hpp>
+#include <jaydrift/decide/renewal.hpp>
+#include <jaydrift/decide/requests.hpp>
+#include <jaydrift/decide/takeover.hpp>
+#include <jaydrift/decide/voters.hpp>
+#include <jaydrift/decide/worker_links.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace jaydrift::decide::ownership {
 
-void on_timer(context&) {}
+namespace {
 
-void on_store_replied(context&, store_replied const&) {}
+// How often shards of other daemons are looked at.
+constexpr time_ms check_interval{250};
 
-void on_store_failed(context&, store_failed const&) {}
+// How often a release looks whether requests are still in flight.
+constexpr time_ms release_check{100};
 
-void on_worker_replied(context&, worker_replied const&) {}
+// A term that meets a rival of the same epoch is renewed with a higher epoch
+// after this time.
+constexpr time_ms rival_limit{5000};
 
-void on_worker_failed(context&, worker_failed const&) {}
+constexpr time_ms call_limit{10000};
 
-void on_peer_replied(context&, peer_replied const&) {}
+constexpr time_ms never{std::numeric_limits<std::int64_t>::max()};
 
-void on_peer_failed(context&, peer_failed const&) {}
-
-void on_hand_over(context&, peer_called const&, hand_over_request const&) {}
-
-void on_stale_epoch(context&, shard_id const&, std::uint64_t) {}
+void start(context& step)
+{
+    auto& self = step.state.ownership;
+    self.started_at = step.now;
+    self.rebalanced_at = step.now;
+    for (auto const& shard : all_shards(step.state))
+    {
+        self.shards[shard].shard = shard;
+    }
+}
 
-void start_drain(context&) {}
+/// Writes the record after a takeover without the store.
+void write_missing_record(context& step, shard_view& view)
+{
+    auto const& term = view.mine->term;
+    auto const& seen = view.record;
+    if (view.write || !view.mine->quorum_at
+        || !membership::store_available(step.state, step.now)
+        || (seen.epoch == term.epoch && seen.owner == term.owner
+            && seen.generation == term.generation))
+    {
+        return;
+    }
+    record_writes::start(step, view, term);
+}
 
-bool drained(daemon_state const&) { return {}; }
+/// Tells whether a term without a quorum must be given up.
+bool hopeless(context& step, shard_view const& view)
+{
+    auto const& mine = *view.mine;
+    if (mine.quorum_at)
+    {
+        return mine.rival && mine.acquired_at
+               && step.now - *mine.acquired_at >= rival_limit;
+    }
+    return mine.rival
+           || (!mine.handed_over
+               && (claimant(step.state, view.shard, step.now)
+                   || best_owner(step.state, view.shard, step.now)
+                          != step.state.settings.self.daemon));
+}
 
-std::vector<shard_id> all_shards(daemon_state const&) { return {}; }
+void drive_tenure(context& step, shard_view& view)
+{
+    if (hopeless(step, view))
+    {
+        return takeover::retry_later(step, view);
+    }
+    if (view.mine->phase != shard_phase::claiming)
+    {
+        worker_links::sync(step, view);
+        worker_links::send_fences(step, view);
+        takeover::advance(step, view);
+        renewal::drive(step, view);
+        write_missing_record(step, view);
+        voters::drive(step, view);
+        if (view.mine->acquired_at)
+        {
+            worker_links::report_lapses(step, view);
+        }
+    }
+    hand_over::drive(step, view);
+}
 
-shard_id shard_of_key(daemon_state const&, std::string_view, std::string_view)
+void drive_shard(context& step, shard_view& view)
 {
-    return {};
+    record_writes::drive(step, view);
+    if (view.mine)
+    {
+        drive_tenure(step, view);
+    }
+    else
+    {
+        takeover::consider(step, view);
+    }
 }
 
-shard_id shard_of_worker(daemon_state const&, std::string_view,
-                         std::string_view)
+tenure const* find_serving(daemon_state const& state, shard_id const& shard,
+                           time_ms now)
 {
-    return {};
+    auto const found = state.ownership.shards.find(shard);
+    if (found == state.ownership.shards.end() || !found->second.mine)
+    {
+        return nullptr;
+    }
+    auto const& mine = *found->second.mine;
+    return mine.phase == shard_phase::serving && now < mine.authority_end
+               ? &mine
+               : nullptr;
 }
 
-std::optional<std::string> owner_of(daemon_state const&, shard_id const&)
+time_ms next_timer_of(daemon_state const& state, tenure const& mine)
 {
-    return {};
+    auto const last = state.ownership.last_timer;
+    auto next = never;
+    if (mine.phase == shard_phase::waiting)
+    {
+        auto const waited = *mine.quorum_at + state.settings.authority;
+        next = waited > last ? waited : never;
+    }
+    if (mine.quorum_at && mine.phase != shard_phase::handing_over)
+    {
+        next = std::min(next, mine.next_round);
+    }
+    if (mine.phase == shard_phase::releasing)
+    {
+        next = std::min(next, last + release_check);
+    }
+    return next;
 }
 
-bool serving(daemon_state const&, shard_id const&, time_ms) { return {}; }
+} // namespace
 
-ownership_term term(daemon_state const&, shard_id const&) { return {}; }
+void on_timer(context& step)
+{
+    auto& self = step.state.ownership;
+    if (!self.started_at)
+    {
+        start(step);
+    }
+    self.last_timer = step.now;
+    self.seen_policy = policy::version(step.state);
+    std::erase_if(self.calls, [&](auto const& entry) {
+        return step.now - entry.second.sent_at >= call_limit;
+    });
+    drive(step, part::ownership, self.watch);
+    for (auto& [shard, view] : self.shards)
+    {
+        drive_shard(step, view);
+    }
+    hand_over::rebalance(step);
+}
 
-bool may_start(daemon_state const&, std::string_view, time_ms) { return {}; }
+void on_stale_epoch(context& step, shard_id const& shard, std::uint64_t epoch)
+{
+    auto const found = step.state.ownership.shards.find(shard);
+    if (found == step.state.ownership.shards.end())
+    {
+        return;
+    }
+    auto& view = found->second;
+    view.highest_epoch = std::max(view.highest_epoch, epoch);
+    if (view.mine && epoch > view.mine->term.epoch)
+    {
+        takeover::step_down(step, view, true);
+    }
+}
 
-time_ms start_deadline(daemon_state const&, std::string_view) { return {}; }
+void start_drain(context& step)
+{
+    auto& self = step.state.ownership;
+    self.draining = true;
+    for (auto& [shard, view] : self.shards)
+    {
+        if (!view.mine)
+        {
+            continue;
+        }
+        if (!view.mine->acquired_at)
+        {
+            takeover::step_down(step, view, false);
+        }
+        else if (view.mine->phase == shard_phase::serving)
+        {
+            hand_over::release(step, view);
+        }
+    }
+}
 
-time_ms acquired_at(daemon_state const&, shard_id const&) { return {}; }
+bool drained(daemon_state const& state)
+{
+    auto const& shards = state.ownership.shards;
+    return state.ownership.draining
+           && std::none_of(shards.begin(), shards.end(), [](auto const& entry) {
+                  return entry.second.mine.has_value();
+              });
+}
 
-bool inventory_complete(daemon_state const&, shard_id const&) { return {}; }
+std::optional<std::string> owner_of(daemon_state const& state,
+                                    shard_id const& shard)
+{
+    auto const now =
+        std::max(state.ownership.last_timer, state.membership.last_timer);
+    auto const found = state.ownership.shards.find(shard);
+    if (found == state.ownership.shards.end())
+    {
+        return {};
+    }
+    auto const& view = found->second;
+    if (view.mine && view.mine->phase != shard_phase::handing_over)
+    {
+        return state.settings.self.daemon;
+    }
+    if (view.mine)
+    {
+        return view.mine->successor;
+    }
+    if (auto owner = claimant(state, shard, now))
+    {
+        return owner;
+    }
+    for (auto const& owner : {view.expected_owner, view.record.owner})
+    {
+        if (!owner.empty() && owner != state.settings.self.daemon
+            && membership::live(state, owner, now))
+        {
+            return owner;
+        }
+    }
+    return best_owner(state, shard, now);
+}
 
-std::vector<owned_shard> owned(daemon_state const&, time_ms) { return {}; }
+bool serving(daemon_state const& state, shard_id const& shard, time_ms now)
+{
+    return find_serving(state, shard, now) != nullptr;
+}
 
-std::vector<shard_status> status(daemon_state const&, time_ms) { return {}; }
+std::vector<owned_shard> owned(daemon_state const& state, time_ms now)
+{
+    std::vector<owned_shard> result;
+    for (auto const& [shard, view] : state.ownership.shards)
+    {
+        bool const owns = view.mine && view.mine->acquired_at
+                          && view.mine->phase != shard_phase::handing_over
+                          && now < view.mine->authority_end;
+        if (owns)
+        {
+            result.push_back({shard, view.mine->term.epoch,
+                              renewal::policy_in_force(*view.mine, now)});
+        }
+    }
+    return result;
+}
 
-time_ms next_timer(daemon_state const&)
+time_ms next_timer(daemon_state const& state)
 {
-    return time_ms(std::numeric_limits<std::int64_t>::max());
+    auto const& self = state.ownership;
+    if (!self.started_at || self.seen_policy != policy::version(state))
+    {
+        return {};
+    }
+    auto next = std::min(decide::next_timer(self.watch),
+                         self.last_timer + check_interval);
+    for (auto const& [shard, view] : self.shards)
+    {
+        if (view.write && view.write->correlation == 0)
+        {
+            next = std::min(next, view.write->retry_at);
+        }
+        if (view.mine)
+        {
+            next = std::min(next, next_timer_of(state, *view.mine));
+        }
+    }
+    return next;
 }
 
 } // namespace jaydrift::decide::ownership
--- /dev/null
+++ b/src/jaydrift/decide/ownership_queries.cpp
@@ -0,0 +1,171 @@
+#include <jaydrift/decide/ownership.hpp>
+
+#include <jaydrift/core/hash.hpp>
+#include <jaydrift/decide/batch.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/requests.hpp>
+#include <jaydrift/decide/workers.hpp>
+
+#include <algorithm>
+
+namespace jaydrift::decide::ownership {
+
+namespace {
+
+// Keeps the shards of keys and of workers independent of each other.
+constexpr std::uint64_t key_seed = 1;
+constexpr std::uint64_t worker_seed = 2;
+
+shard_id shard_of(daemon_state const& state, std::string_view region,
+                  std::string_view name, std::uint64_t seed)
+{
+    auto const count = std::max(state.settings.shards_per_region, 1U);
+    auto const number = stable_hash(name, seed) % count;
+    return {std::string(region), static_cast<std::uint32_t>(number)};
+}
+
+tenure const* find_tenure(daemon_state const& state, shard_id const& shard)
+{
+    auto const found = state.ownership.shards.find(shard);
+    return found == state.ownership.shards.end() || !found->second.mine
+               ? nullptr
+               : &*found->second.mine;
+}
+
+/// Returns the term and the link of a worker, or nulls.
+std::pair<tenure const*, worker_link const*>
+find_link(daemon_state const& state, std::string_view worker)
+{
+    auto const* vm = workers::find(state, worker);
+    auto const* mine =
+        vm == nullptr
+            ? nullptr
+            : find_tenure(state, shard_of_worker(state, vm->region, worker));
+    if (mine == nullptr)
+    {
+        return {};
+    }
+    auto const link = mine->links.find(worker);
+    return {mine, link == mine->links.end() ? nullptr : &link->second};
+}
+
+std::string_view name(shard_phase phase)
+{
+    switch (phase)
+    {
+    case shard_phase::claiming:
+        return "claiming";
+    case shard_phase::fencing:
+        return "fencing";
+    case shard_phase::waiting:
+        return "waiting";
+    case shard_phase::serving:
+        return "serving";
+    case shard_phase::releasing:
+        return "releasing";
+    case shard_phase::handing_over:
+        return "handing_over";
+    }
+    return "other";
+}
+
+std::string_view describe(daemon_state const& state, shard_view const& view,
+                          time_ms now)
+{
+    if (!view.mine)
+    {
+        return "other";
+    }
+    bool const lapsed = view.mine->phase == shard_phase::serving
+                        && !serving(state, view.shard, now);
+    return lapsed ? "no_quorum" : name(view.mine->phase);
+}
+
+} // namespace
+
+std::vector<shard_id> all_shards(daemon_state const& state)
+{
+    std::vector<shard_id> result;
+    for (auto const& region : state.settings.regions)
+    {
+        for (std::uint32_t i = 0; i < state.settings.shards_per_region; ++i)
+        {
+            result.push_back({region, i});
+        }
+    }
+    return result;
+}
+
+shard_id shard_of_key(daemon_state const& state, std::string_view region,
+                      std::string_view key)
+{
+    return shard_of(state, region, key, key_seed);
+}
+
+shard_id shard_of_worker(daemon_state const& state, std::string_view region,
+                         std::string_view worker)
+{
+    return shard_of(state, region, worker, worker_seed);
+}
+
+ownership_term term(daemon_state const& state, shard_id const& shard)
+{
+    auto const* mine = find_tenure(state, shard);
+    if (mine == nullptr)
+    {
+        return {shard, 0, state.settings.self.daemon, 0};
+    }
+    return {shard, mine->term.epoch, mine->term.owner, mine->term.generation};
+}
+
+bool may_start(daemon_state const& state, std::string_view worker, time_ms now)
+{
+    auto const [mine, link] = find_link(state, worker);
+    return link != nullptr && link->fenced && link->clock
+           && serving(state, mine->term.shard, now);
+}
+
+time_ms start_deadline(daemon_state const& state, std::string_view worker)
+{
+    auto const [mine, link] = find_link(state, worker);
+    if (link == nullptr || !link->clock)
+    {
+        return {};
+    }
+    return mine->authority_end + link->clock->offset;
+}
+
+time_ms acquired_at(daemon_state const& state, shard_id const& shard)
+{
+    auto const* mine = find_tenure(state, shard);
+    return mine == nullptr ? time_ms{} : mine->acquired_at.value_or(time_ms{});
+}
+
+bool inventory_complete(daemon_state const& state, shard_id const& shard)
+{
+    auto const* mine = find_tenure(state, shard);
+    return mine != nullptr && !mine->missed_inventory
+           && std::all_of(
+               mine->links.begin(), mine->links.end(),
+               [](auto const& entry) { return entry.second.inventoried; });
+}
+
+std::vector<shard_status> status(daemon_state const& state, time_ms now)
+{
+    std::vector<shard_status> result;
+    for (auto const& [shard, view] : state.ownership.shards)
+    {
+        auto const workers = workers::of_shard(state, shard).size();
+        result.push_back(
+            {shard, view.mine ? view.mine->term.epoch : view.highest_epoch,
+             owner_of(state, shard).value_or(""),
+             std::string(describe(state, view, now)),
+             static_cast<std::uint32_t>(workers),
+             requests::open_requests(state, shard),
+             batch::running_tasks(state, shard),
+             batch::waiting_tasks(state, shard)});
+    }
+    return result;
+}
+
+} // namespace jaydrift::decide::ownership
--- a/src/jaydrift/decide/prefix_watch.cpp
+++ b/src/jaydrift/decide/prefix_watch.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Bounds how long a watch waits on a connection that has silently died.
-constexpr time_ms watch_timeout{10000};
+// Bounds how long a watch waits on a connection that has silently died. The
+// store answers a watch without a change after about 10 s.
+constexpr time_ms watch_timeout{15000};
 
 constexpr time_ms retry_delay{1000};
 
--- /dev/null
+++ b/src/jaydrift/decide/record_writes.cpp
@@ -0,0 +1,145 @@
+#include <jaydrift/decide/record_writes.hpp>
+
+#include <jaydrift/core/store_reply.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/record_text.hpp>
+
+#include <algorithm>
+
+namespace jaydrift::decide::record_writes {
+
+namespace {
+
+constexpr time_ms retry_delay{1000};
+
+void send(context& step, shard_view& view)
+{
+    auto& write = *view.write;
+    auto const key = record_key(view.shard);
+    if (write.reading)
+    {
+        write.correlation = step.ask_store(part::ownership, read_request{key});
+        return;
+    }
+    write.correlation = step.ask_store(
+        part::ownership, put_request{key, encode_record(write.value),
+                                     write.expected_revision, write.token, 0});
+}
+
+outcome retry(context& step, shard_view& view)
+{
+    view.write->retry_at = step.now + retry_delay;
+    return outcome::unsure;
+}
+
+outcome finish(shard_view& view, std::uint64_t revision)
+{
+    view.record = view.write->value;
+    view.revision = revision;
+    view.highest_epoch = std::max(view.highest_epoch, view.record.epoch);
+    view.write.reset();
+    return outcome::written;
+}
+
+/// Compares the record that was read back with the write.
+outcome compare(context& step, shard_view& view, store_reply const& reply)
+{
+    auto& write = *view.write;
+    auto const entry =
+        std::find_if(reply.entries.begin(), reply.entries.end(),
+                     [key = record_key(view.shard)](store_entry const& found) {
+                         return found.key == key;
+                     });
+    if (entry != reply.entries.end())
+    {
+        if (entry->token == write.token)
+        {
+            return finish(view, entry->revision);
+        }
+        observe(view, *entry);
+    }
+    auto const revision = entry == reply.entries.end() ? 0 : entry->revision;
+    if (revision == write.expected_revision)
+    {
+        // The write did not arrive so far. Sent again with the same expected
+        // revision, it takes effect once at most.
+        write.reading = false;
+        send(step, view);
+        return outcome::open;
+    }
+    view.write.reset();
+    return outcome::lost;
+}
+
+} // namespace
+
+void start(context& step, shard_view& view, shard_record const& value)
+{
+    auto const& self = step.state.settings.self.daemon;
+    auto const token = self + '/' + to_string(view.shard) + '/'
+                       + std::to_string(value.epoch) + '/'
+                       + std::to_string(value.generation) + '/'
+                       + std::to_string(step.state.random.next());
+    view.write = record_write{value, token, view.revision, 0, false, {}};
+    send(step, view);
+}
+
+void drive(context& step, shard_view& view)
+{
+    if (view.write && view.write->correlation == 0
+        && step.now >= view.write->retry_at)
+    {
+        send(step, view);
+    }
+}
+
+outcome on_replied(context& step, shard_view& view, store_reply const& reply)
+{
+    auto& write = *view.write;
+    write.correlation = 0;
+    if (reply.outcome == store_outcome::overloaded)
+    {
+        return retry(step, view);
+    }
+    if (write.reading)
+    {
+        return compare(step, view, reply);
+    }
+    if (reply.outcome == store_outcome::ok)
+    {
+        return finish(view, reply.revision);
+    }
+    // The conflict may be with this write itself, sent before.
+    write.reading = true;
+    send(step, view);
+    return outcome::open;
+}
+
+outcome on_failed(context& step, shard_view& view, bool never_sent)
+{
+    auto& write = *view.write;
+    write.correlation = 0;
+    if (never_sent || write.reading)
+    {
+        return retry(step, view);
+    }
+    write.reading = true;
+    send(step, view);
+    return outcome::unsure;
+}
+
+bool observe(shard_view& view, store_entry const& entry)
+{
+    auto record = decode_record(entry.value);
+    if (!record || record->shard != view.shard
+        || entry.revision <= view.revision)
+    {
+        return false;
+    }
+    view.record = std::move(*record);
+    view.revision = entry.revision;
+    view.highest_epoch = std::max(view.highest_epoch, view.record.epoch);
+    return true;
+}
+
+} // namespace jaydrift::decide::record_writes
--- /dev/null
+++ b/src/jaydrift/decide/voter_replacement.cpp
@@ -0,0 +1,115 @@
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/membership.hpp>
+#include <jaydrift/decide/record_writes.hpp>
+#include <jaydrift/decide/voters.hpp>
+#include <jaydrift/decide/workers.hpp>
+
+#include <algorithm>
+
+namespace jaydrift::decide::voters {
+
+namespace {
+
+constexpr time_ms check_interval{2000};
+
+// A voter that is silent for longer is replaced.
+constexpr time_ms silence_limit{10000};
+
+/// Returns the workers that may be voters of the next generation. A voter that
+/// is silent for a short time may stay one, but none may become one.
+std::vector<vm_info> candidates(context& step, tenure const& mine,
+                                bool keep_silent)
+{
+    std::vector<vm_info> result;
+    for (auto const& [name, link] : mine.links)
+    {
+        auto const* vm = workers::find(step.state, name);
+        bool const silent = step.now - link.answered_at >= silence_limit;
+        bool const eligible =
+            link.fenced || (is_voter(mine, name) && (!silent || keep_silent));
+        if (vm != nullptr && vm->state == vm_state::live && link.listed
+            && link.forgot_generation < mine.term.generation && eligible)
+        {
+            result.push_back(*vm);
+        }
+    }
+    return result;
+}
+
+/// Returns the voters of the next generation; the current ones if nothing is
+/// to change.
+std::vector<std::string> next_voters(context& step, tenure const& mine)
+{
+    auto const limit = step.state.settings.voters_per_shard;
+    auto const& current = mine.term.voters;
+    auto usable = candidates(step, mine, false);
+    auto next = choose(usable, current, limit);
+    if (next.size() < current.size())
+    {
+        usable = candidates(step, mine, true);
+        next = choose(usable, current, limit);
+    }
+    auto const fresh = choose(usable, {}, limit);
+    if (fresh.size() >= next.size()
+        && largest_zone(usable, fresh) < largest_zone(usable, next))
+    {
+        return fresh;
+    }
+    return next;
+}
+
+bool same_set(std::vector<std::string> a, std::vector<std::string> b)
+{
+    std::sort(a.begin(), a.end());
+    std::sort(b.begin(), b.end());
+    return a == b;
+}
+
+void begin_replacement(context& step, shard_view& view)
+{
+    auto const& mine = *view.mine;
+    auto next = next_voters(step, mine);
+    if (next.empty() || same_set(next, mine.term.voters))
+    {
+        return;
+    }
+    auto record = mine.term;
+    ++record.generation;
+    record.previous_voters = record.voters;
+    record.voters = std::move(next);
+    step.log(log_level::info, "ownership",
+             "Replacing voters of shard " + to_string(view.shard) + '.');
+    record_writes::start(step, view, record);
+}
+
+} // namespace
+
+void drive(context& step, shard_view& view)
+{
+    auto& mine = *view.mine;
+    auto const& seen = view.record;
+    if (mine.phase != shard_phase::serving || view.write
+        || seen.epoch != mine.term.epoch || seen.owner != mine.term.owner
+        || seen.generation != mine.term.generation
+        || !membership::store_available(step.state, step.now))
+    {
+        return;
+    }
+    if (!mine.term.previous_voters.empty())
+    {
+        if (mine.kept_generation == mine.term.generation)
+        {
+            auto record = mine.term;
+            record.previous_voters.clear();
+            record_writes::start(step, view, record);
+        }
+        return;
+    }
+    if (step.now - mine.voters_checked_at >= check_interval)
+    {
+        mine.voters_checked_at = step.now;
+        begin_replacement(step, view);
+    }
+}
+
+} // namespace jaydrift::decide::voters
