--- a/include/jaydrift/decide/record_text.hpp
+++ b/include/jaydrift/decide/record_text.hpp
@@ -16,7 +16,7 @@
 std::string encode_record(shard_record const& record);
 
 /// Returns nothing if the text is not a record.
-std::optional<shard_record> decode_record(std::string_view text);
+std::optional<shard_record> decode_shard_record(std::string_view text);
 
 } // namespace jaydrift::decide
 
--- a/src/jaydrift/decide/batch_submission.cpp
+++ b/src/jaydrift/decide/batch_submission.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/journal.hpp>
+#include <jaydrift/decide/membership.hpp>
 #include <jaydrift/decide/policy.hpp>
 
 namespace jaydrift::decide::batch {
@@ -39,6 +40,10 @@
         {
             return reply(call_status::refused, reason);
         }
+        if (!membership::store_available(at_.step.state, at_.step.now))
+        {
+            return reply(call_status::refused, store_unavailable);
+        }
         if (waiting_tasks(at_.step.state, at_.shard) + spec.task_count
             > at_.step.state.settings.max_waiting_tasks)
         {
--- a/src/jaydrift/decide/record_text.cpp
+++ b/src/jaydrift/decide/record_text.cpp
@@ -24,7 +24,7 @@
     return fields.encode();
 }
 
-std::optional<shard_record> decode_record(std::string_view text)
+std::optional<shard_record> decode_shard_record(std::string_view text)
 {
     text_fields const fields(text);
     auto const region = fields.text("region");
--- a/src/jaydrift/decide/record_writes.cpp
+++ b/src/jaydrift/decide/record_writes.cpp
@@ -130,7 +130,7 @@
 
 bool observe(shard_view& view, store_entry const& entry)
 {
-    auto record = decode_record(entry.value);
+    auto record = decode_shard_record(entry.value);
     if (!record || record->shard != view.shard
         || entry.revision <= view.revision)
     {
--- a/src/jaydrift/decide/renewal.cpp
+++ b/src/jaydrift/decide/renewal.cpp
@@ -238,7 +238,7 @@
     auto* round = find_round(mine, call.round);
     for (auto const& entry : reply.entries)
     {
-        auto const record = decode_record(entry.value);
+        auto const record = decode_shard_record(entry.value);
         if (entry.key == record_key(view.shard) && record && round != nullptr
             && record->epoch == mine.term.epoch
             && record->owner == mine.term.owner)
