--- a/include/jaydrift/decide/forward_entry.hpp
+++ b/include/jaydrift/decide/forward_entry.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/core/shard_id.hpp>
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/core/urgent_request.hpp>
+#include <jaydrift/decide/forward_purpose.hpp>
 #include <jaydrift/decide/request_waiter.hpp>
 
 #include <cstdint>
@@ -16,7 +17,7 @@
 {
     urgent_request request;
     shard_id shard;
-    bool delegated = false;
+    forward_purpose purpose = forward_purpose::execute;
     request_waiter waiter;
 
     /// The open call, if one is open.
--- /dev/null
+++ b/include/jaydrift/decide/forward_steps.hpp
@@ -0,0 +1,40 @@
+#ifndef JAYDRIFT_DECIDE_FORWARD_STEPS_HPP
+#define JAYDRIFT_DECIDE_FORWARD_STEPS_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/decide/forward_entry.hpp>
+
+#include <cstdint>
+
+namespace jaydrift::decide {
+
+struct context;
+struct daemon_state;
+
+// Steps of forwarding that its source files share.
+namespace requests {
+
+/// How often an open call is checked against a change of the owner.
+inline constexpr time_ms owner_check_interval{250};
+
+/// Sets when a forward is looked at next.
+void schedule_forward(daemon_state& state, std::uint64_t number,
+                      forward_entry& entry, time_ms due);
+
+/// Forgets the open call of a forward; its reply is dropped.
+void close_call(daemon_state& state, forward_entry& entry);
+
+/// Removes a forward from the table and returns it.
+forward_entry take_forward(daemon_state& state, std::uint64_t number);
+
+/// Makes an attempt to reach the current owner of the shard.
+void attempt_forward(context& step, std::uint64_t number);
+
+/// Closes the call and makes the next attempt after a random delay.
+void retry_forward_later(context& step, std::uint64_t number);
+
+} // namespace requests
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_FORWARD_STEPS_HPP
--- a/include/jaydrift/decide/request_entry.hpp
+++ b/include/jaydrift/decide/request_entry.hpp
@@ -32,7 +32,14 @@
     /// It was passed to another region and must not run in this one.
     bool delegated = false;
 
-    /// Number of the forward that carries it to another region.
+    /// An earlier owner may have passed it to another region, and that region
+    /// has not been asked yet.
+    bool check_needed = false;
+
+    /// It never arrived; the home region's owner asked that it is not run.
+    bool withdrawn = false;
+
+    /// Number of the forward to another region.
     std::uint64_t forward = 0;
     time_ms arrived;
 
--- a/include/jaydrift/decide/request_phase.hpp
+++ b/include/jaydrift/decide/request_phase.hpp
@@ -8,6 +8,9 @@
 /// Phase of a request record.
 enum class request_phase : std::uint8_t
 {
+    /// The other region is asked whether it ran for an earlier owner.
+    checking,
+
     /// Queued; no start is open.
     waiting,
 
--- a/src/jaydrift/decide/request_steps.hpp
+++ b/include/jaydrift/decide/request_steps.hpp
@@ -1,11 +1,13 @@
 #ifndef JAYDRIFT_DECIDE_REQUEST_STEPS_HPP
 #define JAYDRIFT_DECIDE_REQUEST_STEPS_HPP
 
+#include <jaydrift/core/peer_reply.hpp>
 #include <jaydrift/core/request_result.hpp>
 #include <jaydrift/core/shard_id.hpp>
 #include <jaydrift/core/task_class.hpp>
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/core/urgent_request.hpp>
+#include <jaydrift/decide/forward_purpose.hpp>
 #include <jaydrift/decide/request_key.hpp>
 #include <jaydrift/decide/request_waiter.hpp>
 
@@ -76,6 +78,9 @@
 void execute_here(context& step, shard_id const& shard, urgent_request request,
                   bool delegated, request_waiter waiter);
 
+/// Queues a new record, or refuses it if it is invalid or there is no room.
+void admit(context& step, request_key const& key);
+
 /// Starts waiting requests of a shard as far as there is room.
 void dispatch(context& step, shard_id const& shard);
 
@@ -86,7 +91,7 @@
 /// waiter's patience ends. Returns the number of the forward, or 0 if the
 /// request was executed here or answered at once.
 std::uint64_t forward(context& step, urgent_request request,
-                      shard_id const& shard, bool delegated,
+                      shard_id const& shard, forward_purpose purpose,
                       request_waiter waiter);
 
 /// Makes the attempts and checks that are due.
@@ -115,6 +120,20 @@
 /// The other region's shard moved before it started the request.
 void on_delegation_returned(context& step, request_key const& key);
 
+/// Tells whether an earlier owner may have passed a request without a record
+/// to the other region.
+bool check_needed(context const& step, request_key const& key,
+                  urgent_request const& request);
+
+/// Asks the other region about a record that `check_needed` names.
+void check_delegation(context& step, request_key const& key);
+
+/// Takes over the other region's answer to a check.
+void on_checked(context& step, request_key const& key, peer_reply const& reply);
+
+/// Answers another daemon's check for a shard that this daemon serves.
+peer_reply answer_check(context& step, request_key const& key);
+
 } // namespace requests
 
 } // namespace jaydrift::decide
--- a/include/jaydrift/decide/requests.hpp
+++ b/include/jaydrift/decide/requests.hpp
@@ -25,8 +25,13 @@
 void on_request_arrived(context& step, request_arrived const& event);
 void on_execute(context& step, peer_called const& call,
                 execute_request const& request);
+
+/// Answers the home region's owner about an ID that an earlier owner may have
+/// delegated: the result, `unknown` while it may run, or an acknowledgement
+/// that it did not run here and never will.
 void on_query(context& step, peer_called const& call,
               query_request const& request);
+
 void on_worker_replied(context& step, worker_replied const& event);
 void on_worker_failed(context& step, worker_failed const& event);
 void on_peer_replied(context& step, peer_replied const& event);
--- a/src/jaydrift/decide/admission.cpp
+++ b/src/jaydrift/decide/admission.cpp
@@ -5,7 +5,7 @@
 #include <jaydrift/decide/ownership.hpp>
 #include <jaydrift/decide/policy.hpp>
 
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <algorithm>
 #include <string>
@@ -86,7 +86,7 @@
     {
         return "the expected wait is longer than the deadline allows";
     }
-    if (requests.payload_bytes + request.payload.size() > max_payload_bytes)
+    if (requests.payload_bytes > max_payload_bytes)
     {
         return "the memory for waiting payloads is full";
     }
@@ -112,6 +112,20 @@
     return {};
 }
 
+/// The other region may know by now what came of a request.
+void ask_again(context& step, request_key const& key, request_entry& entry,
+               urgent_request request)
+{
+    step.state.requests.payload_bytes += request.payload.size();
+    entry.request = std::move(request);
+    if (entry.check_needed)
+    {
+        check_delegation(step, key);
+        return;
+    }
+    delegate(step, key);
+}
+
 void join(context& step, request_key const& key, request_entry& entry,
           urgent_request request, request_waiter waiter)
 {
@@ -121,12 +135,11 @@
         return;
     }
     step.record("request_joined", key.id);
+    auto const open_again = entry.phase == request_phase::unresolved
+                            && (entry.delegated || entry.check_needed);
     auto const closed = entry.phase == request_phase::done
                         || entry.phase == request_phase::unresolved;
-    // The other region's owner may know by now what came of it.
-    auto const ask_again =
-        entry.phase == request_phase::unresolved && entry.delegated;
-    if (closed && !ask_again)
+    if (closed && !open_again)
     {
         send_result(step, waiter, key.id, entry.result);
         return;
@@ -138,11 +151,9 @@
         return;
     }
     add_waiter(step, key, entry, std::move(waiter));
-    if (ask_again)
+    if (open_again)
     {
-        step.state.requests.payload_bytes += request.payload.size();
-        entry.request.payload = std::move(request.payload);
-        delegate(step, key);
+        ask_again(step, key, entry, std::move(request));
     }
 }
 
@@ -156,6 +167,7 @@
     entry.payload_hash = payload_hash(request);
     entry.arrived = step.now;
     entry.delegated_to_us = delegated;
+    entry.phase = request_phase::checking;
     if (auto const* kind = policy::find_kind(step.state, request.kind))
     {
         entry.priority = kind->priority;
@@ -164,38 +176,6 @@
     return entry;
 }
 
-/// Keeps a record of the refusal, so that a delayed repeat does not run a
-/// request that was reported as not run.
-void refuse(context& step, request_key const& key, urgent_request request,
-            bool delegated, request_waiter waiter, std::string reason)
-{
-    auto& entry = create(step, key, std::move(request), delegated);
-    entry.phase = request_phase::unresolved;
-    add_waiter(step, key, entry, std::move(waiter));
-    finish(step, key, not_run(std::move(reason)));
-}
-
-void admit(context& step, request_key const& key, urgent_request request,
-           bool delegated, request_waiter waiter)
-{
-    auto reason = fault(step.state, request);
-    if (reason.empty())
-    {
-        auto const* kind = policy::find_kind(step.state, request.kind);
-        reason = overload(step.state, kind->priority, request);
-    }
-    if (!reason.empty())
-    {
-        refuse(step, key, std::move(request), delegated, std::move(waiter),
-               std::move(reason));
-        return;
-    }
-    auto& entry = create(step, key, std::move(request), delegated);
-    add_waiter(step, key, entry, std::move(waiter));
-    enqueue(step.state, key, entry, false);
-    dispatch(step, key.shard);
-}
-
 request_waiter make_waiter(context const& step, urgent_request& request,
                            decltype(request_waiter::who) who)
 {
@@ -220,15 +200,43 @@
         send_result(step, waiter, key.id, unknown(reason));
         return;
     }
-    if (step.state.requests.entry_count >= max_records)
+    if (step.state.requests.entry_count >= max_records
+        || step.state.requests.payload_bytes > 2 * max_payload_bytes)
     {
         // Without a record, a delayed repeat could run a request that was
         // reported as not run.
         send_result(step, waiter, key.id,
-                    unknown("the table of request IDs is full"));
+                    unknown("the memory for requests is full"));
         return;
     }
-    admit(step, key, std::move(request), delegated, std::move(waiter));
+    auto const check = !delegated && check_needed(step, key, request);
+    auto& entry = create(step, key, std::move(request), delegated);
+    add_waiter(step, key, entry, std::move(waiter));
+    if (check)
+    {
+        check_delegation(step, key);
+        return;
+    }
+    admit(step, key);
+}
+
+void admit(context& step, request_key const& key)
+{
+    auto* entry = find_entry(step.state, key);
+    auto reason = fault(step.state, entry->request);
+    if (reason.empty())
+    {
+        reason = overload(step.state, entry->priority, entry->request);
+    }
+    if (!reason.empty())
+    {
+        // The record of the refusal keeps a delayed repeat from running a
+        // request that was reported as not run.
+        finish(step, key, not_run(std::move(reason)));
+        return;
+    }
+    enqueue(step.state, key, *entry, false);
+    dispatch(step, key.shard);
 }
 
 void on_request_arrived(context& step, request_arrived const& event)
@@ -257,7 +265,8 @@
     }
     auto const shard =
         ownership::shard_of_key(step.state, request.home_region, request.id);
-    forward(step, std::move(request), shard, false, std::move(waiter));
+    forward(step, std::move(request), shard, forward_purpose::execute,
+            std::move(waiter));
 }
 
 void on_execute(context& step, peer_called const& call,
@@ -275,7 +284,9 @@
         step.emit(answer_peer{call.call, peer_acknowledgement{false}});
         return;
     }
-    forward(step, std::move(request), *shard, input.delegated,
+    forward(step, std::move(request), *shard,
+            input.delegated ? forward_purpose::delegate
+                            : forward_purpose::execute,
             std::move(waiter));
 }
 
--- a/src/jaydrift/decide/capacity.cpp
+++ b/src/jaydrift/decide/capacity.cpp
@@ -3,7 +3,7 @@
 #include <jaydrift/decide/context.hpp>
 #include <jaydrift/decide/policy.hpp>
 
-#include "interference.hpp"
+#include <jaydrift/decide/interference.hpp>
 
 #include <algorithm>
 
--- a/src/jaydrift/decide/delegation.cpp
+++ b/src/jaydrift/decide/delegation.cpp
@@ -1,4 +1,4 @@
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <jaydrift/core/hash.hpp>
 #include <jaydrift/decide/context.hpp>
@@ -61,8 +61,8 @@
     entry->phase = request_phase::delegated;
     entry->delegated = true;
     request_waiter link{waiting_record{key}, step.now, last_deadline(*entry)};
-    auto const number =
-        forward(step, entry->request, *shard, true, std::move(link));
+    auto const number = forward(step, entry->request, *shard,
+                                forward_purpose::delegate, std::move(link));
     // The forward may have been answered already.
     entry = find_entry(step.state, key);
     if (entry != nullptr && entry->phase == request_phase::delegated)
--- a/src/jaydrift/decide/forwarding.cpp
+++ b/src/jaydrift/decide/forwarding.cpp
@@ -1,22 +1,18 @@
-#include <jaydrift/decide/requests.hpp>
+#include <jaydrift/decide/forward_steps.hpp>
 
 #include <jaydrift/decide/context.hpp>
 #include <jaydrift/decide/membership.hpp>
 #include <jaydrift/decide/ownership.hpp>
-
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <algorithm>
 #include <utility>
 #include <variant>
-#include <vector>
 
 namespace jaydrift::decide::requests {
 
 namespace {
 
-/// How often an open call is checked against a change of the owner.
-constexpr time_ms owner_check_interval{250};
 constexpr std::int64_t first_backoff_ms = 20;
 constexpr std::int64_t max_backoff_ms = 400;
 
@@ -36,161 +32,112 @@
     return time_ms(longest / 2 + static_cast<std::int64_t>(jitter));
 }
 
-void schedule(daemon_state& state, std::uint64_t number, forward_entry& entry,
-              time_ms due)
-{
-    auto& requests = state.requests;
-    requests.forwards_due.erase({entry.due, number});
-    entry.due = std::min(due, entry.waiter.deadline);
-    requests.forwards_due.emplace(entry.due, number);
-}
-
-void close_call(daemon_state& state, forward_entry& entry)
-{
-    state.requests.forward_of_call.erase(entry.correlation);
-    entry.correlation = 0;
-}
-
-/// Removes a forward from the table and returns it.
-forward_entry take(daemon_state& state, std::uint64_t number)
-{
-    auto& requests = state.requests;
-    auto const found = requests.forwards.find(number);
-    auto entry = std::move(found->second);
-    close_call(state, entry);
-    requests.forwards_due.erase({entry.due, number});
-    requests.payload_bytes -= entry.request.payload.size();
-    requests.forwards.erase(found);
-    return entry;
-}
-
-/// A caller's first attempt may have gone through another daemon, so a request
-/// is known to be new only if it was issued after its arrival here, with the
-/// clock skew taken into account.
-bool known_fresh(daemon_state const& state, forward_entry const& entry)
+/// Returns the patience that is left for the owner.
+time_ms patience_left(context const& step, forward_entry const& entry)
 {
-    auto const& issued = entry.request.issued_at;
-    return issued
-           && *issued >= entry.waiter.arrived + state.settings.clock_skew;
+    auto const left = entry.waiter.deadline - step.now;
+    return left - std::min(answer_margin, time_ms(left.count() / 10));
 }
 
-void give_up(context& step, std::uint64_t number)
+peer_request message(context const& step, forward_entry const& entry)
 {
-    auto const sent = forward_sent(step.state, number);
-    auto const entry = take(step.state, number);
-    auto const result = !sent && known_fresh(step.state, entry)
-                            ? not_run("no owner of the request was reached")
-                            : unknown("the owner of the request did not answer "
-                                      "before the deadline");
-    step.record("request_unknown", entry.request.id, {}, result.reason);
-    send_result(step, entry.waiter, entry.request.id, result);
+    if (entry.purpose == forward_purpose::ask)
+    {
+        return query_request{entry.request.id};
+    }
+    auto request = entry.request;
+    request.patience = patience_left(step, entry);
+    return execute_request{std::move(request),
+                           entry.purpose == forward_purpose::delegate};
 }
 
-/// Returns the patience that is left for the owner.
-time_ms patience_left(context const& step, forward_entry const& entry)
+std::string_view event_name(forward_purpose purpose)
 {
-    auto const left = entry.waiter.deadline - step.now;
-    auto const margin = std::min(answer_margin, time_ms(left.count() / 10));
-    return left - margin;
+    switch (purpose)
+    {
+    case forward_purpose::execute:
+        return "request_forwarded";
+    case forward_purpose::delegate:
+        return "request_delegated";
+    case forward_purpose::ask:
+        break;
+    }
+    return "request_checked";
 }
 
 void send(context& step, std::uint64_t number, forward_entry& entry,
           member_info const& owner)
 {
-    auto request = entry.request;
-    request.patience = patience_left(step, entry);
     entry.correlation = step.next_correlation(part::requests);
     entry.daemon = owner.daemon;
     ++entry.attempts;
     step.state.requests.forward_of_call[entry.correlation] = number;
-    step.record(entry.delegated ? "request_delegated" : "request_forwarded",
-                request.id, {}, owner.daemon);
-    step.emit(send_peer{owner.daemon, owner.address, entry.correlation,
-                        entry.waiter.deadline - step.now
-                            + step.state.settings.peer_timeout,
-                        execute_request{std::move(request), entry.delegated}});
-    schedule(step.state, number, entry, step.now + owner_check_interval);
+    step.record(event_name(entry.purpose), entry.request.id, {}, owner.daemon);
+    auto const timeout =
+        entry.waiter.deadline - step.now + step.state.settings.peer_timeout;
+    step.emit(send_peer{owner.daemon, owner.address, entry.correlation, timeout,
+                        message(step, entry)});
+    schedule_forward(step.state, number, entry,
+                     step.now + owner_check_interval);
 }
 
 void execute_locally(context& step, std::uint64_t number)
 {
-    auto entry = take(step.state, number);
+    auto entry = take_forward(step.state, number);
+    if (entry.purpose == forward_purpose::ask)
+    {
+        auto const reply = answer_check(step, {entry.shard, entry.request.id});
+        on_checked(step, std::get<waiting_record>(entry.waiter.who).key, reply);
+        return;
+    }
     entry.request.patience = entry.waiter.deadline - step.now;
-    execute_here(step, entry.shard, std::move(entry.request), entry.delegated,
+    execute_here(step, entry.shard, std::move(entry.request),
+                 entry.purpose == forward_purpose::delegate,
                  std::move(entry.waiter));
 }
 
-/// Makes an attempt to pass a request to the current owner of its shard.
-void attempt(context& step, std::uint64_t number)
+} // namespace
+
+void attempt_forward(context& step, std::uint64_t number)
 {
     auto& entry = step.state.requests.forwards.at(number);
-    auto const owner = ownership::owner_of(step.state, entry.shard);
-    auto const& self = step.state.settings.self.daemon;
     if (ownership::serving(step.state, entry.shard, step.now))
     {
         execute_locally(step, number);
         return;
     }
-    if (owner && *owner != self
-        && std::holds_alternative<waiting_peer>(entry.waiter.who))
+    auto const owner = ownership::owner_of(step.state, entry.shard);
+    auto const elsewhere = owner && *owner != step.state.settings.self.daemon;
+    if (elsewhere && std::holds_alternative<waiting_peer>(entry.waiter.who))
     {
-        // The caller's daemon finds the owner itself; passing it on from here
-        // could go round in circles.
-        auto const refused = take(step.state, number);
+        // The caller's daemon finds the owner itself; passing the request on
+        // from here could go round in circles.
+        auto const refused = take_forward(step.state, number);
         step.emit(answer_peer{std::get<waiting_peer>(refused.waiter.who).call,
                               peer_acknowledgement{false}});
         return;
     }
-    auto const member = owner && *owner != self
-                            ? membership::find(step.state, *owner)
-                            : std::nullopt;
+    auto const member =
+        elsewhere ? membership::find(step.state, *owner) : std::nullopt;
     if (!member)
     {
-        schedule(step.state, number, entry,
-                 step.now + backoff(step, entry.attempts));
+        schedule_forward(step.state, number, entry,
+                         step.now + owner_check_interval);
         return;
     }
     send(step, number, entry, *member);
 }
 
-void retry_later(context& step, std::uint64_t number)
+void retry_forward_later(context& step, std::uint64_t number)
 {
     auto& entry = step.state.requests.forwards.at(number);
     close_call(step.state, entry);
-    schedule(step.state, number, entry,
-             step.now + backoff(step, entry.attempts));
+    schedule_forward(step.state, number, entry,
+                     step.now + backoff(step, entry.attempts));
 }
 
-/// A new owner joins or refuses the ID by its own records, so an open call to
-/// an earlier owner need not be awaited.
-void check(context& step, std::uint64_t number)
-{
-    auto& entry = step.state.requests.forwards.at(number);
-    if (step.now >= entry.waiter.deadline)
-    {
-        give_up(step, number);
-        return;
-    }
-    if (entry.correlation == 0)
-    {
-        attempt(step, number);
-        return;
-    }
-    auto const owner = ownership::owner_of(step.state, entry.shard);
-    if (!owner || *owner == entry.daemon)
-    {
-        schedule(step.state, number, entry, step.now + owner_check_interval);
-        return;
-    }
-    entry.sent = true;
-    close_call(step.state, entry);
-    attempt(step, number);
-}
-
-} // namespace
-
 std::uint64_t forward(context& step, urgent_request request,
-                      shard_id const& shard, bool delegated,
+                      shard_id const& shard, forward_purpose purpose,
                       request_waiter waiter)
 {
     auto& requests = step.state.requests;
@@ -205,101 +152,12 @@
     requests.payload_bytes += request.payload.size();
     entry.request = std::move(request);
     entry.shard = shard;
-    entry.delegated = delegated;
+    entry.purpose = purpose;
     entry.waiter = std::move(waiter);
     entry.due = entry.waiter.deadline;
     requests.forwards_due.emplace(entry.due, number);
-    attempt(step, number);
+    attempt_forward(step, number);
     return requests.forwards.contains(number) ? number : 0;
 }
 
-void advance_forwards(context& step)
-{
-    auto& due = step.state.requests.forwards_due;
-    std::vector<std::uint64_t> numbers;
-    for (auto const& [at, number] : due)
-    {
-        if (at > step.now)
-        {
-            break;
-        }
-        numbers.push_back(number);
-    }
-    for (auto const number : numbers)
-    {
-        if (step.state.requests.forwards.contains(number))
-        {
-            check(step, number);
-        }
-    }
-}
-
-void retry_forwards(context& step, shard_id const& shard)
-{
-    std::vector<std::uint64_t> numbers;
-    for (auto const& [number, entry] : step.state.requests.forwards)
-    {
-        if (entry.shard == shard)
-        {
-            numbers.push_back(number);
-        }
-    }
-    for (auto const number : numbers)
-    {
-        if (step.state.requests.forwards.contains(number))
-        {
-            check(step, number);
-        }
-    }
-}
-
-bool forward_sent(daemon_state const& state, std::uint64_t number)
-{
-    auto const found = state.requests.forwards.find(number);
-    return found != state.requests.forwards.end()
-           && (found->second.sent || found->second.correlation != 0);
-}
-
-void cancel_forward(daemon_state& state, std::uint64_t number)
-{
-    if (state.requests.forwards.contains(number))
-    {
-        take(state, number);
-    }
-}
-
-void on_peer_replied(context& step, peer_replied const& event)
-{
-    auto const& calls = step.state.requests.forward_of_call;
-    auto const found = calls.find(event.correlation);
-    if (found == calls.end())
-    {
-        step.record("late_answer_dropped", {}, {}, event.daemon);
-        return;
-    }
-    auto const number = found->second;
-    if (auto const* result = std::get_if<request_result>(&event.reply))
-    {
-        auto const entry = take(step.state, number);
-        send_result(step, entry.waiter, entry.request.id, *result);
-        return;
-    }
-    // The daemon does not own the shard and did nothing.
-    retry_later(step, number);
-}
-
-void on_peer_failed(context& step, peer_failed const& event)
-{
-    auto const& calls = step.state.requests.forward_of_call;
-    auto const found = calls.find(event.correlation);
-    if (found == calls.end())
-    {
-        return;
-    }
-    auto const number = found->second;
-    auto& entry = step.state.requests.forwards.at(number);
-    entry.sent = entry.sent || !event.never_sent;
-    retry_later(step, number);
-}
-
 } // namespace jaydrift::decide::requests
--- a/src/jaydrift/decide/interference.cpp
+++ b/src/jaydrift/decide/interference.cpp
@@ -1,4 +1,4 @@
-#include "interference.hpp"
+#include <jaydrift/decide/interference.hpp>
 
 #include <jaydrift/decide/context.hpp>
 #include <jaydrift/decide/interference_table.hpp>
--- a/src/jaydrift/decide/request_answer.cpp
+++ b/src/jaydrift/decide/request_answer.cpp
@@ -1,6 +1,7 @@
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/workers.hpp>
 
 #include <algorithm>
 #include <type_traits>
@@ -119,6 +120,10 @@
     {
         return;
     }
+    if (!entry->worker.empty())
+    {
+        workers::release(step, entry->worker, key.id);
+    }
     close(step, key, *entry);
     entry->phase = request_phase::done;
     entry->result = result;
--- a/src/jaydrift/decide/request_deadline.cpp
+++ b/src/jaydrift/decide/request_deadline.cpp
@@ -1,6 +1,7 @@
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -20,7 +21,18 @@
     {
         cancel_forward(step.state, entry.forward);
     }
-    if (never_left || entry.phase == request_phase::waiting)
+    auto const not_started =
+        never_left || entry.phase == request_phase::waiting;
+    if (entry.phase == request_phase::checking
+        || (not_started
+            && !ownership::serving(step.state, key.shard, step.now)))
+    {
+        // A successor may run it for a repeat that reached it.
+        cancel_forward(step.state, entry.forward);
+        leave_unresolved(step, key, "no answer before the deadline");
+        return;
+    }
+    if (not_started)
     {
         finish(step, key, not_run("no worker had room before the deadline"));
         return;
--- a/src/jaydrift/decide/request_queue.cpp
+++ b/src/jaydrift/decide/request_queue.cpp
@@ -1,5 +1,5 @@
-#include "request_steps.hpp"
-#include "worker_choice.hpp"
+#include <jaydrift/decide/request_steps.hpp>
+#include <jaydrift/decide/worker_choice.hpp>
 
 #include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/context.hpp>
--- a/src/jaydrift/decide/request_reply.cpp
+++ b/src/jaydrift/decide/request_reply.cpp
@@ -4,7 +4,7 @@
 #include <jaydrift/decide/ownership.hpp>
 #include <jaydrift/decide/workers.hpp>
 
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <optional>
 #include <string>
--- a/src/jaydrift/decide/request_shard.cpp
+++ b/src/jaydrift/decide/request_shard.cpp
@@ -3,7 +3,7 @@
 #include <jaydrift/decide/context.hpp>
 #include <jaydrift/decide/workers.hpp>
 
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -46,6 +46,10 @@
     entry->worker = std::string(worker);
     entry->attempt = std::max(entry->attempt, report.attempt);
     workers::reserve(step, worker, report.task);
+    // Its end is reported to the earlier owner, so the booking ends with the
+    // lease; the worker's reported use counts it if it runs on.
+    step.state.requests.lost_bookings.push_back(
+        {step.now + step.state.settings.idle_lease, entry->worker, key.id});
 }
 
 void take_over(context& step, request_key const& key, std::string_view worker,
@@ -76,6 +80,7 @@
 {
     switch (entry.phase)
     {
+    case request_phase::checking:
     case request_phase::waiting:
         return false;
     case request_phase::delegated:
@@ -99,7 +104,7 @@
     }
     else
     {
-        forward(step, entry.request, shard, false, waiter);
+        forward(step, entry.request, shard, forward_purpose::execute, waiter);
     }
 }
 
--- a/src/jaydrift/decide/requests.cpp
+++ b/src/jaydrift/decide/requests.cpp
@@ -3,7 +3,7 @@
 #include <jaydrift/decide/context.hpp>
 #include <jaydrift/decide/workers.hpp>
 
-#include "request_steps.hpp"
+#include <jaydrift/decide/request_steps.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -73,28 +73,6 @@
     dispatch_all(step);
 }
 
-void on_query(context& step, peer_called const& call,
-              query_request const& request)
-{
-    auto result = unknown("no record of this request ID");
-    for (auto const& [shard, records] : step.state.requests.shards)
-    {
-        auto const found = records.entries.find(request.request);
-        if (found == records.entries.end())
-        {
-            continue;
-        }
-        auto const& entry = found->second;
-        if (entry.phase == request_phase::done)
-        {
-            result = entry.result;
-            break;
-        }
-        result = unknown("the request has no result yet");
-    }
-    step.emit(answer_peer{call.call, std::move(result)});
-}
-
 bool idle(daemon_state const& state)
 {
     auto const& requests = state.requests;
--- a/src/jaydrift/decide/routing.cpp
+++ b/src/jaydrift/decide/routing.cpp
@@ -1,4 +1,4 @@
-#include "worker_choice.hpp"
+#include <jaydrift/decide/worker_choice.hpp>
 
 #include <jaydrift/decide/context.hpp>
 #include <jaydrift/decide/ownership.hpp>
