--- /dev/null
+++ b/src/jaydrift/decide/fake_cluster_test.hpp
@@ -0,0 +1,317 @@
+#ifndef JAYDRIFT_DECIDE_FAKE_CLUSTER_TEST_HPP
+#define JAYDRIFT_DECIDE_FAKE_CLUSTER_TEST_HPP
+
+#include "fake_store_test.hpp"
+#include "fake_worker_test.hpp"
+
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
+#include <jaydrift/decide/reduce.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jaydrift::decide {
+
+/// Daemons, workers and the store of one region with one shard, in virtual
+/// time. Every message takes 1 ms.
+class fake_cluster
+{
+public:
+    static inline shard_id const shard{"north", 0};
+
+    /// Adds workers `w0`, `w1`, ..., one for each named zone, and daemons.
+    fake_cluster(std::vector<std::string> const& daemons,
+                 std::vector<std::string> const& zones)
+    {
+        for (auto const& zone : zones)
+        {
+            auto const name = 'w' + std::to_string(workers.size());
+            workers[name];
+            ++store.revision;
+            store.vms.push_back(
+                {name, name, "north", zone, name, {}, vm_state::live});
+        }
+        for (auto const& name : daemons)
+        {
+            daemon_settings settings;
+            settings.self = {name, name, "north", "arima"};
+            settings.regions = {"north"};
+            settings.shards_per_region = 1;
+            for (auto const& peer : daemons)
+            {
+                settings.peers.push_back({peer, peer, "north", "arima"});
+            }
+            states[name] = std::make_unique<daemon_state>(settings);
+        }
+    }
+
+    /// Lets time pass.
+    void run(std::int64_t duration)
+    {
+        auto const end = now + time_ms(duration);
+        while (step_before(end))
+        {
+        }
+        now = end;
+    }
+
+    /// Runs until a condition holds; false if it does not within `limit`.
+    bool run_until(std::function<bool()> const& condition, std::int64_t limit)
+    {
+        auto const end = now + time_ms(limit);
+        while (!condition() && step_before(end))
+        {
+        }
+        return condition();
+    }
+
+    void send(std::string const& daemon, event input)
+    {
+        take(daemon, reduce(*states[daemon], input, now));
+    }
+
+    bool serves(std::string const& daemon)
+    {
+        return ownership::serving(*states[daemon], shard, now);
+    }
+
+    /// Returns the daemon that serves, or nothing if none or several do.
+    std::string owner()
+    {
+        std::string result;
+        for (auto const& [name, state] : states)
+        {
+            if (!stopped.contains(name) && serves(name))
+            {
+                result = result.empty() ? name : "several";
+            }
+        }
+        return result;
+    }
+
+    bool has_owner() { return !owner().empty(); }
+
+    /// Returns the daemons of which some worker would accept a start that is
+    /// sent by the rules of their state and arrives now.
+    std::set<std::string> starters()
+    {
+        std::set<std::string> result;
+        for (auto const& [name, state] : states)
+        {
+            for (auto const& [worker, kept] : workers)
+            {
+                if (ownership::may_start(*state, worker, now)
+                    && kept.accepts(ownership::term(*state, shard),
+                                    ownership::start_deadline(*state, worker),
+                                    now))
+                {
+                    result.insert(name);
+                }
+            }
+        }
+        return result;
+    }
+
+    ownership_state const& view(std::string const& daemon)
+    {
+        return states[daemon]->ownership;
+    }
+
+    tenure const& term_of(std::string const& daemon)
+    {
+        return *view(daemon).shards.at(shard).mine;
+    }
+
+    time_ms now{1000};
+    fake_store store;
+    bool store_up = true;
+
+    /// The next answers of record writes that are lost after the write.
+    int lost_answers = 0;
+    std::map<std::string, fake_worker> workers;
+    std::map<std::string, std::unique_ptr<daemon_state>> states;
+
+    /// Daemons that do not run; their messages wait.
+    std::set<std::string> stopped;
+
+    /// Pairs that cannot reach each other, in both orders.
+    std::set<std::pair<std::string, std::string>> cuts;
+
+    void cut(std::string const& a, std::string const& b)
+    {
+        cuts.insert({a, b});
+        cuts.insert({b, a});
+    }
+
+private:
+    struct delivery
+    {
+        std::string daemon;
+        std::function<void()> run;
+    };
+
+    struct waiting_watch
+    {
+        std::string daemon;
+        send_store call;
+    };
+
+    bool reaches(std::string const& a, std::string const& b) const
+    {
+        return !cuts.contains({a, b});
+    }
+
+    void later(time_ms delay, std::string const& daemon,
+               std::function<void()> run)
+    {
+        queue_.insert({now + delay, {daemon, std::move(run)}});
+    }
+
+    void deliver(std::string const& daemon, time_ms delay, event input)
+    {
+        later(delay, daemon, [this, daemon, input] { send(daemon, input); });
+    }
+
+    /// Runs what is due first before `end`; false if nothing is.
+    bool step_before(time_ms end)
+    {
+        auto next = end;
+        std::string timer;
+        for (auto const& [name, state] : states)
+        {
+            auto const due = std::max(next_timer(*state), now);
+            if (!stopped.contains(name) && due < next)
+            {
+                next = due;
+                timer = name;
+            }
+        }
+        for (auto it = queue_.begin(); it != queue_.end() && it->first <= next;
+             ++it)
+        {
+            if (!stopped.contains(it->second.daemon))
+            {
+                auto const due = it->second;
+                now = std::max(now, it->first);
+                queue_.erase(it);
+                due.run();
+                return true;
+            }
+        }
+        if (timer.empty())
+        {
+            return false;
+        }
+        now = next;
+        send(timer, timer_due{});
+        return true;
+    }
+
+    void take(std::string const& daemon, effect_list const& effects)
+    {
+        for (auto const& item : effects)
+        {
+            std::visit([&](auto const& each) { apply(daemon, each); }, item);
+        }
+        wake_watches();
+    }
+
+    void apply(std::string const& daemon, send_store const& call)
+    {
+        if (!store_up || !reaches(daemon, "store"))
+        {
+            return deliver(daemon, call.timeout,
+                           store_failed{call.correlation, false});
+        }
+        auto const reply = store.answer(call.request);
+        if (!reply)
+        {
+            waiting_.push_back({daemon, call});
+            return;
+        }
+        auto const* put = std::get_if<put_request>(&call.request);
+        if (put != nullptr && put->key.starts_with("shards/")
+            && lost_answers > 0)
+        {
+            --lost_answers;
+            return deliver(daemon, call.timeout,
+                           store_failed{call.correlation, false});
+        }
+        deliver(daemon, time_ms(1), store_replied{call.correlation, *reply});
+    }
+
+    void apply(std::string const& daemon, send_worker const& call)
+    {
+        later(time_ms(1), "", [this, daemon, call] {
+            if (!reaches(daemon, call.worker))
+            {
+                return deliver(
+                    daemon, call.timeout,
+                    worker_failed{call.worker, call.correlation, false});
+            }
+            deliver(
+                daemon, time_ms(1),
+                worker_replied{call.worker, call.correlation,
+                               workers[call.worker].answer(call.request, now)});
+        });
+    }
+
+    void apply(std::string const& daemon, send_peer const& call)
+    {
+        if (!reaches(daemon, call.daemon) || stopped.contains(call.daemon))
+        {
+            return deliver(daemon, call.timeout,
+                           peer_failed{call.daemon, call.correlation, false});
+        }
+        auto const number = ++last_call_;
+        calls_[number] = {daemon, call.daemon, call.correlation};
+        deliver(call.daemon, time_ms(1), peer_called{number, call.request});
+    }
+
+    void apply(std::string const&, answer_peer const& answer)
+    {
+        auto const found = calls_.extract(answer.call);
+        if (!found.empty())
+        {
+            auto const& call = found.mapped();
+            deliver(call.caller, time_ms(1),
+                    peer_replied{call.callee, call.correlation, answer.reply});
+        }
+    }
+
+    template<class Effect>
+    void apply(std::string const&, Effect const&)
+    {
+    }
+
+    void wake_watches()
+    {
+        auto const watches = std::exchange(waiting_, {});
+        for (auto const& watch : watches)
+        {
+            apply(watch.daemon, watch.call);
+        }
+    }
+
+    struct peer_call
+    {
+        std::string caller;
+        std::string callee;
+        std::uint64_t correlation;
+    };
+
+    std::multimap<time_ms, delivery> queue_;
+    std::vector<waiting_watch> waiting_;
+    std::map<std::uint64_t, peer_call> calls_;
+    std::uint64_t last_call_ = 0;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_FAKE_CLUSTER_TEST_HPP
