--- a/include/jaydrift/app/daemon_options.hpp
+++ b/include/jaydrift/app/daemon_options.hpp
@@ -15,9 +15,9 @@
 struct daemon_options
 {
     decide::daemon_settings decisions;
-    std::string listen_http = "127.0.0.1:0";
-    std::string listen_peer = "127.0.0.1:0";
-    std::string listen_operator = "127.0.0.1:0";
+    std::string listen_http = "127.0.0.1:7480";
+    std::string listen_peer = "127.0.0.1:7470";
+    std::string listen_operator = "127.0.0.1:7440";
     /// Address that other daemons reach; empty: where it listens.
     std::string advertise_peer;
     std::string store;
--- /dev/null
+++ b/programs/jaydriftctl.cpp
@@ -0,0 +1,22 @@
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <span>
+
+#include <jaydrift/app/operator_commands.hpp>
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        std::span<char const* const> const words(
+            argv, static_cast<std::size_t>(argc));
+        return jaydrift::app::run_operator_command(
+            words.subspan(1), JAYDRIFT_VERSION, std::cout, std::cerr);
+    }
+    catch (std::exception const& fault)
+    {
+        std::cerr << "jaydriftctl: " << fault.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/src/jaydrift/app/control_loop_test.cpp
@@ -0,0 +1,144 @@
+#include <jaydrift/app/control_loop.hpp>
+
+#include <limits>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <jaydrift/core/virtual_clock.hpp>
+
+namespace jaydrift::app {
+
+using namespace literals;
+
+namespace {
+
+constexpr int timer = -1;
+constexpr int stop = -2;
+
+struct test_state
+{
+    time_ms due{std::numeric_limits<std::int64_t>::max()};
+    int steps = 0;
+};
+
+/// A reducer whose effects are its events and whose timer is the last event.
+struct test_traits
+{
+    using state = test_state;
+    using event = int;
+    using effect = int;
+
+    static std::vector<int> reduce(state& current, int input, time_ms)
+    {
+        ++current.steps;
+        if (input > 0)
+        {
+            current.due = time_ms(input);
+        }
+        return {input};
+    }
+    static time_ms next_timer(state const& current) { return current.due; }
+    static int timer_event() { return timer; }
+};
+
+struct test_interpreter
+{
+    explicit test_interpreter(event_queue<int>& queue) : events(queue) {}
+
+    void execute(int output)
+    {
+        seen.push_back(output);
+        if (output == stop)
+        {
+            events.finish();
+        }
+    }
+    void state_changed(test_state const& state) { steps = state.steps; }
+
+    event_queue<int>& events;
+    std::vector<int> seen;
+    int steps = 0;
+};
+
+struct control_loop_test : testing::Test
+{
+    event_queue<int> events{2};
+    virtual_clock clock;
+    test_interpreter interpreter{events};
+    control_loop<test_traits, virtual_clock, test_interpreter> loop{
+        {}, clock, interpreter, events};
+};
+
+} // namespace
+
+// Guards against timers that come early, late or not at all.
+TEST_F(control_loop_test, delivers_a_timer_when_it_is_due)
+{
+    ASSERT_TRUE(events.post(100));
+    loop.run_once();
+    EXPECT_EQ(interpreter.seen, (std::vector{100}));
+    clock.advance(99_ms);
+    events.deliver(0);
+    loop.run_once();
+    EXPECT_EQ(interpreter.seen, (std::vector{100, 0}));
+    clock.advance(1_ms);
+    loop.run_once();
+    EXPECT_EQ(interpreter.seen, (std::vector{100, 0, timer}));
+    EXPECT_EQ(interpreter.steps, 3);
+}
+
+// Guards against a queue that is never empty and so delays every timer.
+TEST_F(control_loop_test, a_busy_queue_does_not_delay_a_timer)
+{
+    ASSERT_TRUE(events.post(100));
+    loop.run_once();
+    clock.advance(100_ms);
+    ASSERT_TRUE(events.post(0));
+    ASSERT_TRUE(events.post(0));
+    loop.run_once();
+    EXPECT_EQ(interpreter.seen, (std::vector{100, 0, timer}));
+}
+
+// Guards against a reducer whose timer stays due and takes a whole processor.
+TEST_F(control_loop_test, a_timer_that_stays_due_is_delivered_rarely)
+{
+    clock.advance(100_ms);
+    ASSERT_TRUE(events.post(50));
+    loop.run_once();
+    ASSERT_TRUE(events.post(50));
+    loop.run_once();
+    EXPECT_EQ(interpreter.seen, (std::vector{50, timer, 50}));
+    clock.advance(5_ms);
+    loop.run_once();
+    EXPECT_EQ(interpreter.seen, (std::vector{50, timer, 50, timer}));
+}
+
+// Guards against a full queue that blocks or grows instead of shedding, and
+// against lost replies to the reducer's own calls.
+TEST_F(control_loop_test, a_full_queue_sheds_calls_but_no_replies)
+{
+    EXPECT_TRUE(events.post(1));
+    EXPECT_TRUE(events.post(2));
+    EXPECT_FALSE(events.post(3));
+    events.deliver(4);
+    events.close();
+    std::vector<int> left;
+    events.drain([&](int input) { left.push_back(input); });
+    EXPECT_EQ(left, (std::vector{1, 2, 4}));
+    EXPECT_FALSE(events.post(5));
+}
+
+// Guards against a control thread that handles events after the end or never
+// ends.
+TEST_F(control_loop_test, ends_after_the_event_that_finishes_it)
+{
+    std::thread control([this] { loop.run(); });
+    events.deliver(stop);
+    control.join();
+    events.deliver(7);
+    EXPECT_EQ(interpreter.seen, (std::vector{stop}));
+}
+
+} // namespace jaydrift::app
--- /dev/null
+++ b/src/jaydrift/app/daemon_interpreter_test.cpp
@@ -0,0 +1,208 @@
+#include <jaydrift/app/daemon_interpreter.hpp>
+
+#include <map>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <jaydrift/app/daemon_edge.hpp>
+
+namespace jaydrift::app {
+
+using namespace literals;
+
+namespace {
+
+/// Keeps every call until the test ends it.
+struct fake_transport
+{
+    void call_worker(std::string address, worker_request, time_ms timeout,
+                     call_done<worker_reply> done)
+    {
+        addresses.push_back(std::move(address));
+        timeouts.push_back(timeout);
+        worker = std::move(done);
+    }
+    void call_store(store_request, time_ms, call_done<store_reply> done)
+    {
+        store = std::move(done);
+    }
+    void call_peer(std::string address, peer_request, time_ms,
+                   call_done<peer_reply> done)
+    {
+        addresses.push_back(std::move(address));
+        peer = std::move(done);
+    }
+
+    std::vector<std::string> addresses;
+    std::vector<time_ms> timeouts;
+    call_done<worker_reply> worker;
+    call_done<store_reply> store;
+    call_done<peer_reply> peer;
+};
+
+struct daemon_interpreter_test : testing::Test
+{
+    template<class Event>
+    Event next()
+    {
+        auto input = events.pop(0_ms);
+        EXPECT_TRUE(input.has_value());
+        return std::get<Event>(std::move(*input));
+    }
+
+    net::responder<request_result> caller()
+    {
+        return net::responder<request_result>(
+            [this](std::optional<request_result> result) {
+                answers.push_back(std::move(result));
+            });
+    }
+
+    event_queue<decide::event> events{1};
+    open_calls calls{2};
+    timeline history{"d1", 10};
+    metrics measures;
+    fake_transport transport;
+    daemon_interpreter<fake_transport> interpreter{transport, events, calls,
+                                                   history, measures};
+    daemon_edge edge{events, calls, history, measures};
+    std::vector<std::optional<request_result>> answers;
+};
+
+} // namespace
+
+// Guards against results that reach the reducer under a wrong number or name.
+TEST_F(daemon_interpreter_test, turns_replies_into_events)
+{
+    interpreter.execute(
+        decide::send_worker{"w1", "127.0.0.1:1", 7, 50_ms, fence_request()});
+    worker_reply reply;
+    reply.epoch = 3;
+    transport.worker(reply);
+    auto const replied = next<decide::worker_replied>();
+    EXPECT_EQ(replied.worker, "w1");
+    EXPECT_EQ(replied.correlation, 7U);
+    EXPECT_EQ(replied.reply.epoch, 3U);
+    EXPECT_EQ(transport.timeouts, (std::vector{50_ms}));
+
+    interpreter.execute(
+        decide::send_peer{"d2", "127.0.0.1:2", 8, 50_ms, heartbeat()});
+    transport.peer(peer_acknowledgement{true});
+    auto const answered = next<decide::peer_replied>();
+    EXPECT_EQ(answered.daemon, "d2");
+    EXPECT_EQ(answered.correlation, 8U);
+    EXPECT_EQ(transport.addresses,
+              (std::vector<std::string>{"127.0.0.1:1", "127.0.0.1:2"}));
+
+    interpreter.execute(decide::send_store{9, 50_ms, read_request()});
+    store_reply stored;
+    stored.revision = 4;
+    transport.store(stored);
+    EXPECT_EQ(next<decide::store_replied>().reply.revision, 4U);
+}
+
+// Guards against a lost answer that is taken for a request that never left,
+// after which it would be run again.
+TEST_F(daemon_interpreter_test, keeps_whether_a_failed_call_was_sent)
+{
+    for (bool const never_sent : {true, false})
+    {
+        net::rpc_failure const failure{never_sent, "reason"};
+        interpreter.execute(
+            decide::send_worker{"w1", {}, 7, 50_ms, fence_request()});
+        transport.worker(failure);
+        auto const worker = next<decide::worker_failed>();
+        EXPECT_EQ(worker.never_sent, never_sent);
+        EXPECT_EQ(worker.correlation, 7U);
+        interpreter.execute(decide::send_peer{"d2", {}, 8, 50_ms, heartbeat()});
+        transport.peer(failure);
+        EXPECT_EQ(next<decide::peer_failed>().never_sent, never_sent);
+        interpreter.execute(decide::send_store{9, 50_ms, read_request()});
+        transport.store(failure);
+        EXPECT_EQ(next<decide::store_failed>().never_sent, never_sent);
+    }
+}
+
+// Guards against a second answer to a call, or an answer to another one.
+TEST_F(daemon_interpreter_test, answers_each_call_once)
+{
+    edge.on_request(urgent_request(), caller());
+    auto const input = next<decide::request_arrived>();
+    interpreter.execute(decide::answer_caller{
+        input.call + 1, {request_outcome::completed, "other", {}}});
+    EXPECT_TRUE(answers.empty());
+    for (auto const* const answer : {"first", "second"})
+    {
+        interpreter.execute(decide::answer_caller{
+            input.call, {request_outcome::completed, answer, {}}});
+    }
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0]->answer, "first");
+    EXPECT_EQ(calls.callers.size(), 0U);
+}
+
+// Guards against load that is shed without an answer, or after it was queued.
+TEST_F(daemon_interpreter_test, sheds_with_not_run_when_full)
+{
+    edge.on_request(urgent_request(), caller());
+    edge.on_request(urgent_request(), caller()); // the queue holds one
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0]->outcome, request_outcome::not_run);
+    next<decide::request_arrived>();
+    edge.on_request(urgent_request(), caller());
+    next<decide::request_arrived>();
+    edge.on_request(urgent_request(), caller()); // the table holds two
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[1]->outcome, request_outcome::not_run);
+    EXPECT_NE(
+        measures.text().find("jaydrift_shed_total{type=\"request_arrived\"} 2"),
+        std::string::npos);
+}
+
+// Guards against a stop that leaves a queued call without an answer, or that
+// reports a call as not run that the reducer has seen.
+TEST_F(daemon_interpreter_test, answers_what_is_left_at_the_end)
+{
+    edge.on_request(urgent_request(), caller());
+    next<decide::request_arrived>();
+    edge.on_request(urgent_request(), caller());
+    interpreter.execute(decide::exit_process());
+    EXPECT_TRUE(events.finished());
+    events.close();
+    events.drain([this](decide::event const& left) { edge.refuse(left); });
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0]->outcome, request_outcome::not_run);
+    calls.clear();
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[1], std::nullopt);
+    edge.on_request(urgent_request(), caller());
+    ASSERT_EQ(answers.size(), 3U);
+    EXPECT_EQ(answers[2]->outcome, request_outcome::not_run);
+}
+
+// Guards against a peer that takes a shed request for one that may have run.
+TEST_F(daemon_interpreter_test, sheds_forwarded_work_explicitly)
+{
+    events.close();
+    std::vector<peer_reply> replies;
+    net::responder<peer_reply> const respond(
+        [&](std::optional<peer_reply> reply) { replies.push_back(*reply); });
+    edge.on_peer(execute_request(), respond);
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(std::get<request_result>(replies[0]).outcome,
+              request_outcome::not_run);
+}
+
+// Guards against a balancer that sends work during a planned stop.
+TEST_F(daemon_interpreter_test, publishes_a_planned_stop)
+{
+    decide::daemon_state state{decide::daemon_settings()};
+    interpreter.state_changed(state);
+    EXPECT_FALSE(interpreter.stopping());
+    state.stop.requested_at = 0_ms;
+    interpreter.state_changed(state);
+    EXPECT_TRUE(interpreter.stopping());
+}
+
+} // namespace jaydrift::app
--- /dev/null
+++ b/src/jaydrift/app/metrics_test.cpp
@@ -0,0 +1,42 @@
+#include <jaydrift/app/metrics.hpp>
+
+#include <gtest/gtest.h>
+
+namespace jaydrift::app {
+
+// Guards against samples in a wrong bin: a bound belongs to its own bin.
+TEST(metrics, prints_histograms_with_inclusive_bounds)
+{
+    metrics measures;
+    for (auto const value : {-1, 0, 1, 2, 3, 4, 2000000})
+    {
+        measures.observe("wait_ms", value);
+    }
+    auto const text = measures.text();
+    for (auto const* const line :
+         {"# TYPE jaydrift_wait_ms histogram\n",
+          "jaydrift_wait_ms_bucket{le=\"1\"} 3\n",
+          "jaydrift_wait_ms_bucket{le=\"2\"} 4\n",
+          "jaydrift_wait_ms_bucket{le=\"4\"} 6\n",
+          "jaydrift_wait_ms_bucket{le=\"1048576\"} 6\n",
+          "jaydrift_wait_ms_bucket{le=\"+Inf\"} 7\n",
+          "jaydrift_wait_ms_sum 2000009\n", "jaydrift_wait_ms_count 7\n"})
+    {
+        EXPECT_NE(text.find(line), std::string::npos) << line << text;
+    }
+}
+
+// Guards against counters of different types that are added up.
+TEST(metrics, prints_counters_by_type)
+{
+    metrics measures;
+    measures.count("shed_total", "job_arrived");
+    measures.count("shed_total", "request_arrived");
+    measures.count("shed_total", "request_arrived");
+    EXPECT_EQ(measures.text(),
+              "# TYPE jaydrift_shed_total counter\n"
+              "jaydrift_shed_total{type=\"job_arrived\"} 1\n"
+              "jaydrift_shed_total{type=\"request_arrived\"} 2\n");
+}
+
+} // namespace jaydrift::app
--- /dev/null
+++ b/src/jaydrift/app/rpc_operator_transport.hpp
@@ -0,0 +1,39 @@
+#ifndef JAYDRIFT_APP_RPC_OPERATOR_TRANSPORT_HPP
+#define JAYDRIFT_APP_RPC_OPERATOR_TRANSPORT_HPP
+
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/net/operator_service.hpp>
+#include <jaydrift/net/rpc_client.hpp>
+#include <jaydrift/net/rpc_result.hpp>
+#include <jaydrift/net/rpc_thread.hpp>
+
+namespace jaydrift::app {
+
+/// Calls the operator interface by RPC and waits for the result.
+class rpc_operator_transport
+{
+public:
+    net::rpc_result<operator_reply>
+    call(std::string address, operator_request request, time_ms timeout)
+    {
+        using result = net::rpc_result<operator_reply>;
+        auto promise = std::make_shared<std::promise<result>>();
+        auto future = promise->get_future();
+        net::call<net::operator_service>(
+            thread_, std::move(address), std::move(request), timeout,
+            [promise](result reply) { promise->set_value(std::move(reply)); });
+        return future.get();
+    }
+
+private:
+    net::rpc_thread thread_;
+};
+
+} // namespace jaydrift::app
+
+#endif // JAYDRIFT_APP_RPC_OPERATOR_TRANSPORT_HPP
--- a/src/jaydrift/app/text_table.cpp
+++ b/src/jaydrift/app/text_table.cpp
@@ -12,6 +12,9 @@
 {
     for (auto& cell : cells)
     {
+        // A line break in a cell would look like another row.
+        std::ranges::replace_if(
+            cell, [](unsigned char c) { return c < ' '; }, ' ');
         if (cell.empty())
         {
             cell = "-";
--- /dev/null
+++ b/src/jaydrift/app/timeline_test.cpp
@@ -0,0 +1,92 @@
+#include <jaydrift/app/timeline.hpp>
+#include <jaydrift/app/timeline_text.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace jaydrift::app {
+
+using namespace literals;
+
+namespace {
+
+timeline_event make(std::int64_t at, std::uint64_t sequence,
+                    std::string process)
+{
+    return {time_ms(at), sequence, std::move(process), "name", {}, {}, {}};
+}
+
+} // namespace
+
+// Guards against a ring that grows, or that gives old events twice.
+TEST(timeline, keeps_the_last_events)
+{
+    timeline history("d1", 2);
+    history.record("a");
+    history.record("b", "request-1", "task-1", "detail");
+    history.record("c");
+    auto const events = history.after(0);
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_EQ(events[0].name, "b");
+    EXPECT_EQ(events[0].process, "d1");
+    EXPECT_EQ(events[0].request, "request-1");
+    EXPECT_EQ(events[1].sequence, 3U);
+    EXPECT_EQ(history.after(2).size(), 1U);
+    EXPECT_TRUE(history.after(3).empty());
+}
+
+// Guards against a merge that reorders one process's events within a
+// millisecond.
+TEST(timeline_text, merges_by_time_then_process_then_sequence)
+{
+    auto const merged =
+        merge_timelines({{make(5, 9, "b"), make(5, 10, "b"), make(7, 11, "b")},
+                         {make(4, 1, "a"), make(5, 2, "a")}});
+    std::string order;
+    for (auto const& event : merged)
+    {
+        order += event.process + std::to_string(event.sequence) + ' ';
+    }
+    EXPECT_EQ(order, "a1 a2 b9 b10 b11 ");
+}
+
+// Guards against text that JSON has to escape.
+RC_GTEST_PROP(timeline_text, lines_are_read_back, (std::string detail))
+{
+    std::ranges::replace_if(
+        detail, [](unsigned char c) { return c == 0 || c > 126; }, '?');
+    timeline_event event{1796381654123_ms, 42, "d1", "name", "r", "t", detail};
+    auto const lines = timeline_lines(std::vector{event, event});
+    RC_ASSERT(std::ranges::count(lines, '\n') == 2);
+    auto const read = parse_timeline_lines(lines);
+    RC_ASSERT(read.size() == 2U);
+    RC_ASSERT(read[1].at == event.at);
+    RC_ASSERT(read[1].sequence == event.sequence);
+    RC_ASSERT(read[1].request == event.request);
+    RC_ASSERT(read[1].detail == event.detail);
+}
+
+// Guards against a broken file that is merged in part.
+TEST(timeline_text, names_the_line_that_cannot_be_read)
+{
+    for (auto const* const text :
+         {"{\"atMs\":1}\nnot JSON\n", "{\"atMs\":1}\n[]\n",
+          "{\"atMs\":1}\n{\"sequence\":\"x\"}\n"})
+    {
+        try
+        {
+            parse_timeline_lines(text);
+            ADD_FAILURE() << text;
+        }
+        catch (std::invalid_argument const& fault)
+        {
+            EXPECT_TRUE(std::string_view(fault.what()).starts_with("line 2: "))
+                << fault.what();
+        }
+    }
+}
+
+} // namespace jaydrift::app
--- a/src/jaydrift/app/timeline_text.cpp
+++ b/src/jaydrift/app/timeline_text.cpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <iterator>
 #include <stdexcept>
+#include <tuple>
 #include <utility>
 
 #include <capnp/compat/json.h>
@@ -31,7 +32,7 @@
 std::string print(timeline_event const& event, capnp::JsonCodec const& codec)
 {
     capnp::MallocMessageBuilder message;
-    auto const root = message.initRoot<capnp::JsonValue>();
+    auto root = message.initRoot<capnp::JsonValue>();
     auto fields = root.initObject(2 + text_fields.size());
     fields[0].setName("atMs");
     fields[0].initValue().setNumber(static_cast<double>(event.at.count()));
@@ -88,7 +89,7 @@
 timeline_event parse(std::string_view line, capnp::JsonCodec const& codec)
 {
     capnp::MallocMessageBuilder message;
-    auto const root = message.initRoot<capnp::JsonValue>();
+    auto root = message.initRoot<capnp::JsonValue>();
     codec.decodeRaw(kj::arrayPtr(line.data(), line.size()), root);
     timeline_event event;
     for (auto const field : root.asReader().getObject())
