Add the schema and RPC

Daemons, workers, the store and operators need to talk to each other. The schema mirrors the plain messages of core; codecs follow one table per message, so that both directions use the same list of fields.

--- /dev/null
+++ b/src/jaydrift/net/endpoint.hpp
@@ -0,0 +1,28 @@
+#ifndef JAYDRIFT_NET_ENDPOINT_HPP
+#define JAYDRIFT_NET_ENDPOINT_HPP
+
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jaydrift::net {
+
+/// A numeric IP address with a port.
+struct endpoint
+{
+    sockaddr_storage address = {};
+    socklen_t size = 0;
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/// Parses `ip:port` or `[ipv6]:port`.
+///
+/// @throws net_error if the text is not such an address.
+endpoint parse_endpoint(std::string_view text);
+
+} // namespace jaydrift::net
+
+#endif // JAYDRIFT_NET_ENDPOINT_HPP
--- /dev/null
+++ b/src/jaydrift/net/peer_codec.hpp
@@ -0,0 +1,22 @@
+#ifndef JAYDRIFT_NET_PEER_CODEC_HPP
+#define JAYDRIFT_NET_PEER_CODEC_HPP
+
+#include <jaydrift/core/peer_reply.hpp>
+#include <jaydrift/core/peer_request.hpp>
+
+#include <jaydrift.capnp.h>
+
+namespace jaydrift::net {
+
+/// @throws codec_error if an enumeration value is out of range.
+void encode(peer_request const& message, schema::PeerRequest::Builder out);
+void encode(peer_reply const& message, schema::PeerReply::Builder out);
+
+/// @throws codec_error if a union member or enumerant is unknown or the message
+/// is malformed.
+peer_request decode(schema::PeerRequest::Reader in);
+peer_reply decode(schema::PeerReply::Reader in);
+
+} // namespace jaydrift::net
+
+#endif // JAYDRIFT_NET_PEER_CODEC_HPP
--- /dev/null
+++ b/src/jaydrift/net/peer_wire.hpp
@@ -0,0 +1,149 @@
+#ifndef JAYDRIFT_NET_PEER_WIRE_HPP
+#define JAYDRIFT_NET_PEER_WIRE_HPP
+
+#include "job_wire.hpp"
+#include "policy_wire.hpp"
+#include "shard_wire.hpp"
+#include "wire.hpp"
+
+#include <jaydrift/core/peer_reply.hpp>
+#include <jaydrift/core/peer_request.hpp>
+
+#include <jaydrift.capnp.h>
+
+namespace jaydrift::net {
+
+template<>
+struct wire_enum<request_outcome>
+{
+    static constexpr auto last = request_outcome::unknown;
+    static constexpr auto last_on_wire = schema::RequestOutcome::UNKNOWN;
+};
+
+template<>
+struct wire<owned_shard>
+{
+    using message = owned_shard;
+    using schema = net::schema::OwnedShard;
+    using table =
+        field_list<JAYDRIFT_MESSAGE(shard, Shard), JAYDRIFT_VALUE(epoch, Epoch),
+                   JAYDRIFT_VALUE(policy_version, PolicyVersion)>;
+};
+
+template<>
+struct wire<heartbeat>
+{
+    using message = heartbeat;
+    using schema = net::schema::Heartbeat;
+    using table = field_list<JAYDRIFT_MESSAGE(sender, Sender),
+                             JAYDRIFT_VALUE(draining, Draining),
+                             JAYDRIFT_VALUE(policy_version, PolicyVersion),
+                             JAYDRIFT_LIST(shards, Shards),
+                             JAYDRIFT_LIST(early_closed, EarlyClosed)>;
+};
+
+template<>
+struct wire<urgent_request>
+{
+    using message = urgent_request;
+    using schema = net::schema::UrgentRequest;
+    using table =
+        field_list<JAYDRIFT_VALUE(id, Id), JAYDRIFT_VALUE(kind, Kind),
+                   JAYDRIFT_VALUE(home_region, HomeRegion),
+                   JAYDRIFT_OPTIONAL(issued_at, HasIssuedAt, IssuedAtMs),
+                   JAYDRIFT_VALUE(patience, PatienceMs),
+                   JAYDRIFT_VALUE(payload, Payload)>;
+};
+
+template<>
+struct wire<execute_request>
+{
+    using message = execute_request;
+    using schema = net::schema::ExecuteRequest;
+    using table = field_list<JAYDRIFT_MESSAGE(request, Request),
+                             JAYDRIFT_VALUE(delegated, Delegated)>;
+};
+
+template<>
+struct wire<query_request>
+{
+    using message = query_request;
+    using schema = net::schema::QueryRequest;
+    using table = field_list<JAYDRIFT_VALUE(request, Request)>;
+};
+
+template<>
+struct wire<policy_update>
+{
+    using message = policy_update;
+    using schema = net::schema::PolicyUpdate;
+    using table = field_list<JAYDRIFT_MESSAGE(policy, Policy),
+                             JAYDRIFT_VALUE(relay, Relay)>;
+};
+
+template<>
+struct wire<request_result>
+{
+    using message = request_result;
+    using schema = net::schema::RequestResult;
+    using table = field_list<JAYDRIFT_VALUE(outcome, Outcome),
+                             JAYDRIFT_VALUE(answer, Answer),
+                             JAYDRIFT_VALUE(reason, Reason)>;
+};
+
+template<>
+struct wire<request_record>
+{
+    using message = request_record;
+    using schema = net::schema::RequestRecord;
+    using table = field_list<
+        JAYDRIFT_VALUE(id, Id), JAYDRIFT_VALUE(worker, Worker),
+        JAYDRIFT_VALUE(attempt, Attempt), JAYDRIFT_VALUE(started, Started),
+        JAYDRIFT_VALUE(finished, Finished), JAYDRIFT_MESSAGE(result, Result)>;
+};
+
+template<>
+struct wire<hand_over_request>
+{
+    using message = hand_over_request;
+    using schema = net::schema::HandOverRequest;
+    using table =
+        field_list<JAYDRIFT_MESSAGE(shard, Shard), JAYDRIFT_VALUE(epoch, Epoch),
+                   JAYDRIFT_LIST(records, Records)>;
+};
+
+template<>
+struct wire<peer_request>
+{
+    using schema = net::schema::PeerRequest;
+    using table =
+        member_list<JAYDRIFT_MEMBER(heartbeat, HEARTBEAT, Heartbeat),
+                    JAYDRIFT_MEMBER(execute_request, EXECUTE, Execute),
+                    JAYDRIFT_MEMBER(query_request, QUERY, Query),
+                    JAYDRIFT_MEMBER(job_request, JOB, Job),
+                    JAYDRIFT_MEMBER(policy_update, POLICY_UPDATE, PolicyUpdate),
+                    JAYDRIFT_MEMBER(hand_over_request, HAND_OVER, HandOver)>;
+};
+
+template<>
+struct wire<peer_acknowledgement>
+{
+    using message = peer_acknowledgement;
+    using schema = net::schema::PeerAcknowledgement;
+    using table = field_list<JAYDRIFT_VALUE(accepted, Accepted)>;
+};
+
+template<>
+struct wire<peer_reply>
+{
+    using schema = net::schema::PeerReply;
+    using table = member_list<JAYDRIFT_MEMBER(peer_acknowledgement,
+                                              ACKNOWLEDGEMENT, Acknowledgement),
+                              JAYDRIFT_MEMBER(heartbeat, HEARTBEAT, Heartbeat),
+                              JAYDRIFT_MEMBER(request_result, RESULT, Result),
+                              JAYDRIFT_MEMBER(job_reply, JOB, Job)>;
+};
+
+} // namespace jaydrift::net
+
+#endif // JAYDRIFT_NET_PEER_WIRE_HPP
--- /dev/null
+++ b/src/jaydrift/net/wire.hpp
@@ -0,0 +1,101 @@
+#ifndef JAYDRIFT_NET_WIRE_HPP
+#define JAYDRIFT_NET_WIRE_HPP
+
+#include "wire_field.hpp"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+/// Table-driven codecs: each message names its fields once, in the table of a
+/// `wire` specialization, and both directions follow that table.
+namespace jaydrift::net {
+
+template<class... Fields>
+struct field_list
+{
+    template<class Message, class Builder>
+    static void write(Message const& message, Builder& out)
+    {
+        (Fields::write(message, out), ...);
+    }
+
+    template<class Message, class Reader>
+    static Message read(Reader const& in)
+    {
+        Message message;
+        (Fields::read(in, message), ...);
+        return message;
+    }
+};
+
+template<class... Members>
+struct member_list
+{
+    template<class Variant, class Builder>
+    static void write(Variant const& variant, Builder& out)
+    {
+        static_assert(std::variant_size_v<Variant> == sizeof...(Members));
+        (write_if<Members>(variant, out), ...);
+    }
+
+    template<class Variant, class Reader>
+    static Variant read(Reader const& in)
+    {
+        std::optional<Variant> variant;
+        if (!(Members::read(in, variant) || ...))
+        {
+            throw codec_error(
+                "unknown union member "
+                + std::to_string(static_cast<unsigned>(in.which())));
+        }
+        return *std::move(variant);
+    }
+
+private:
+    template<class Member, class Variant, class Builder>
+    static void write_if(Variant const& variant, Builder& out)
+    {
+        if (auto const* const value =
+                std::get_if<typename Member::message>(&variant))
+        {
+            Member::write(*value, out);
+        }
+    }
+};
+
+template<class Message>
+void write_message(Message const& message, wire_builder<Message> out)
+{
+    wire<Message>::table::write(message, out);
+}
+
+template<class Message>
+Message read_message(wire_reader<Message> in)
+{
+    return wire<Message>::table::template read<Message>(in);
+}
+
+} // namespace jaydrift::net
+
+/// Shorthands for the tables, within a `wire` specialization that defines
+/// `message` and `schema`.
+#define JAYDRIFT_VALUE(member, Name)                                           \
+    value_field<&message::member, &schema::Reader::get##Name,                  \
+                &schema::Builder::set##Name>
+#define JAYDRIFT_OPTIONAL(member, Has, Name)                                   \
+    optional_field<&message::member, &schema::Reader::get##Has,                \
+                   &schema::Builder::set##Has, &schema::Reader::get##Name,     \
+                   &schema::Builder::set##Name>
+#define JAYDRIFT_MESSAGE(member, Name)                                         \
+    message_field<&message::member, &schema::Reader::get##Name,                \
+                  &schema::Builder::init##Name>
+#define JAYDRIFT_LIST(member, Name)                                            \
+    list_field<&message::member, &schema::Reader::get##Name,                   \
+               &schema::Builder::init##Name>
+#define JAYDRIFT_MEMBER(Type, WHICH, Name)                                     \
+    union_member<Type, schema::WHICH, &schema::Reader::get##Name,              \
+                 &schema::Builder::init##Name>
+
+#endif // JAYDRIFT_NET_WIRE_HPP
