Report a flag without a value, and print time lines as plain text

Program_options took the next flag as the value. The JSON reader of Cap'n Proto 0.9.2 reads \u001e as \u0014, so control characters are printed as spaces.

--- a/include/jaydrift/app/timeline_text.hpp
+++ b/include/jaydrift/app/timeline_text.hpp
@@ -11,7 +11,7 @@
 namespace jaydrift::app {
 
 /// Prints events as JSON, one line each; what a stand-in serves on
-/// `/timeline`.
+/// `/timeline`. Control characters become spaces.
 std::string timeline_lines(std::span<timeline_event const> events);
 
 /// Reads what `timeline_lines` prints.
--- a/src/jaydrift/app/daemon_edge.cpp
+++ b/src/jaydrift/app/daemon_edge.cpp
@@ -76,14 +76,14 @@
 {
     auto refused = refusal()(request);
     auto const number = table.add(respond);
+    decide::event input = Called{number.value_or(0), std::move(request)};
+    auto const type = name_of(input);
     if (!number)
     {
-        measures_.count("shed_total", name_of(decide::event(Called())));
+        measures_.count("shed_total", type);
         respond(std::move(refused));
         return;
     }
-    decide::event input = Called{*number, std::move(request)};
-    auto const type = name_of(input);
     if (!events_.post(std::move(input)))
     {
         measures_.count("shed_total", type);
--- a/src/jaydrift/app/daemon_interpreter_test.cpp
+++ b/src/jaydrift/app/daemon_interpreter_test.cpp
@@ -59,6 +59,8 @@
             });
     }
 
+    // Calls that are left open answer when they are destroyed.
+    std::vector<std::optional<request_result>> answers;
     event_queue<decide::event> events{1};
     open_calls calls{2};
     timeline history{"d1", 10};
@@ -67,7 +69,6 @@
     daemon_interpreter<fake_transport> interpreter{transport, events, calls,
                                                    history, measures};
     daemon_edge edge{events, calls, history, measures};
-    std::vector<std::optional<request_result>> answers;
 };
 
 } // namespace
--- a/src/jaydrift/app/settings_input.cpp
+++ b/src/jaydrift/app/settings_input.cpp
@@ -59,10 +59,33 @@
 
 void settings_input::read(std::span<char const* const> arguments)
 {
-    read_flags({arguments.begin(), arguments.end()});
+    read_flags(without_bare_flags(arguments));
     read_variables();
 }
 
+std::vector<std::string>
+settings_input::without_bare_flags(std::span<char const* const> arguments)
+{
+    std::vector<std::string> kept;
+    for (std::size_t i = 0; i < arguments.size(); ++i)
+    {
+        std::string_view const word = arguments[i];
+        auto const takes_value =
+            std::ranges::any_of(settings_, [&](setting const& entry) {
+                return !entry.toggle && word == "--" + entry.name;
+            });
+        auto const last = i + 1 == arguments.size();
+        if (takes_value
+            && (last || std::string_view(arguments[i + 1]).starts_with("--")))
+        {
+            mistakes_.push_back(std::string(word) + ": has no value");
+            continue;
+        }
+        kept.emplace_back(word);
+    }
+    return kept;
+}
+
 void settings_input::read_flags(std::vector<std::string> words)
 {
     auto const description = describe(settings_);
@@ -101,8 +124,7 @@
                 std::ranges::find_if(words, [&](std::string const& word) {
                     return word == flag || word.starts_with(flag + "=");
                 });
-            mistakes_.push_back(flag + ": has a missing or unexpected value; "
-                                + "--help lists the flags");
+            mistakes_.push_back(flag + ": has a wrong form; --help shows it");
             if (wrong == words.end())
             {
                 return;
--- a/src/jaydrift/app/settings_input.hpp
+++ b/src/jaydrift/app/settings_input.hpp
@@ -36,6 +36,10 @@
     std::vector<std::string> assign();
 
 private:
+    /// Takes out flags whose value is missing; Program_options would take the
+    /// next flag as the value.
+    std::vector<std::string>
+    without_bare_flags(std::span<char const* const> arguments);
     void read_flags(std::vector<std::string> words);
     void read_variables();
     void assign_setting(setting const& entry);
--- a/src/jaydrift/app/timeline_text.cpp
+++ b/src/jaydrift/app/timeline_text.cpp
@@ -29,6 +29,15 @@
     {"detail", &timeline_event::detail},
 }};
 
+/// Replaces control characters, which the JSON reader of Cap'n Proto 0.9.2
+/// reads back wrongly: it takes `\\u001e` for `\\u0014`.
+std::string printable(std::string text)
+{
+    std::ranges::replace_if(
+        text, [](unsigned char c) { return c < ' '; }, ' ');
+    return text;
+}
+
 std::string print(timeline_event const& event, capnp::JsonCodec const& codec)
 {
     capnp::MallocMessageBuilder message;
@@ -42,12 +51,22 @@
     for (auto const& [name, member] : text_fields)
     {
         fields[position].setName(std::string(name));
-        fields[position].initValue().setString(event.*member);
+        fields[position].initValue().setString(printable(event.*member));
         ++position;
     }
     return codec.encodeRaw(root).cStr();
 }
 
+std::string text_in(capnp::JsonValue::Reader const& value)
+{
+    if (!value.isString())
+    {
+        throw std::invalid_argument("a text is expected");
+    }
+    auto const text = value.getString();
+    return {text.begin(), text.size()};
+}
+
 /// Reads a number, which Cap'n Proto's JSON form puts in quotes if it has 64
 /// bits.
 std::uint64_t number_in(capnp::JsonValue::Reader const& value)
@@ -57,7 +76,7 @@
         return static_cast<std::uint64_t>(value.getNumber());
     }
     std::uint64_t result = 0;
-    if (parse_number(value.getString().cStr(), 0, UINT64_MAX, result))
+    if (parse_number(text_in(value), 0, UINT64_MAX, result))
     {
         throw std::invalid_argument("a number is malformed");
     }
@@ -81,7 +100,7 @@
     {
         if (name == text_name)
         {
-            event.*member = value.getString().cStr();
+            event.*member = text_in(value);
         }
     }
 }
@@ -91,6 +110,10 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<capnp::JsonValue>();
     codec.decodeRaw(kj::arrayPtr(line.data(), line.size()), root);
+    if (!root.isObject())
+    {
+        throw std::invalid_argument("an object is expected");
+    }
     timeline_event event;
     for (auto const field : root.asReader().getObject())
     {
