--- a/include/jaydrift/app/control_loop.hpp
+++ b/include/jaydrift/app/control_loop.hpp
@@ -30,8 +30,8 @@
 };
 
 /// Carries out the effects of a reducer. Both functions run on the control
-/// thread and must not block: `execute` once per effect, `state_changed` after
-/// each step, to publish parts of the state to other threads.
+/// thread and must not block: `state_changed` after each step, to publish parts
+/// of the state to other threads, then `execute` once per effect.
 template<class Interpreter, class Traits>
 concept effect_interpreter = requires(Interpreter& interpreter,
                                       typename Traits::effect output,
@@ -104,11 +104,12 @@
 
     void step(event const& input)
     {
-        for (auto& output : Traits::reduce(state_, input, source_.now()))
+        auto effects = Traits::reduce(state_, input, source_.now());
+        interpreter_.state_changed(state_);
+        for (auto& output : effects)
         {
             interpreter_.execute(std::move(output));
         }
-        interpreter_.state_changed(state_);
     }
 
     state state_;
--- a/src/jaydrift/app/text_table.cpp
+++ b/src/jaydrift/app/text_table.cpp
@@ -17,7 +17,7 @@
             cell, [](unsigned char c) { return c < ' '; }, ' ');
         if (cell.empty())
         {
-            cell = "-";
+            cell.push_back('-');
         }
     }
     rows_.push_back(std::move(cells));
