--- a/include/jaydrift/app/daemon_interpreter.hpp
+++ b/include/jaydrift/app/daemon_interpreter.hpp
@@ -107,18 +107,18 @@
         answered(calls_.peers.answer(effect.call, std::move(effect.reply)));
     }
 
-    void run(decide::write_log effect)
+    void run(decide::write_log const& effect)
     {
         log_line(effect.level, effect.part, effect.text);
     }
 
-    void run(decide::record_event effect)
+    void run(decide::record_event const& effect)
     {
         history_.record(effect.name, effect.request, effect.task,
                         effect.detail);
     }
 
-    void run(decide::observe effect)
+    void run(decide::observe const& effect)
     {
         measures_.observe(effect.metric, effect.value);
     }
--- a/include/jaydrift/app/setting_values.hpp
+++ b/include/jaydrift/app/setting_values.hpp
@@ -44,6 +44,9 @@
 /// Reads `debug`, `info`, `warning` or `error`.
 problem parse_log_level(std::string_view text, log_level& target);
 
+/// Returns the name that `parse_log_level` reads.
+std::string_view name_of(log_level level);
+
 /// Splits a text; an empty text has no parts.
 std::vector<std::string_view> split(std::string_view text, char separator);
 
--- a/include/jaydrift/app/signal_watch.hpp
+++ b/include/jaydrift/app/signal_watch.hpp
@@ -24,8 +24,8 @@
     std::thread thread_;
 };
 
-/// Blocks SIGTERM and SIGINT in the calling thread and the threads that it
-/// starts, and ignores SIGPIPE.
+/// Blocks SIGTERM, SIGINT and SIGUSR1 in the calling thread and the threads
+/// that it starts, and ignores SIGPIPE.
 void block_stop_signals();
 
 } // namespace jaydrift::app
--- a/src/jaydrift/app/daemon_test.cpp
+++ b/src/jaydrift/app/daemon_test.cpp
@@ -49,6 +49,15 @@
         return reply == nullptr ? std::vector<timeline_event>() : reply->events;
     }
 
+    void TearDown() override
+    {
+        if (control.joinable())
+        {
+            subject.request_stop();
+            control.join();
+        }
+    }
+
     /// Asks for the time line until it has an event; each call waits for its
     /// reply.
     bool happened(std::string_view name)
--- /dev/null
+++ b/src/jaydrift/app/log_test.cpp
@@ -0,0 +1,25 @@
+#include <jaydrift/app/log.hpp>
+
+#include <regex>
+
+#include <gtest/gtest.h>
+
+namespace jaydrift::app {
+
+// Guards against lines without the part's prefix or the time in ms, and
+// against lines below the chosen level.
+TEST(log, writes_the_time_and_the_part_to_standard_error)
+{
+    testing::internal::CaptureStderr();
+    start_log(log_level::info);
+    log_line(log_level::debug, "ownership", "Not shown.");
+    log_line(log_level::warning, "ownership", "Takes north/2.");
+    start_log(log_level::error);
+    log_line(log_level::warning, "ownership", "Not shown.");
+    auto const text = testing::internal::GetCapturedStderr();
+    std::regex const line(R"(\d{4}-\d\d-\d\d \d\d:\d\d:\d\d\.\d{3} WARN  )"
+                          R"(\[ownership\] Takes north/2\.\n)");
+    EXPECT_TRUE(std::regex_match(text, line)) << text;
+}
+
+} // namespace jaydrift::app
--- a/src/jaydrift/app/metrics.cpp
+++ b/src/jaydrift/app/metrics.cpp
@@ -54,8 +54,9 @@
         output += "# TYPE " + whole + " counter\n";
         for (auto const& [type, value] : counter.by_type)
         {
-            output += whole + "{type=\"" + type + "\"} " + std::to_string(value)
-                      + '\n';
+            output += whole;
+            output += "{type=\"" + type + "\"} ";
+            output += std::to_string(value) + '\n';
         }
     }
     for (auto const& [name, histogram] : histograms_)
--- a/src/jaydrift/app/setting_values.cpp
+++ b/src/jaydrift/app/setting_values.cpp
@@ -15,6 +15,12 @@
 
 constexpr std::size_t longest_name = 64;
 
+constexpr std::array<std::pair<std::string_view, log_level>, 4> log_levels{
+    {{"debug", log_level::debug},
+     {"info", log_level::info},
+     {"warning", log_level::warning},
+     {"error", log_level::error}}};
+
 bool letter_or_digit(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
@@ -235,12 +241,7 @@
 
 problem parse_log_level(std::string_view text, log_level& target)
 {
-    static constexpr std::array<std::pair<std::string_view, log_level>, 4>
-        levels{{{"debug", log_level::debug},
-                {"info", log_level::info},
-                {"warning", log_level::warning},
-                {"error", log_level::error}}};
-    for (auto const& [name, level] : levels)
+    for (auto const& [name, level] : log_levels)
     {
         if (name == text)
         {
@@ -251,4 +252,11 @@
     return "is not a log level";
 }
 
+std::string_view name_of(log_level level)
+{
+    auto const* const entry = std::ranges::find(
+        log_levels, level, &std::pair<std::string_view, log_level>::second);
+    return entry->first;
+}
+
 } // namespace jaydrift::app
--- a/src/jaydrift/app/settings_reader.cpp
+++ b/src/jaydrift/app/settings_reader.cpp
@@ -211,8 +211,8 @@
 void settings_reader::level(std::string_view flag, log_level& target,
                             std::string_view help)
 {
-    auto entry =
-        describe(flag, help, "debug, info, warning or error", "info", false);
+    auto entry = describe(flag, help, "debug, info, warning or error",
+                          name_of(target), false);
     entry.assign = [&target](std::string_view text) {
         return parse_log_level(text, target);
     };
--- a/src/jaydrift/app/signal_watch.cpp
+++ b/src/jaydrift/app/signal_watch.cpp
@@ -9,12 +9,16 @@
 
 namespace {
 
-sigset_t stop_signals()
+/// Ends the watching thread; does nothing when it comes from outside.
+constexpr int wake_signal = SIGUSR1;
+
+sigset_t awaited_signals()
 {
     sigset_t result;
     sigemptyset(&result);
     sigaddset(&result, SIGTERM);
     sigaddset(&result, SIGINT);
+    sigaddset(&result, wake_signal);
     return result;
 }
 
@@ -22,7 +26,7 @@
 
 void block_stop_signals()
 {
-    auto const blocked = stop_signals();
+    auto const blocked = awaited_signals();
     pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler)
@@ -30,11 +34,14 @@
 
 signal_watch::signal_watch(std::function<void()> on_stop)
     : thread_([this, on_stop = std::move(on_stop)] {
-          auto const awaited = stop_signals();
+          auto const awaited = awaited_signals();
           int received = 0;
           while (sigwait(&awaited, &received) == 0 && !ending_)
           {
-              on_stop();
+              if (received != wake_signal)
+              {
+                  on_stop();
+              }
           }
       })
 {
@@ -43,7 +50,7 @@
 signal_watch::~signal_watch()
 {
     ending_ = true;
-    pthread_kill(thread_.native_handle(), SIGTERM);
+    pthread_kill(thread_.native_handle(), wake_signal);
     thread_.join();
 }
 
