--- a/src/jaydrift/app/text_table.cpp
+++ b/src/jaydrift/app/text_table.cpp
@@ -12,9 +12,12 @@
 {
     for (auto& cell : cells)
     {
+        // A line break in a cell would look like another row.
+        std::ranges::replace_if(
+            cell, [](unsigned char c) { return c < ' '; }, ' ');
         if (cell.empty())
         {
-            cell = "-";
+            cell.push_back('-');
         }
     }
     rows_.push_back(std::move(cells));
