--- /dev/null
+++ b/programs/jaydrift_worker.cpp
@@ -0,0 +1,11 @@
+#include <jaydrift/app/standin_main.hpp>
+#include <jaydrift/app/worker_options.hpp>
+#include <jaydrift/app/worker_process.hpp>
+
+int main(int argc, char** argv)
+{
+    using namespace jaydrift::app;
+    return standin_main<worker_options, worker_process>(
+        "jaydrift-worker", JAYDRIFT_VERSION,
+        "Stands in for a worker of the platform.", argc, argv);
+}
--- /dev/null
+++ b/src/jaydrift/app/control_parameters.cpp
@@ -0,0 +1,45 @@
+#include <jaydrift/app/control_parameters.hpp>
+
+#include <jaydrift/app/setting_values.hpp>
+
+#include <stdexcept>
+
+namespace jaydrift::app {
+
+control_parameters::control_parameters(std::string_view text)
+{
+    for (auto const pair : split(text, '&'))
+    {
+        auto const at = pair.find('=');
+        if (at != std::string_view::npos)
+        {
+            values_.emplace(pair.substr(0, at), pair.substr(at + 1));
+        }
+    }
+}
+
+std::string const& control_parameters::text(std::string_view name) const
+{
+    auto const found = values_.find(name);
+    if (found == values_.end() || found->second.empty())
+    {
+        throw std::invalid_argument("the parameter " + std::string(name)
+                                    + " is missing");
+    }
+    return found->second;
+}
+
+std::int64_t control_parameters::number(std::string_view name,
+                                        std::uint64_t high) const
+{
+    std::uint64_t result = 0;
+    if (auto const wrong = parse_number(text(name), 0, high, result))
+    {
+        throw std::invalid_argument("the parameter " + std::string(name) + ' '
+                                    + *wrong + "; allowed: 0 to "
+                                    + std::to_string(high));
+    }
+    return static_cast<std::int64_t>(result);
+}
+
+} // namespace jaydrift::app
