--- a/src/jaydrift/decide/ownership_test.cpp
+++ b/src/jaydrift/decide/ownership_test.cpp
@@ -17,7 +17,7 @@
 shard_record stored_record(fake_cluster& cluster)
 {
     auto const& entry = cluster.store.entries.at("shards/north/0");
-    return decode_record(entry.value).value();
+    return decode_shard_record(entry.value).value();
 }
 
 std::string other(std::string const& daemon)
@@ -279,12 +279,12 @@
 TEST(ownership, text_of_records_and_members_is_read_back)
 {
     shard_record const record{{"north", 3}, 7, "a", 2, {"w1", "w2"}, {"w1"}};
-    auto const read = decode_record(encode_record(record)).value();
+    auto const read = decode_shard_record(encode_record(record)).value();
     EXPECT_EQ(read.shard, record.shard);
     EXPECT_EQ(read.voters, record.voters);
     EXPECT_EQ(read.previous_voters, record.previous_voters);
     EXPECT_EQ(read.generation, 2U);
-    EXPECT_FALSE(decode_record("epoch=x"));
+    EXPECT_FALSE(decode_shard_record("epoch=x"));
     member_info const member{"a", "127.0.0.1:1", "north", "arima"};
     EXPECT_EQ(decode_member(encode_member(member)).value().zone, "arima");
     EXPECT_FALSE(decode_member("daemon="));
