--- a/include/jaydrift/net/http_front_end.hpp
+++ b/include/jaydrift/net/http_front_end.hpp
@@ -9,20 +9,26 @@
 namespace jaydrift::net {
 
 /// Serves the callers' API over HTTP.
+///
+/// A request whose responder is destroyed without an answer is answered as
+/// `unknown`, because it may have run.
 class http_front_end
 {
 public:
     /// Binds the address and starts to serve.
     ///
     /// @throws net_error if the address cannot be bound.
-    http_front_end(http_settings const& settings, front_end_handlers handlers);
+    http_front_end(http_settings const& settings,
+                   front_end_handlers const& handlers);
 
     std::uint16_t port() const { return server_.port(); }
 
-    /// Closes the listening socket; requests in flight go on.
+    /// Closes the listening socket; open connections are served on, and closed
+    /// after their next answer.
     void stop_accepting() { server_.stop_accepting(); }
 
-    /// Stops accepting and waits until the handlers in flight have answered.
+    /// Stops accepting, closes idle connections and waits until the handlers in
+    /// flight have answered.
     void stop() { server_.stop(); }
 
 private:
--- a/include/jaydrift/net/http_server.hpp
+++ b/include/jaydrift/net/http_server.hpp
@@ -18,10 +18,13 @@
 public:
     using handler = std::function<http_response(http_request)>;
 
-    /// Binds the address and starts to serve.
+    /// Binds the address and starts to serve. While `keep_open` is false,
+    /// connections are closed after their next answer, so that clients leave
+    /// before the server stops.
     ///
     /// @throws net_error if the address cannot be bound.
-    http_server(http_settings const& settings, handler handle);
+    http_server(http_settings const& settings, handler handle,
+                std::function<bool()> keep_open = nullptr);
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
 
@@ -31,10 +34,11 @@
     std::uint16_t port() const;
 
     /// Closes the listening socket. Open connections are served on, and closed
-    /// after the request in flight.
+    /// after their next answer.
     void stop_accepting();
 
-    /// Stops accepting and waits until the handlers in flight have answered.
+    /// Stops accepting, closes idle connections and waits until the handlers in
+    /// flight have answered.
     void stop();
 
 private:
--- a/include/jaydrift/net/http_settings.hpp
+++ b/include/jaydrift/net/http_settings.hpp
@@ -17,9 +17,11 @@
     std::size_t threads = 64;
     /// Largest body in bytes; a larger one is refused before it is read.
     std::size_t max_body = std::size_t{16} << 20;
-    /// Longest wait for the next bytes of a slow client.
+    /// Longest waits for a slow client to send or take the next bytes.
     time_ms read_timeout{5000};
     time_ms write_timeout{5000};
+    /// Longest time for reading a whole request or writing a whole answer.
+    time_ms transfer_timeout{30000};
 };
 
 } // namespace jaydrift::net
--- /dev/null
+++ b/src/jaydrift/net/http_post.cpp
@@ -0,0 +1,42 @@
+#include <jaydrift/net/http_post.hpp>
+
+#include "http_protocol.hpp"
+#include "http_socket.hpp"
+#include "poll_until.hpp"
+#include "tcp_socket.hpp"
+
+#include <jaydrift/net/net_error.hpp>
+
+#include <utility>
+
+namespace jaydrift::net {
+
+namespace {
+
+/// Largest answer with its headers.
+constexpr std::size_t max_answer = (std::size_t{16} << 20) + (64U << 10);
+
+} // namespace
+
+rpc_result<http_response> http_post(std::string_view address,
+                                    std::string_view path,
+                                    http_headers const& headers,
+                                    std::string_view body, time_ms timeout)
+{
+    auto const deadline = socket_now() + timeout;
+    bool connected = false;
+    try
+    {
+        http_socket socket(connect_to(address, deadline), timeout, timeout);
+        connected = true;
+        socket.set_deadline(deadline);
+        socket.set_budget(max_answer, 413);
+        return post_on(socket, address, path, headers, body);
+    }
+    catch (net_error const& error)
+    {
+        return rpc_failure{!connected, error.what()};
+    }
+}
+
+} // namespace jaydrift::net
--- a/src/jaydrift/net/work_queue.cpp
+++ b/src/jaydrift/net/work_queue.cpp
@@ -1,25 +1,9 @@
 #include "work_queue.hpp"
 
-#include <jaydrift/net/net_error.hpp>
-
-#include <sys/eventfd.h>
-#include <unistd.h>
-
-#include <cstdint>
 #include <utility>
 
 namespace jaydrift::net {
 
-work_queue::work_queue() : wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
-{
-    if (wake_fd_ < 0)
-    {
-        throw net_error("cannot open an eventfd");
-    }
-}
-
-work_queue::~work_queue() { ::close(wake_fd_); }
-
 void work_queue::post(work item)
 {
     {
@@ -34,7 +18,7 @@
             return; // the loop has been woken and takes all items at once
         }
     }
-    wake();
+    wake_.set();
 }
 
 std::vector<work_queue::work> work_queue::take()
@@ -49,7 +33,7 @@
         std::lock_guard const lock(mutex_);
         closed_ = true;
     }
-    wake();
+    wake_.set();
 }
 
 bool work_queue::closed() const
@@ -58,11 +42,4 @@
     return closed_;
 }
 
-void work_queue::wake() const
-{
-    std::uint64_t const one = 1;
-    // Fails only if the counter is full, and then the loop is awake already.
-    [[maybe_unused]] auto const written = write(wake_fd_, &one, sizeof one);
-}
-
 } // namespace jaydrift::net
--- a/src/jaydrift/net/work_queue.hpp
+++ b/src/jaydrift/net/work_queue.hpp
@@ -1,25 +1,20 @@
 #ifndef JAYDRIFT_NET_WORK_QUEUE_HPP
 #define JAYDRIFT_NET_WORK_QUEUE_HPP
 
+#include "wake_event.hpp"
+
 #include <functional>
 #include <mutex>
 #include <vector>
 
 namespace jaydrift::net {
 
-/// Work that other threads hand to an event loop. An eventfd becomes readable
-/// when there is some.
+/// Work that other threads hand to an event loop.
 class work_queue
 {
 public:
     using work = std::function<void()>;
 
-    /// @throws net_error if there are no file descriptors left.
-    work_queue();
-    work_queue(work_queue const&) = delete;
-    work_queue& operator=(work_queue const&) = delete;
-    ~work_queue();
-
     /// Appends work; destroys it unrun if the queue is closed.
     void post(work item);
 
@@ -30,13 +25,11 @@
     void close();
     bool closed() const;
 
-    /// The eventfd, which the queue closes when it is destroyed.
-    int wake_fd() const { return wake_fd_; }
+    /// Becomes readable when there is work or the queue is closed.
+    int wake_fd() const { return wake_.fd(); }
 
 private:
-    void wake() const;
-
-    int wake_fd_;
+    wake_event wake_;
     mutable std::mutex mutex_;
     std::vector<work> items_;
     bool closed_ = false;
