--- a/src/jaydrift/app/backend_process.cpp
+++ b/src/jaydrift/app/backend_process.cpp
@@ -99,7 +99,7 @@
                       {effect.status, {}, std::move(effect.body)});
     }
 
-    void run(standin::record_event effect) { core_.record(effect); }
+    void run(standin::record_event const& effect) { core_.record(effect); }
 
     /// Serves `POST /execute`, on a thread of the HTTP server.
     net::http_response execute_request(net::http_request request)
--- a/src/jaydrift/app/store_process.cpp
+++ b/src/jaydrift/app/store_process.cpp
@@ -93,7 +93,7 @@
 
     void run(standin::drop_store_call effect) { calls_.drop(effect.number); }
 
-    void run(standin::record_event effect) { core_.record(effect); }
+    void run(standin::record_event const& effect) { core_.record(effect); }
 
     std::uint16_t serve_daemons()
     {
--- a/src/jaydrift/app/worker_process.cpp
+++ b/src/jaydrift/app/worker_process.cpp
@@ -136,9 +136,9 @@
     }
 
     /// HTTP has no cancellation; the reducer drops the late answer.
-    void run(standin::cancel_on_executor) {}
+    void run(standin::cancel_on_executor const&) {}
 
-    void run(standin::record_event effect) { core_.record(effect); }
+    void run(standin::record_event const& effect) { core_.record(effect); }
 
     void join_vm_list(std::string_view address)
     {
@@ -180,12 +180,13 @@
         return net::serve<net::worker_service>(
             servers_, options_.listen,
             [this](worker_request request,
-                   net::responder<worker_reply> respond) {
-                on_call(std::move(request), std::move(respond));
+                   net::responder<worker_reply> const& respond) {
+                on_call(std::move(request), respond);
             });
     }
 
-    void on_call(worker_request request, net::responder<worker_reply> respond)
+    void on_call(worker_request request,
+                 net::responder<worker_reply> const& respond)
     {
         auto const number = calls_.add(respond);
         if (!number)
