--- a/include/jaydrift/app/daemon_options.hpp
+++ b/include/jaydrift/app/daemon_options.hpp
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
+#include <jaydrift/app/region_zones.hpp>
 #include <jaydrift/core/log_level.hpp>
 #include <jaydrift/decide/daemon_settings.hpp>
 
@@ -15,6 +17,7 @@
 struct daemon_options
 {
     decide::daemon_settings decisions;
+    std::vector<region_zones> zones;
     std::string listen_http = "127.0.0.1:7480";
     std::string listen_peer = "127.0.0.1:7470";
     std::string listen_operator = "127.0.0.1:7440";
@@ -31,6 +34,9 @@
 /// Describes every setting of jaydriftd, with `options` as the target.
 void describe_settings(settings_reader& settings, daemon_options& options);
 
+/// Takes the regions and zones that were read over into the decisions.
+void set_zones(daemon_options& options);
+
 } // namespace jaydrift::app
 
 #endif // JAYDRIFT_APP_DAEMON_OPTIONS_HPP
--- a/programs/jaydriftd.cpp
+++ b/programs/jaydriftd.cpp
@@ -41,6 +41,7 @@
         {
             return *status;
         }
+        app::set_zones(options);
         return serve(options);
     }
     catch (std::exception const& fault)
--- a/src/jaydrift/app/daemon_options.cpp
+++ b/src/jaydrift/app/daemon_options.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/app/daemon_options.hpp>
 
 #include <algorithm>
+#include <span>
 
 #include <jaydrift/app/settings_reader.hpp>
 
@@ -19,8 +20,9 @@
                   "Region that this daemon is in.");
     settings.name("zone", decisions.self.zone,
                   "Availability zone that this daemon is in.");
-    settings.names("regions", decisions.regions,
-                   "Every region of the deployment.");
+    settings.zones("zones", options.zones,
+                   "Every region of the deployment with its availability "
+                   "zones.");
     settings.members("peers", decisions.peers,
                      "Daemons to contact first; this one may be among them.",
                      presence::optional);
@@ -127,24 +129,35 @@
                   });
 }
 
+bool in_zones(std::span<region_zones const> all, std::string_view region,
+              std::string_view zone)
+{
+    return std::ranges::any_of(all, [&](region_zones const& entry) {
+        return entry.region == region
+               && std::ranges::count(entry.zones, zone) == 1;
+    });
+}
+
 void describe_rules(settings_reader& settings, daemon_options& options)
 {
     auto& decisions = options.decisions;
-    settings.rule("region", [&decisions]() -> problem {
-        if (std::ranges::count(decisions.regions, decisions.self.region) == 1)
+    settings.rule("zone", [&options, &decisions]() -> problem {
+        auto const& self = decisions.self;
+        if (in_zones(options.zones, self.region, self.zone))
         {
             return std::nullopt;
         }
-        return "\"" + decisions.self.region
-               + "\" is not a region; allowed: one of --regions";
+        return "\"" + self.region + "=" + self.zone
+               + "\" is not a region and zone; allowed: one of --zones";
     });
-    settings.rule("peers", [&decisions]() -> problem {
+    settings.rule("peers", [&options, &decisions]() -> problem {
         for (auto const& peer : decisions.peers)
         {
-            if (std::ranges::count(decisions.regions, peer.region) == 0)
+            if (!in_zones(options.zones, peer.region, peer.zone))
             {
-                return peer.daemon + " has the unknown region \"" + peer.region
-                       + "\"; allowed: one of --regions";
+                return peer.daemon + " has the unknown region and zone \""
+                       + peer.region + "=" + peer.zone
+                       + "\"; allowed: one of --zones";
             }
         }
         return std::nullopt;
@@ -169,4 +182,19 @@
     describe_rules(settings, options);
 }
 
+void set_zones(daemon_options& options)
+{
+    auto& decisions = options.decisions;
+    decisions.regions.clear();
+    decisions.zones.clear();
+    for (auto const& entry : options.zones)
+    {
+        decisions.regions.push_back(entry.region);
+        for (auto const& zone : entry.zones)
+        {
+            decisions.zones.push_back({zone, entry.region});
+        }
+    }
+}
+
 } // namespace jaydrift::app
--- a/src/jaydrift/app/settings_reader_test.cpp
+++ b/src/jaydrift/app/settings_reader_test.cpp
@@ -53,8 +53,12 @@
 }
 
 std::vector<char const*> const valid{
-    "--name=a",        "--region=north",         "--zone=z1",
-    "--regions=north", "--store=127.0.0.1:7000", "--listen-http=127.0.0.1:0",
+    "--name=a",
+    "--region=north",
+    "--zone=z1",
+    "--zones=north=z1,z2",
+    "--store=127.0.0.1:7000",
+    "--listen-http=127.0.0.1:0",
 };
 
 std::vector<char const*> valid_with(std::vector<char const*> more)
@@ -84,7 +88,7 @@
           "1000000 events",
           "--colour=red: is not a flag",
           "--store: \"127.0.0.1:0\" has a port out of range",
-          "--zone: is required", "--regions: is required"})
+          "--zone: is required", "--zones: is required"})
     {
         EXPECT_NE(result.errors.find(mistake), std::string::npos)
             << mistake << '\n'
