--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the packages that the build and the checks need on Debian 12.
 set -euo pipefail
-packages=(g++ cmake ninja-build pkg-config ccache curl clang-format-14
+packages=(g++ cmake ninja-build pkg-config ccache curl jq clang-format-14
   clang-tidy-14 libcapnp-dev capnproto libboost-dev
   libboost-program-options-dev liblog4cxx-dev libcpp-httplib-dev
   librapidcheck-dev libgtest-dev)
