--- a/include/jaydrift/scenario/oracle.hpp
+++ b/include/jaydrift/scenario/oracle.hpp
@@ -46,6 +46,9 @@
     /// The platform marked the worker as leaving.
     void on_leaving(std::string const& worker, time_ms now);
 
+    /// The worker's VM was replaced by a new one of the same name.
+    void on_worker_replaced(std::string const& worker);
+
     /// A job was reported as finished or cancelled.
     void on_job_ended(std::string const& job, time_ms now);
 
--- a/include/jaydrift/scenario/world.hpp
+++ b/include/jaydrift/scenario/world.hpp
@@ -24,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -88,6 +89,15 @@
 
     std::span<caller_answer const> answers() const { return answers_; }
     std::vector<caller_answer> answers_of(std::string_view request) const;
+    /// Returns the jobs whose submission was acknowledged.
+    std::set<std::string> const& acknowledged_jobs() const
+    {
+        return acknowledged_jobs_;
+    }
+
+    /// Tells whether a live daemon serves each shard.
+    bool every_shard_served() const;
+
     job_reply const* last_job_reply(std::string_view job) const;
     operator_reply const* last_operator_reply() const;
     std::uint64_t operator_replies() const { return operator_replies_; }
@@ -147,6 +157,7 @@
     time_ms store_timer_at_;
     std::vector<caller_answer> answers_;
     std::map<std::string, job_reply, std::less<>> job_replies_;
+    std::set<std::string> acknowledged_jobs_;
     std::optional<operator_reply> last_operator_reply_;
     std::uint64_t operator_replies_ = 0;
     std::vector<std::string> trace_;
--- a/programs/jaydrift_scenario.cpp
+++ b/programs/jaydrift_scenario.cpp
@@ -1,3 +1,4 @@
+#include <jaydrift/scenario/chaos.hpp>
 #include <jaydrift/scenario/runner.hpp>
 #include <jaydrift/scenario/script.hpp>
 #include <jaydrift/scenario/script_error.hpp>
@@ -5,6 +6,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <cstdint>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -37,6 +39,26 @@
     return failures.empty();
 }
 
+/// Runs random faults of one seed and prints the result.
+bool run_seed(std::uint64_t seed, int steps, bool with_trace)
+{
+    auto const result = jaydrift::scenario::run_chaos(seed, steps);
+    if (with_trace)
+    {
+        for (auto const& line : result.trace)
+        {
+            std::cout << line << '\n';
+        }
+    }
+    for (auto const& mistake : result.mistakes)
+    {
+        std::cout << "failed: " << mistake << '\n';
+    }
+    std::cout << "chaos " << seed << ": " << result.starts << " starts, "
+              << result.mistakes.size() << " failures\n";
+    return result.mistakes.empty();
+}
+
 int run(int count, char** arguments)
 {
     options::options_description visible(
@@ -45,7 +67,11 @@
         "Options");
     visible.add_options()("help", "print this text")("version",
                                                      "print the version")(
-        "trace", "print what the daemons logged and recorded");
+        "trace", "print what the daemons logged and recorded")(
+        "chaos", options::value<std::vector<std::uint64_t>>(),
+        "run random faults of this seed instead of a file")(
+        "steps", options::value<int>()->default_value(60),
+        "number of random faults and requests of --chaos");
     options::options_description all;
     all.add(visible).add_options()("file",
                                    options::value<std::vector<std::string>>());
@@ -67,12 +93,22 @@
         std::cout << "jaydrift-scenario " JAYDRIFT_VERSION "\n";
         return 0;
     }
+    bool holds = true;
+    if (values.count("chaos") != 0)
+    {
+        for (auto const seed : values["chaos"].as<std::vector<std::uint64_t>>())
+        {
+            holds = run_seed(seed, values["steps"].as<int>(),
+                             values.count("trace") != 0)
+                    && holds;
+        }
+        return holds ? 0 : exit_failed;
+    }
     if (values.count("file") == 0)
     {
         std::cerr << "jaydrift-scenario: name at least one scenario file\n";
         return exit_usage;
     }
-    bool holds = true;
     for (auto const& path : values["file"].as<std::vector<std::string>>())
     {
         holds = run_file(path, values.count("trace") != 0) && holds;
--- a/src/jaydrift/scenario/oracle.cpp
+++ b/src/jaydrift/scenario/oracle.cpp
@@ -162,6 +162,11 @@
     leaving_[worker] = now;
 }
 
+void oracle::on_worker_replaced(std::string const& worker)
+{
+    leaving_.erase(worker);
+}
+
 void oracle::on_job_ended(std::string const& job, time_ms now)
 {
     ended_jobs_[job] = now;
--- a/src/jaydrift/scenario/runner.cpp
+++ b/src/jaydrift/scenario/runner.cpp
@@ -171,27 +171,6 @@
     return job;
 }
 
-bool every_shard_served(world const& target)
-{
-    std::map<shard_id, int> served;
-    for (auto const& name : target.daemon_names())
-    {
-        auto const& node = target.daemon(name);
-        if (!node.alive || node.frozen)
-        {
-            continue;
-        }
-        for (auto const& shard : decide::ownership::all_shards(*node.state))
-        {
-            served[shard] += decide::ownership::serving(
-                *node.state, shard, target.now() + node.clock_offset);
-        }
-    }
-    return !served.empty()
-           && std::all_of(served.begin(), served.end(),
-                          [](auto const& entry) { return entry.second > 0; });
-}
-
 std::string owner_of(world const& target, std::string_view shard)
 {
     for (auto const& name : target.daemon_names())
@@ -411,10 +390,10 @@
     auto const& what = line.argument(0);
     if (what == "ready")
     {
-        check(
-            line,
-            target.run_until([&] { return every_shard_served(target); }, limit),
-            "not every shard is served");
+        check(line,
+              target.run_until([&] { return target.every_shard_served(); },
+                               limit),
+              "not every shard is served");
     }
     else if (what == "operator")
     {
--- a/src/jaydrift/scenario/world.cpp
+++ b/src/jaydrift/scenario/world.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/scenario/world.hpp>
 
+#include <jaydrift/decide/ownership.hpp>
 #include <jaydrift/decide/reduce.hpp>
 
 #include <algorithm>
@@ -184,6 +185,26 @@
     return result;
 }
 
+bool world::every_shard_served() const
+{
+    std::map<shard_id, int> served;
+    for (auto const& [name, node] : daemons_)
+    {
+        if (!node.alive || node.frozen)
+        {
+            continue;
+        }
+        for (auto const& shard : decide::ownership::all_shards(*node.state))
+        {
+            served[shard] += decide::ownership::serving(
+                *node.state, shard, now_ + node.clock_offset);
+        }
+    }
+    return !served.empty()
+           && std::all_of(served.begin(), served.end(),
+                          [](auto const& entry) { return entry.second > 0; });
+}
+
 job_reply const* world::last_job_reply(std::string_view job) const
 {
     auto const found = job_replies_.find(job);
--- a/src/jaydrift/scenario/world_callers.cpp
+++ b/src/jaydrift/scenario/world_callers.cpp
@@ -109,6 +109,11 @@
                 {
                     oracle_.on_job_ended(job_id(request), now_);
                 }
+                if (std::holds_alternative<job_spec>(request)
+                    && reply->reply.status == call_status::ok)
+                {
+                    acknowledged_jobs_.insert(job_id(request));
+                }
                 job_replies_[job_id(request)] = reply->reply;
             });
     });
--- a/src/jaydrift/scenario/world_platform.cpp
+++ b/src/jaydrift/scenario/world_platform.cpp
@@ -38,6 +38,7 @@
     node.log_seen = 0;
     node.timer_at = never;
     note(name, "starts");
+    oracle_.on_worker_replaced(name);
     run_store(standin::mark_vm{name, vm_state::live});
 }
 
@@ -47,6 +48,16 @@
     if (state == vm_state::leaving)
     {
         oracle_.on_leaving(name, now_);
+        // The worker is told as late as the list shows it.
+        at(now_ + store_.settings.vm_list_lag,
+           [this, name, life = workers_.at(name).incarnation] {
+               auto& node = workers_.at(name);
+               if (node.incarnation == life)
+               {
+                   run_worker(node, standin::set_worker_fault{
+                                        standin::worker_fault::leave, 1});
+               }
+           });
     }
     run_store(standin::mark_vm{name, state});
 }
