Check answers' checksums and fix calls to a malformed address

A second call to an address that is not ip:port hit an assertion on the traffic thread and would have ended the process, because the channel was left as connecting. The address is now checked when the channel is made. An answer over HTTP that does not match its checksum header is a failure, and accepted HTTP sockets send small segments at once.

--- /dev/null
+++ b/include/jaydrift/net/body_checksum.hpp
@@ -0,0 +1,17 @@
+#ifndef JAYDRIFT_NET_BODY_CHECKSUM_HPP
+#define JAYDRIFT_NET_BODY_CHECKSUM_HPP
+
+#include <string>
+#include <string_view>
+
+namespace jaydrift::net {
+
+/// Header that carries the checksum of an answer's body.
+inline constexpr char checksum_header[] = "Jaydrift-Checksum";
+
+/// Returns the value of that header: `stable_hash` in 16 hexadecimal digits.
+std::string body_checksum(std::string_view body);
+
+} // namespace jaydrift::net
+
+#endif // JAYDRIFT_NET_BODY_CHECKSUM_HPP
--- a/include/jaydrift/net/http_post.hpp
+++ b/include/jaydrift/net/http_post.hpp
@@ -11,7 +11,8 @@
 namespace jaydrift::net {
 
 /// Posts a body to `address` (`ip:port`) and waits for the whole answer. A
-/// failure tells through `never_sent` whether the request may have arrived.
+/// failure tells through `never_sent` whether the request may have arrived. An
+/// answer that does not match its checksum header is a failure.
 rpc_result<http_response> http_post(std::string_view address,
                                     std::string_view path,
                                     http_headers const& headers,
--- a/include/jaydrift/net/rpc_client.hpp
+++ b/include/jaydrift/net/rpc_client.hpp
@@ -23,8 +23,10 @@
 
 /// Calls a service at `address` (`ip:port`) without waiting.
 ///
-/// `done` is called exactly once on the traffic thread. One connection is kept
-/// per address and service, and made again after it broke.
+/// `done` is called exactly once on the traffic thread and must not throw; if
+/// the thread has stopped, it is called on the caller's thread. One connection
+/// is kept per address and service, and made again after it broke. At most 4096
+/// calls are in flight on it; a further one fails as never sent.
 template<rpc_service Service>
 void call(rpc_thread& thread, std::string address,
           typename Service::request request, time_ms timeout,
--- a/include/jaydrift/net/rpc_server.hpp
+++ b/include/jaydrift/net/rpc_server.hpp
@@ -22,7 +22,8 @@
                                        responder<typename Service::reply>)>;
 
 /// Serves a service on `bind_address` (`ip:port`) until the thread stops, and
-/// returns the port; with port 0, the kernel chooses it.
+/// returns the port; with port 0, the kernel chooses it. At most 1024
+/// connections and 4096 calls are in progress; further ones are refused.
 ///
 /// @throws net_error if the address cannot be bound.
 template<rpc_service Service>
--- a/include/jaydrift/net/rpc_thread.hpp
+++ b/include/jaydrift/net/rpc_thread.hpp
@@ -20,7 +20,8 @@
     /// Calls `stop`.
     ~rpc_thread();
 
-    /// Runs `work` on the thread; after `stop`, `work` is destroyed unrun.
+    /// Runs `work` on the thread, which must not throw or block; after `stop`,
+    /// `work` is destroyed unrun.
     void post(std::function<void()> work);
 
     /// Closes every connection and server and joins the thread. Calls without
--- a/src/jaydrift/net/front_end_routes.cpp
+++ b/src/jaydrift/net/front_end_routes.cpp
@@ -2,13 +2,12 @@
 
 #include "caller_headers.hpp"
 
-#include <jaydrift/core/hash.hpp>
+#include <jaydrift/net/body_checksum.hpp>
 #include <jaydrift/net/document_error.hpp>
 #include <jaydrift/net/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <chrono>
 #include <future>
 #include <memory>
@@ -61,15 +60,6 @@
     return value;
 }
 
-std::string checksum(std::string_view body)
-{
-    std::array<char, 16> digits{};
-    auto const end =
-        std::to_chars(digits.begin(), digits.end(), stable_hash(body), 16);
-    std::string hex(digits.begin(), end.ptr);
-    return hex.insert(0, digits.size() - hex.size(), '0');
-}
-
 http_response answer_request(request_result result)
 {
     struct form
@@ -83,7 +73,7 @@
         forms.at(static_cast<std::size_t>(result.outcome));
     http_headers headers{{"Jaydrift-Outcome", name},
                          {"Content-Type", "application/octet-stream"},
-                         {"Jaydrift-Checksum", checksum(result.answer)}};
+                         {checksum_header, body_checksum(result.answer)}};
     if (!result.reason.empty())
     {
         headers.emplace_back("Jaydrift-Reason", header_value(result.reason));
--- a/src/jaydrift/net/http_post.cpp
+++ b/src/jaydrift/net/http_post.cpp
@@ -5,6 +5,7 @@
 #include "poll_until.hpp"
 #include "tcp_socket.hpp"
 
+#include <jaydrift/net/body_checksum.hpp>
 #include <jaydrift/net/net_error.hpp>
 
 #include <utility>
@@ -31,7 +32,13 @@
         connected = true;
         socket.set_deadline(deadline);
         socket.set_budget(max_answer, 413);
-        return post_on(socket, address, path, headers, body);
+        auto answer = post_on(socket, address, path, headers, body);
+        auto const checksum = answer.header(checksum_header);
+        if (checksum && *checksum != body_checksum(answer.body))
+        {
+            return rpc_failure{false, "the answer's checksum does not match"};
+        }
+        return answer;
     }
     catch (net_error const& error)
     {
--- a/src/jaydrift/net/http_server_test.cpp
+++ b/src/jaydrift/net/http_server_test.cpp
@@ -2,6 +2,8 @@
 
 #include "http_test_client.hpp"
 
+#include <jaydrift/net/body_checksum.hpp>
+
 #include <gtest/gtest.h>
 
 #include <sys/socket.h>
@@ -192,4 +194,17 @@
     EXPECT_FALSE(std::get<rpc_failure>(result.get()).never_sent);
 }
 
+// Guards against a corrupted answer that is taken for a result.
+TEST(http_post, answer_with_a_wrong_checksum_is_an_error)
+{
+    http_server server({}, [](http_request const& request) {
+        return http_response{
+            200, {{checksum_header, body_checksum("abc")}}, request.body};
+    });
+    EXPECT_EQ(post(server.port(), "/", "abc").body, "abc");
+    EXPECT_FALSE(std::get<rpc_failure>(
+                     http_post(local(server.port()), "/", {}, "abd", patience))
+                     .never_sent);
+}
+
 } // namespace jaydrift::net
--- a/src/jaydrift/net/poll_until.cpp
+++ b/src/jaydrift/net/poll_until.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/core/steady_clock.hpp>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdint>
 
 namespace jaydrift::net {
@@ -25,12 +26,13 @@
         {
             return false;
         }
-        // A signal ends a poll early with a negative result.
-        if (poll(descriptors.data(), descriptors.size(),
-                 static_cast<int>(std::min(left + 1, longest_poll_ms)))
-            > 0)
+        auto const ready =
+            poll(descriptors.data(), descriptors.size(),
+                 static_cast<int>(std::min(left + 1, longest_poll_ms)));
+        // A signal ends a poll early.
+        if (ready > 0 || (ready < 0 && errno != EINTR))
         {
-            return true;
+            return ready > 0;
         }
     }
 }
--- a/src/jaydrift/net/poll_until.hpp
+++ b/src/jaydrift/net/poll_until.hpp
@@ -12,7 +12,8 @@
 /// Returns the time of the clock that deadlines of sockets use.
 time_ms socket_now();
 
-/// Waits until a descriptor has an event; false if the deadline passed.
+/// Waits until a descriptor has an event; false if the deadline passed
+/// or polling failed.
 bool poll_until(std::span<pollfd> descriptors, time_ms deadline);
 
 } // namespace jaydrift::net
--- a/src/jaydrift/net/rpc_channel.cpp
+++ b/src/jaydrift/net/rpc_channel.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-rpc_channel::rpc_channel(rpc_loop& loop, std::string address)
-    : loop_(loop), address_(std::move(address)), retry_at_(loop.timer().now())
+rpc_channel::rpc_channel(rpc_loop& loop, std::string const& address)
+    : loop_(loop), address_(loop.address(address)),
+      retry_at_(loop.timer().now())
 {
 }
 
@@ -55,13 +56,10 @@
 kj::Promise<void> rpc_channel::open()
 {
     auto& timer = loop_.timer();
-    auto address = loop_.address(address_);
     auto const wait = std::max(retry_at_ - timer.now(), 0 * kj::SECONDS);
     return timer.afterDelay(wait)
-        .then([&timer, address = kj::mv(address)]() mutable {
-            auto connecting = address->connect();
-            return timer.timeoutAfter(connect_timeout,
-                                      connecting.attach(kj::mv(address)));
+        .then([this, &timer] {
+            return timer.timeoutAfter(connect_timeout, address_->connect());
         })
         .then(
             [this](kj::Own<kj::AsyncIoStream> stream) {
--- a/src/jaydrift/net/rpc_channel.hpp
+++ b/src/jaydrift/net/rpc_channel.hpp
@@ -17,7 +17,8 @@
 class rpc_channel
 {
 public:
-    rpc_channel(rpc_loop& loop, std::string address);
+    /// @throws net_error if the address is not of the form `ip:port`.
+    rpc_channel(rpc_loop& loop, std::string const& address);
 
     /// Returns the connection once there is one.
     kj::Promise<kj::Own<rpc_connection>> connect();
@@ -33,7 +34,7 @@
     void opened(kj::Own<kj::AsyncIoStream> stream);
 
     rpc_loop& loop_;
-    std::string address_;
+    kj::Own<kj::NetworkAddress> address_;
     kj::Maybe<kj::Own<rpc_connection>> connection_;
     kj::Maybe<kj::ForkedPromise<void>> opening_;
     bool is_opening_ = false;
--- a/src/jaydrift/net/rpc_client.cpp
+++ b/src/jaydrift/net/rpc_client.cpp
@@ -139,6 +139,10 @@
         {
             pending->fail(error.what());
         }
+        catch (kj::Exception const& error)
+        {
+            pending->fail(error.getDescription().cStr());
+        }
     });
 }
 
--- a/src/jaydrift/net/rpc_limits_test.cpp
+++ b/src/jaydrift/net/rpc_limits_test.cpp
@@ -1,12 +1,17 @@
 #include "rpc_limits.hpp"
 
+#include "poll_until.hpp"
 #include "rpc_test_client.hpp"
+#include "tcp_socket.hpp"
 
 #include <jaydrift.capnp.h>
 
 #include <capnp/ez-rpc.h>
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+
+#include <array>
 #include <future>
 #include <string>
 #include <utility>
@@ -48,6 +53,28 @@
     EXPECT_NO_THROW(send(1).wait(client.getWaitScope()));
 }
 
+// Guards against bytes of another protocol, or a message that claims to be
+// huge, ending the process or other connections.
+TEST(rpc_limits, garbage_ends_its_connection_alone)
+{
+    rpc_thread thread;
+    auto const port = serve_seven(thread, any_port);
+    EXPECT_EQ(revision_of(read_key(thread, local(port), "x").get()), 7U);
+    std::string const inputs[] = {
+        "GET / HTTP/1.1\r\n\r\n", std::string(64, '\xff'),
+        std::string("\0\0\0\0\xff\xff\xff\x7f", 8), std::string(1000, '\0')};
+    for (auto const& input : inputs)
+    {
+        auto const client = connect_to(local(port), socket_now() + 60000_ms);
+        ASSERT_EQ(write(client.value(), input.data(), input.size()),
+                  static_cast<ssize_t>(input.size()));
+        shutdown(client.value(), SHUT_WR);
+        std::array waits{pollfd{client.value(), POLLIN, 0}};
+        EXPECT_TRUE(poll_until(waits, socket_now() + 60000_ms));
+    }
+    EXPECT_EQ(revision_of(read_key(thread, local(port), "x").get()), 7U);
+}
+
 // Guards against answers over the limit, which the caller would refuse together
 // with its whole connection.
 TEST(rpc_limits, oversized_answer_fails_its_call_alone)
--- a/src/jaydrift/net/rpc_loop.hpp
+++ b/src/jaydrift/net/rpc_loop.hpp
@@ -53,12 +53,14 @@
     template<class Part, class... Arguments>
     Part& part(std::string const& name, Arguments const&... arguments)
     {
-        auto& slot = parts_[{typeid(Part), name}];
-        if (!slot)
+        std::pair const key(std::type_index(typeid(Part)), name);
+        auto found = parts_.find(key);
+        if (found == parts_.end())
         {
-            slot = std::make_shared<Part>(*this, arguments...);
+            auto made = std::make_shared<Part>(*this, arguments...);
+            found = parts_.emplace(key, std::move(made)).first;
         }
-        return *std::static_pointer_cast<Part>(slot);
+        return *std::static_pointer_cast<Part>(found->second);
     }
 
     /// Keeps an object until the loop stops.
--- a/src/jaydrift/net/rpc_test.cpp
+++ b/src/jaydrift/net/rpc_test.cpp
@@ -69,7 +69,10 @@
     rpc_thread thread;
     mute_socket const refusing(false);
     EXPECT_TRUE(never_sent(read_key(thread, refusing.address(), "x").get()));
-    EXPECT_TRUE(never_sent(read_key(thread, "no address", "x").get()));
+    for (int attempt = 0; attempt < 2; ++attempt)
+    {
+        EXPECT_TRUE(never_sent(read_key(thread, "no address", "x").get()));
+    }
 }
 
 // Guards against reporting that a request was not run when it may have, and
--- a/src/jaydrift/net/tcp_socket.cpp
+++ b/src/jaydrift/net/tcp_socket.cpp
@@ -34,9 +34,13 @@
 
 unique_fd open_socket(endpoint const& target)
 {
-    return unique_fd(socket(target.address.ss_family,
+    unique_fd opened(socket(target.address.ss_family,
                             SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK,
                             IPPROTO_TCP));
+    // Headers and body are written apart; without this option, the body would
+    // wait for the acknowledgement of the headers. Accepted sockets inherit it.
+    set_option(opened, IPPROTO_TCP, TCP_NODELAY);
+    return opened;
 }
 
 sockaddr const* address_of(endpoint const& target)
@@ -81,9 +85,6 @@
 {
     auto const target = parse_endpoint(address);
     auto socket = open_socket(target);
-    // Headers and body are written apart; without this option, the body would
-    // wait for the acknowledgement of the headers.
-    set_option(socket, IPPROTO_TCP, TCP_NODELAY);
     if (connect(socket.value(), address_of(target), target.size) == 0)
     {
         return socket;
