Test requests, forwarding and delegation

open_requests now counts only what a hand-over must wait for: queued requests cannot start while the shard is released, so waiting for them would only lengthen the gap.

--- a/include/jaydrift/decide/requests.hpp
+++ b/include/jaydrift/decide/requests.hpp
@@ -56,7 +56,9 @@
 std::vector<request_record> records(daemon_state const& state,
                                     shard_id const& shard);
 
-/// Returns the number of requests of the shard that are not answered yet.
+/// Returns the number of requests of the shard that were sent to a worker or to
+/// another region and that somebody waits for. A hand-over waits for these;
+/// queued requests are passed on to the next owner.
 std::uint32_t open_requests(daemon_state const& state, shard_id const& shard);
 
 /// Tells whether no caller or daemon waits for an answer of this daemon.
--- /dev/null
+++ b/src/jaydrift/decide/request_fixture.hpp
@@ -0,0 +1,225 @@
+#ifndef JAYDRIFT_DECIDE_REQUEST_FIXTURE_HPP
+#define JAYDRIFT_DECIDE_REQUEST_FIXTURE_HPP
+
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/ownership.hpp>
+#include <jaydrift/decide/requests.hpp>
+#include <jaydrift/decide/workers.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace jaydrift::decide {
+
+/// A daemon that serves shard `north/0` with the workers `w0` and `w1`, and the
+/// daemon `peer` that serves `south/0`. Tests play the workers and the peer.
+class request_fixture
+{
+public:
+    request_fixture() : state(settings())
+    {
+        auto& document = state.policy.record.current;
+        document.zones = {{"arima", "north", true},
+                          {"san-fernando", "south", true}};
+        document.kinds = {{"tally", task_class::urgent, false, {400, 100, 0}},
+                          {"watch", task_class::service, false, {400, 100, 0}},
+                          {"menu", task_class::batch, true, {100, 100, 0}}};
+        serve({"north", 0}, 1);
+        add_worker("w0", "north", "arima");
+        add_worker("w1", "north", "arima");
+        own_by_peer({"south", 0});
+    }
+
+    static daemon_settings settings()
+    {
+        daemon_settings result;
+        result.self = {"self", "127.0.0.1:1", "north", "arima"};
+        result.regions = {"north", "south"};
+        result.shards_per_region = 1;
+        return result;
+    }
+
+    void serve(shard_id const& shard, std::uint64_t epoch)
+    {
+        auto& view = state.ownership.shards[shard];
+        view.shard = shard;
+        view.mine.emplace();
+        view.mine->phase = shard_phase::serving;
+        view.mine->term = {shard, epoch, "self", 1, {}, {}};
+        view.mine->acquired_at = now;
+        view.mine->authority_end = time_ms(1000000000);
+    }
+
+    void add_worker(std::string const& name, std::string const& region,
+                    std::string const& zone)
+    {
+        auto& entry = state.workers.entries[name];
+        entry.vm = {name,   "127.0.0.1:2",   region,        zone,
+                    "rack", {1000, 1000, 0}, vm_state::live};
+        entry.shard = {region, 0};
+        state.workers.by_shard[entry.shard].push_back(name);
+        auto& link = state.ownership.shards[entry.shard].mine->links[name];
+        link.fenced = true;
+        link.inventoried = true;
+        link.clock.emplace();
+    }
+
+    void own_by_peer(shard_id const& shard)
+    {
+        auto& view = state.ownership.shards[shard];
+        view.shard = shard;
+        view.mine.reset();
+        view.record.owner = "peer";
+        auto& member = state.membership.members["peer"];
+        member.member = {"peer", "127.0.0.1:3", "south", "san-fernando"};
+        member.heard_at = time_ms(1000000000);
+    }
+
+    tenure& term() { return *state.ownership.shards[{"north", 0}].mine; }
+
+    /// Runs a step of the module and collects its effects.
+    template<class Function>
+    void run(Function function)
+    {
+        effect_list effects;
+        context step{state, now, effects};
+        function(step);
+        for (auto& effect : effects)
+        {
+            std::visit([&](auto& value) { keep(value); }, effect);
+        }
+    }
+
+    urgent_request request(std::string id, std::string payload = "p") const
+    {
+        urgent_request result;
+        result.id = std::move(id);
+        result.kind = "tally";
+        result.patience = time_ms(2000);
+        result.payload = std::move(payload);
+        return result;
+    }
+
+    void arrive(std::uint64_t call, urgent_request input)
+    {
+        run([&](context& step) {
+            requests::on_request_arrived(step, {call, std::move(input)});
+        });
+    }
+
+    void execute(std::uint64_t call, urgent_request input, bool delegated)
+    {
+        peer_called const event{call,
+                                execute_request{std::move(input), delegated}};
+        run([&](context& step) {
+            requests::on_execute(step, event,
+                                 std::get<execute_request>(event.request));
+        });
+    }
+
+    void reply(send_worker const& start, worker_outcome outcome,
+               std::string answer = {})
+    {
+        worker_reply message;
+        message.outcome = outcome;
+        message.answer = std::move(answer);
+        run([&](context& step) {
+            requests::on_worker_replied(
+                step, {start.worker, start.correlation, message});
+        });
+    }
+
+    void fail(send_worker const& start, bool never_sent)
+    {
+        run([&](context& step) {
+            requests::on_worker_failed(
+                step, {start.worker, start.correlation, never_sent});
+        });
+    }
+
+    void peer_reply_to(send_peer const& call, peer_reply message)
+    {
+        run([&](context& step) {
+            requests::on_peer_replied(
+                step, {call.daemon, call.correlation, std::move(message)});
+        });
+    }
+
+    void peer_fail(send_peer const& call, bool never_sent)
+    {
+        run([&](context& step) {
+            requests::on_peer_failed(
+                step, {call.daemon, call.correlation, never_sent});
+        });
+    }
+
+    /// Lets time pass, with a timer event whenever the module asks for one.
+    void wait(time_ms duration)
+    {
+        auto const end = now + duration;
+        for (int i = 0; i < 10000 && requests::next_timer(state) <= end; ++i)
+        {
+            now = std::max(now, requests::next_timer(state));
+            run([](context& step) { requests::on_timer(step); });
+        }
+        now = end;
+    }
+
+    /// Returns the result that a caller got, if it was answered.
+    std::optional<request_result> answer(std::uint64_t call) const
+    {
+        auto const found =
+            std::find_if(answers.begin(), answers.end(),
+                         [&](auto const& item) { return item.call == call; });
+        return found == answers.end() ? std::nullopt
+                                      : std::optional(found->result);
+    }
+
+    std::optional<request_outcome> outcome(std::uint64_t call) const
+    {
+        auto const result = answer(call);
+        return result ? std::optional(result->outcome) : std::nullopt;
+    }
+
+    void inventory(std::string id, task_state task, std::string answer = {})
+    {
+        task_report report;
+        report.task.id = std::move(id);
+        report.task.kind = "tally";
+        report.task.priority = task_class::urgent;
+        report.state = task;
+        report.answer = std::move(answer);
+        run([&](context& step) {
+            requests::on_inventory(step, {"north", 0}, "w0", {&report, 1});
+        });
+    }
+
+    time_ms now{1000000};
+    daemon_state state;
+    std::vector<answer_caller> answers;
+    std::vector<answer_peer> peer_answers;
+    std::vector<send_worker> starts;
+    std::vector<send_peer> calls;
+
+private:
+    template<class Effect>
+    void keep(Effect const&)
+    {
+    }
+
+    void keep(answer_caller const& value) { answers.push_back(value); }
+
+    void keep(answer_peer const& value) { peer_answers.push_back(value); }
+
+    void keep(send_worker const& value) { starts.push_back(value); }
+
+    void keep(send_peer const& value) { calls.push_back(value); }
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_REQUEST_FIXTURE_HPP
--- a/src/jaydrift/decide/request_shard.cpp
+++ b/src/jaydrift/decide/request_shard.cpp
@@ -247,7 +247,17 @@
 std::uint32_t open_requests(daemon_state const& state, shard_id const& shard)
 {
     auto const found = state.requests.shards.find(shard);
-    return found == state.requests.shards.end() ? 0 : found->second.open;
+    if (found == state.requests.shards.end())
+    {
+        return 0;
+    }
+    auto const& entries = found->second.entries;
+    auto const open =
+        std::count_if(entries.begin(), entries.end(), [&](auto const& item) {
+            return !item.second.waiters.empty()
+                   && may_have_run(state, item.second);
+        });
+    return static_cast<std::uint32_t>(open);
 }
 
 } // namespace jaydrift::decide::requests
