Answer waiters before old answers are dropped

finish() kept a second copy of the result, because dropping old answers could have emptied the first one. The waiters are now answered first.

decide_test: 44 tests pass.

--- a/src/jaydrift/decide/request_answer.cpp
+++ b/src/jaydrift/decide/request_answer.cpp
@@ -126,15 +126,16 @@
     }
     close(step, key, *entry);
     entry->phase = request_phase::done;
-    entry->result = result;
-    step.record(event_name(result.outcome), key.id, {}, result.reason);
-    if (!result.answer.empty())
+    entry->result = std::move(result);
+    step.record(event_name(entry->result.outcome), key.id, {},
+                entry->result.reason);
+    answer_all(step, key, *entry, entry->result);
+    if (!entry->result.answer.empty())
     {
-        step.state.requests.answer_bytes += result.answer.size();
+        step.state.requests.answer_bytes += entry->result.answer.size();
         step.state.requests.answers.push_back(key);
         bound_answers(step.state);
     }
-    answer_all(step, key, *entry, result);
 }
 
 void leave_unresolved(context& step, request_key const& key,
