--- a/src/jaydrift/decide/fake_cluster_test.hpp
+++ b/src/jaydrift/decide/fake_cluster_test.hpp
@@ -39,18 +39,29 @@
         }
         for (auto const& name : daemons)
         {
-            daemon_settings settings;
-            settings.self = {name, name, "north", "arima"};
-            settings.regions = {"north"};
-            settings.shards_per_region = 1;
-            for (auto const& peer : daemons)
-            {
-                settings.peers.push_back({peer, peer, "north", "arima"});
-            }
-            states[name] = std::make_unique<daemon_state>(settings);
+            add_daemon(name, daemons);
         }
     }
 
+    /// Starts a daemon, in place of one of the same name if there is one.
+    void add_daemon(std::string const& name,
+                    std::vector<std::string> const& peers)
+    {
+        daemon_settings settings;
+        settings.self = {name, name, "north", "arima"};
+        settings.regions = {"north"};
+        settings.shards_per_region = 1;
+        settings.random_seed = ++last_seed_;
+        for (auto const& peer : peers)
+        {
+            settings.peers.push_back({peer, peer, "north", "arima"});
+        }
+        states[name] = std::make_unique<daemon_state>(settings);
+        std::erase_if(queue_, [&](auto const& entry) {
+            return entry.second.daemon == name;
+        });
+    }
+
     /// Lets time pass.
     void run(std::int64_t duration)
     {
@@ -118,7 +129,7 @@
         return result;
     }
 
-    ownership_state const& view(std::string const& daemon)
+    ownership_state& view(std::string const& daemon)
     {
         return states[daemon]->ownership;
     }
@@ -132,6 +143,9 @@
     fake_store store;
     bool store_up = true;
 
+    /// Called after each step.
+    std::function<void()> check = [] {};
+
     /// The next answers of record writes that are lost after the write.
     int lost_answers = 0;
     std::map<std::string, fake_worker> workers;
@@ -201,6 +215,7 @@
                 now = std::max(now, it->first);
                 queue_.erase(it);
                 due.run();
+                check();
                 return true;
             }
         }
@@ -210,6 +225,7 @@
         }
         now = next;
         send(timer, timer_due{});
+        check();
         return true;
     }
 
@@ -310,6 +326,7 @@
     std::vector<waiting_watch> waiting_;
     std::map<std::uint64_t, peer_call> calls_;
     std::uint64_t last_call_ = 0;
+    std::uint64_t last_seed_ = 0;
 };
 
 } // namespace jaydrift::decide
