Bound the cost of long queues and follow replaced VMs

A full shard made every reply look at 16 waiting requests. Requests behind one of their kind that found no room now wait for it and look again after 1 s. The pick of workers strides over the shard, so that a closed zone with adjacent names does not hide the open ones. A VM that takes the name or address of another one starts without its health and clock. A delegated request is sent only under valid authority for its home shard.

--- a/include/jaydrift/decide/request_entry.hpp
+++ b/include/jaydrift/decide/request_entry.hpp
@@ -45,6 +45,9 @@
 
     /// Earliest time of the next start after a refusal.
     time_ms not_before;
+
+    /// When no worker with room was found last, and when room was last made.
+    std::optional<time_ms> looked_at;
     std::optional<time_ms> room_made_at;
 
     /// Number of the last start that was sent, and to which worker.
--- a/include/jaydrift/decide/worker_entry.hpp
+++ b/include/jaydrift/decide/worker_entry.hpp
@@ -32,6 +32,9 @@
     bool leaving = false;
     std::uint64_t usage_generation = 0;
 
+    /// Processors that the tasks of the last usage report used.
+    std::int64_t measured_millicores = 0;
+
     /// Reported use that no reservation explains.
     resources foreign;
 
--- a/include/jaydrift/decide/workers.hpp
+++ b/include/jaydrift/decide/workers.hpp
@@ -67,8 +67,9 @@
 /// Counts the result of an urgent start for the circuit breaker.
 void record_urgent_result(context& step, std::string_view worker, bool success);
 
-/// Returns the processors of a worker that are in use or booked, in thousandths
-/// of its capacity.
+/// Returns the processors of a worker that are booked or that its tasks used
+/// according to the last report, whichever is more, in thousandths of its
+/// capacity.
 std::int64_t load(daemon_state const& state, std::string_view worker);
 
 /// Returns the expected slowdown of a kind on a worker, in thousandths, from
--- a/src/jaydrift/decide/capacity.cpp
+++ b/src/jaydrift/decide/capacity.cpp
@@ -116,6 +116,16 @@
     }
 }
 
+std::int64_t measured(usage_report const& usage)
+{
+    std::int64_t sum = 0;
+    for (auto const& task : usage.tasks)
+    {
+        sum += task.millicores;
+    }
+    return sum;
+}
+
 bool overtaken(worker_entry const& entry, worker_reply const& reply)
 {
     return reply.worker_clock < entry.reported_at
@@ -149,6 +159,7 @@
     if (reply.usage.generation > entry.usage_generation)
     {
         entry.usage_generation = reply.usage.generation;
+        entry.measured_millicores = measured(reply.usage);
         learn_interference(step.state.workers.interference, reply.usage);
     }
 }
@@ -223,8 +234,8 @@
     }
     auto const& entry = found->second;
     auto const whole = std::max<std::int64_t>(1, capacity(entry).millicores);
-    auto const used = entry.reserved.millicores + entry.foreign.millicores;
-    return used * 1000 / whole;
+    auto const booked = entry.reserved.millicores + entry.foreign.millicores;
+    return std::max(booked, entry.measured_millicores) * 1000 / whole;
 }
 
 } // namespace jaydrift::decide::workers
--- a/src/jaydrift/decide/forwarding.cpp
+++ b/src/jaydrift/decide/forwarding.cpp
@@ -81,6 +81,15 @@
                      step.now + owner_check_interval);
 }
 
+/// A delegated request is sent only while this daemon's authority for its home
+/// shard is valid, so that none is sent after a successor asked about it.
+bool may_send(context const& step, forward_entry const& entry)
+{
+    auto const* record = std::get_if<waiting_record>(&entry.waiter.who);
+    return record == nullptr
+           || ownership::serving(step.state, record->key.shard, step.now);
+}
+
 void execute_locally(context& step, std::uint64_t number)
 {
     auto entry = take_forward(step.state, number);
@@ -101,6 +110,12 @@
 void attempt_forward(context& step, std::uint64_t number)
 {
     auto& entry = step.state.requests.forwards.at(number);
+    if (!may_send(step, entry))
+    {
+        schedule_forward(step.state, number, entry,
+                         step.now + owner_check_interval);
+        return;
+    }
     if (ownership::serving(step.state, entry.shard, step.now))
     {
         execute_locally(step, number);
--- a/src/jaydrift/decide/request_queue.cpp
+++ b/src/jaydrift/decide/request_queue.cpp
@@ -8,7 +8,9 @@
 #include <jaydrift/decide/workers.hpp>
 
 #include <algorithm>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace jaydrift::decide::requests {
 
@@ -24,6 +26,10 @@
 /// Evictions take time; room is asked for again only after it.
 constexpr time_ms make_room_interval{1000};
 
+/// A request looks for itself this often behind another of its kind that found
+/// no room, because it may find other batch work to evict.
+constexpr time_ms look_interval{1000};
+
 /// A late answer still completes the record for repeats.
 constexpr time_ms late_answer_window{10000};
 
@@ -122,9 +128,16 @@
                && !any_usable(step, key.shard));
 }
 
-/// Tries to start or delegate a waiting request. Returns whether it left the
-/// queue.
-bool place(context& step, request_key const& key, request_entry& entry)
+/// What came of an attempt to place a waiting request.
+enum class placement
+{
+    left_queue,
+    no_room,
+    held_back
+};
+
+/// Tries to start or delegate a waiting request.
+placement place(context& step, request_key const& key, request_entry& entry)
 {
     auto const* kind = policy::find_kind(step.state, entry.request.kind);
     if (kind == nullptr)
@@ -132,43 +145,69 @@
         finish(step, key,
                not_run("kind: \"" + entry.request.kind
                        + "\" was removed from the policy"));
-        return true;
+        return placement::left_queue;
     }
     auto const choice =
         choose_worker(step, key.shard,
                       {kind->kind, entry.priority, kind->demand, entry.worker});
     if (!choice.worker)
     {
-        if (should_delegate(step, key, entry))
-        {
-            delegate(step, key);
-            return true;
-        }
+        entry.looked_at = step.now;
         if (choice.least_loaded)
         {
             make_room(step, entry, *choice.least_loaded, kind->demand);
         }
-        return false;
+        else if (should_delegate(step, key, entry))
+        {
+            delegate(step, key);
+            return placement::left_queue;
+        }
+        return placement::no_room;
     }
     if (entry.attempt > 0 && !step.state.requests.retries.take())
     {
-        return false;
+        return placement::held_back;
     }
     start(step, key, entry, *choice.worker, kind->demand);
-    return true;
+    return placement::left_queue;
+}
+
+/// Tells whether a request can wait for another of its kind to find room, which
+/// bounds the cost of a long queue.
+bool may_skip(context const& step, request_entry const& entry,
+              std::vector<std::string> const& full_kinds)
+{
+    if (step.now < entry.not_before)
+    {
+        return true;
+    }
+    auto const full =
+        std::find(full_kinds.begin(), full_kinds.end(), entry.request.kind)
+        != full_kinds.end();
+    return full && entry.looked_at
+           && step.now < *entry.looked_at + look_interval;
 }
 
 void dispatch_queue(context& step, shard_id const& shard, std::size_t queue)
 {
     auto& waiting = step.state.requests.shards[shard].waiting.at(queue);
+    std::vector<std::string> full_kinds;
     std::size_t passed_over = 0;
     while (passed_over < waiting.size() && passed_over < max_passed_over)
     {
         request_key const key{shard, waiting[passed_over]};
         auto* entry = find_entry(step.state, key);
-        if (step.now < entry->not_before || !place(step, key, *entry))
+        if (may_skip(step, *entry, full_kinds))
         {
             ++passed_over;
+            continue;
+        }
+        auto const kind = entry->request.kind;
+        auto const result = place(step, key, *entry);
+        passed_over += result == placement::left_queue ? 0 : 1;
+        if (result == placement::no_room)
+        {
+            full_kinds.push_back(kind);
         }
     }
 }
--- a/src/jaydrift/decide/request_shard.cpp
+++ b/src/jaydrift/decide/request_shard.cpp
@@ -222,6 +222,7 @@
         drop_entry(step, {shard, id}, entry);
     }
     bound_answers(step.state);
+    retry_forwards(step, shard);
 }
 
 std::vector<request_record> records(daemon_state const& state,
--- a/src/jaydrift/decide/routing.cpp
+++ b/src/jaydrift/decide/routing.cpp
@@ -15,6 +15,10 @@
 /// Workers that are looked at per decision. A shard of the design size has 25.
 constexpr std::size_t max_looked_at = 32;
 
+/// A prime above every shard's size visits all workers in turn, and workers of
+/// one availability zone, which often have similar names, far apart.
+constexpr std::size_t stride = 20011;
+
 /// Smaller differences of the expected slowdown are noise of lagging reports.
 constexpr std::int64_t slowdown_step = 50;
 
@@ -61,7 +65,7 @@
     auto refused_fits = false;
     for (std::size_t i = 0; i < count && found < 2; ++i)
     {
-        auto const& name = names[(first + i) % names.size()];
+        auto const& name = names[(first + i * stride) % names.size()];
         if (!may_place(step, name)
             || !workers::urgent_allowed(step.state, name, step.now))
         {
--- a/src/jaydrift/decide/vm_list.cpp
+++ b/src/jaydrift/decide/vm_list.cpp
@@ -43,6 +43,27 @@
     }
 }
 
+/// Tells whether another VM took the name of a known one.
+bool replaced(vm_info const& known, vm_info const& vm)
+{
+    return known.address != vm.address
+           || (known.state == vm_state::gone && vm.state != vm_state::gone);
+}
+
+/// What the earlier VM told does not hold for its replacement.
+void forget_replies(worker_entry& entry)
+{
+    entry.reported_at = {};
+    entry.epoch = 0;
+    entry.capacity = {};
+    entry.leaving = false;
+    entry.usage_generation = 0;
+    entry.measured_millicores = 0;
+    entry.foreign = {};
+    entry.starts = {};
+    entry.breaker = {};
+}
+
 void take_over(context& step, vm_info const& vm)
 {
     auto& workers = step.state.workers;
@@ -62,6 +83,10 @@
     {
         entry.gone_at = step.now;
     }
+    if (replaced(entry.vm, vm))
+    {
+        forget_replies(entry);
+    }
     entry.vm = vm;
     entry.shard = ownership::shard_of_worker(step.state, vm.region, vm.worker);
     if (vm.state != vm_state::gone)
