--- a/src/jaydrift/decide/forwarding_test.cpp
+++ b/src/jaydrift/decide/forwarding_test.cpp
@@ -117,6 +117,19 @@
     EXPECT_EQ(test.outcome(1), not_run);
 }
 
+// Guards against delegating after a successor asked the other region.
+TEST(delegation, nothing_is_delegated_without_authority)
+{
+    request_fixture test;
+    test.state.policy.record.current.zones[0].open = false;
+    test.arrive(1, test.request("a"));
+    test.peer_fail(test.calls.at(0), false);
+    test.term().authority_end = test.now;
+    test.wait(3000_ms);
+    EXPECT_EQ(test.calls.size(), 1);
+    EXPECT_EQ(test.outcome(1), unknown);
+}
+
 // Guards against passing a delegated request on again.
 TEST(delegation, a_delegated_request_stays_in_its_second_region)
 {
--- a/src/jaydrift/decide/requests_test.cpp
+++ b/src/jaydrift/decide/requests_test.cpp
@@ -269,6 +269,60 @@
     EXPECT_LE(test.state.requests.answer_bytes, 64U << 20U);
 }
 
+// Guards against cancelling a request for all when one caller leaves early.
+TEST(requests, an_impatient_duplicate_does_not_end_the_request)
+{
+    request_fixture test;
+    test.term().links.at("w0").fenced = false;
+    test.term().links.at("w1").fenced = false;
+    test.state.settings.regions = {"north"};
+    auto impatient = test.request("a");
+    impatient.patience = 100_ms;
+    test.arrive(1, impatient);
+    test.arrive(2, test.request("a"));
+    test.wait(200_ms);
+    EXPECT_EQ(test.outcome(1), unknown);
+    test.term().links.at("w0").fenced = true;
+    test.wait(100_ms);
+    test.reply(test.starts.at(0), worker_outcome::ok, "answer");
+    EXPECT_EQ(test.outcome(2), completed);
+}
+
+// Guards against work next to a kind that slows it down while another worker
+// is free of it.
+TEST(requests, prefers_the_worker_with_less_interference)
+{
+    request_fixture test;
+    test.state.workers.interference.factors[{"tally", "menu"}] = 2.0;
+    test.state.workers.interference.factors[{"tally", "other"}] = 1.5;
+    test.run([](context& step) {
+        task_spec task{"1", "menu", "", task_class::batch, {1, 1, 0}, 0, 0};
+        workers::reserve(step, "w0", task);
+        task.kind = "other";
+        task.demand.millicores = 500;
+        workers::reserve(step, "w1", task);
+    });
+    test.arrive(1, test.request("a"));
+    EXPECT_EQ(test.starts.at(0).worker, "w1");
+}
+
+// Guards against an expiry of an earlier term that forgets a newer record.
+TEST(requests, a_record_of_a_later_term_is_kept_for_its_whole_retention)
+{
+    request_fixture test;
+    test.arrive(1, test.request("a"));
+    test.reply(test.starts.at(0), worker_outcome::ok, "answer");
+    test.wait(300000_ms);
+    test.run([](context& step) {
+        requests::on_shard_lost(step, {"north", 0});
+    });
+    test.inventory("a", task_state::finished, "answer");
+    test.wait(400000_ms);
+    test.arrive(2, test.request("a"));
+    EXPECT_EQ(test.starts.size(), 1);
+    EXPECT_EQ(test.outcome(2), completed);
+}
+
 // Guards against records that are kept for ever.
 TEST(requests, records_are_forgotten_after_the_retention)
 {
--- a/src/jaydrift/decide/workers_test.cpp
+++ b/src/jaydrift/decide/workers_test.cpp
@@ -178,6 +178,23 @@
     EXPECT_FALSE(fleet.usable());
 }
 
+// Guards against judging a VM by the one that had its name before.
+TEST(vm_list, a_replaced_vm_starts_without_the_health_of_the_old_one)
+{
+    fleet fleet;
+    worker_reply reply;
+    reply.leaving = true;
+    reply.worker_clock = time_ms(5000);
+    fleet.reply(reply);
+    auto vm = fleet::vm("w", vm_state::live);
+    vm.address = "127.0.0.1:2";
+    fleet.poll({vm}, 2);
+    EXPECT_TRUE(fleet.usable());
+    reply.worker_clock = time_ms(1);
+    fleet.reply(reply);
+    EXPECT_FALSE(fleet.usable());
+}
+
 // Guards against more work than the VM's limits or the class's share, in any
 // order of reservations, releases and lagging replies.
 RC_GTEST_PROP(capacity, reservations_never_exceed_limits_or_share, ())
