--- a/src/jaydrift/decide/forwarding_test.cpp
+++ b/src/jaydrift/decide/forwarding_test.cpp
@@ -1,4 +1,4 @@
-#include "request_fixture.hpp"
+#include "request_fixture_test.hpp"
 
 #include <gtest/gtest.h>
 
--- a/src/jaydrift/decide/request_fixture.hpp
+++ b/src/jaydrift/decide/request_fixture_test.hpp
@@ -1,5 +1,5 @@
-#ifndef JAYDRIFT_DECIDE_REQUEST_FIXTURE_HPP
-#define JAYDRIFT_DECIDE_REQUEST_FIXTURE_HPP
+#ifndef JAYDRIFT_DECIDE_REQUEST_FIXTURE_TEST_HPP
+#define JAYDRIFT_DECIDE_REQUEST_FIXTURE_TEST_HPP
 
 #include <jaydrift/decide/context.hpp>
 #include <jaydrift/decide/ownership.hpp>
@@ -222,4 +222,4 @@
 
 } // namespace jaydrift::decide
 
-#endif // JAYDRIFT_DECIDE_REQUEST_FIXTURE_HPP
+#endif // JAYDRIFT_DECIDE_REQUEST_FIXTURE_TEST_HPP
--- a/src/jaydrift/decide/requests_test.cpp
+++ b/src/jaydrift/decide/requests_test.cpp
@@ -1,4 +1,4 @@
-#include "request_fixture.hpp"
+#include "request_fixture_test.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -74,19 +74,23 @@
 // answer of the first attempt reaching the second one.
 TEST(requests, refused_start_is_placed_elsewhere)
 {
-    request_fixture test;
-    test.arrive(1, test.request("a"));
-    auto const first = test.starts.at(0);
-    test.reply(first, worker_outcome::over_limit);
-    test.wait(100_ms);
-    ASSERT_EQ(test.starts.size(), 2);
-    EXPECT_NE(test.starts[1].worker, first.worker);
-    EXPECT_EQ(std::get<start_request>(test.starts[1].request).attempt, 2);
-    test.reply(first, worker_outcome::ok, "late");
-    EXPECT_EQ(test.outcome(1), std::nullopt);
-    test.reply(test.starts[1], worker_outcome::ok, "answer");
-    ASSERT_EQ(test.outcome(1), completed);
-    EXPECT_EQ(test.answer(1)->answer, "answer");
+    for (std::uint64_t seed = 0; seed < 20; ++seed)
+    {
+        request_fixture test;
+        test.state.random = random_source(seed);
+        test.arrive(1, test.request("a"));
+        auto const first = test.starts.at(0);
+        test.reply(first, worker_outcome::over_limit);
+        test.wait(100_ms);
+        ASSERT_EQ(test.starts.size(), 2);
+        EXPECT_NE(test.starts[1].worker, first.worker);
+        EXPECT_EQ(std::get<start_request>(test.starts[1].request).attempt, 2);
+        test.reply(first, worker_outcome::ok, "late");
+        EXPECT_EQ(test.outcome(1), std::nullopt);
+        test.reply(test.starts[1], worker_outcome::ok, "answer");
+        ASSERT_EQ(test.outcome(1), completed);
+        EXPECT_EQ(test.answer(1)->answer, "answer");
+    }
 }
 
 // Guards against a second run of a request whose start may have arrived.
