Count restarted voters for a new term only, and wait without the store

A fault property with VMs that are replaced found two faults. An owner whose only quorum is made of voters that lost their state never got its authority back; it now starts a term with a higher epoch. A successor without the store cannot know that its VM list names every worker that the previous owner used, so it no longer skips the wait and treats its inventory as incomplete.

--- a/src/jaydrift/decide/fake_cluster_test.hpp
+++ b/src/jaydrift/decide/fake_cluster_test.hpp
@@ -265,7 +265,7 @@
     void apply(std::string const& daemon, send_worker const& call)
     {
         later(time_ms(1), "", [this, daemon, call] {
-            if (!reaches(daemon, call.worker))
+            if (!reaches(daemon, call.worker) || store.gone(call.worker))
             {
                 return deliver(
                     daemon, call.timeout,
--- a/src/jaydrift/decide/fake_store_test.hpp
+++ b/src/jaydrift/decide/fake_store_test.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/core/store_reply.hpp>
 #include <jaydrift/core/store_request.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +23,13 @@
                           request);
     }
 
+    bool gone(std::string const& worker) const
+    {
+        return std::any_of(vms.begin(), vms.end(), [&](vm_info const& vm) {
+            return vm.worker == worker && vm.state == vm_state::gone;
+        });
+    }
+
     std::map<std::string, store_entry> entries;
     std::vector<vm_info> vms;
     std::uint64_t revision = 0;
--- a/src/jaydrift/decide/ownership.cpp
+++ b/src/jaydrift/decide/ownership.cpp
@@ -31,6 +31,10 @@
 // after this time.
 constexpr time_ms rival_limit{5000};
 
+// A term without a quorum for this long starts again if voters lost their
+// state; their votes count for a higher epoch only.
+constexpr time_ms forgotten_limit{3000};
+
 constexpr time_ms call_limit{10000};
 
 constexpr time_ms never{std::numeric_limits<std::int64_t>::max()};
@@ -61,14 +65,25 @@
     record_writes::start(step, view, term);
 }
 
-/// Tells whether a term without a quorum must be given up.
+/// Tells whether voters lost their state and no quorum is left without them.
+bool forgotten(context& step, tenure const& mine)
+{
+    return step.now - mine.authority_end >= forgotten_limit
+           && std::any_of(mine.links.begin(), mine.links.end(),
+                          [](auto const& entry) {
+                              return entry.second.forgot_generation != 0;
+                          });
+}
+
+/// Tells whether a term must be given up for one with a higher epoch.
 bool hopeless(context& step, shard_view const& view)
 {
     auto const& mine = *view.mine;
     if (mine.quorum_at)
     {
-        return mine.rival && mine.acquired_at
-               && step.now - *mine.acquired_at >= rival_limit;
+        bool const raise = mine.rival && mine.acquired_at
+                           && step.now - *mine.acquired_at >= rival_limit;
+        return raise || forgotten(step, mine);
     }
     return mine.rival
            || (!mine.handed_over
--- a/src/jaydrift/decide/ownership_faults_test.cpp
+++ b/src/jaydrift/decide/ownership_faults_test.cpp
@@ -56,6 +56,8 @@
             return;
         case 8:
             return cluster.add_daemon(daemon, daemons_);
+        case 9:
+            return replace_worker(b % cluster.workers.size());
         default:
             return;
         }
@@ -67,12 +69,24 @@
         cluster.cuts.clear();
         cluster.store_up = true;
         cluster.lost_answers = 0;
+        for (auto& vm : cluster.store.vms)
+        {
+            vm.state = vm_state::live;
+        }
     }
 
     fake_cluster cluster;
     bool safe = true;
 
 private:
+    /// A VM that is gone comes back as a new one of the same name.
+    void replace_worker(std::size_t number)
+    {
+        auto& vm = cluster.store.vms[number];
+        cluster.workers[vm.worker].restart();
+        vm.state = vm.state == vm_state::gone ? vm_state::live : vm_state::gone;
+    }
+
     void check()
     {
         forget_starts();
@@ -134,13 +148,13 @@
 // without an owner for ever.
 RC_GTEST_PROP(ownership_faults, one_daemon_at_most_can_start_work, ())
 {
-    faulty_cluster faulty(zones_of(*rc::gen::inRange<std::size_t>(1, 8)));
+    faulty_cluster faulty(zones_of(*rc::gen::inRange<std::size_t>(1, 10)));
     auto const faults = *rc::gen::container<std::vector<std::size_t>>(
-        rc::gen::inRange<std::size_t>(0, 9 * 3 * 8 * 8));
+        rc::gen::inRange<std::size_t>(0, 10 * 3 * 9 * 6));
     faulty.cluster.run(5000);
     for (auto const fault : faults)
     {
-        faulty.fault(fault % 9, fault / 9 % 3, fault / 27 % 8);
+        faulty.fault(fault % 10, fault / 10 % 3, fault / 30 % 9);
         faulty.cluster.run(200 + static_cast<std::int64_t>(fault) * 3);
         RC_ASSERT(faulty.safe);
     }
--- a/src/jaydrift/decide/ownership_test.cpp
+++ b/src/jaydrift/decide/ownership_test.cpp
@@ -101,6 +101,25 @@
     EXPECT_EQ(cluster.owner(), other(owner));
 }
 
+// Guards against authority that is counted from the arrival of replies: those
+// of a round that was sent before a pause must not revive the owner.
+TEST(ownership, replies_that_waited_during_a_pause_give_no_authority)
+{
+    fake_cluster cluster({"a", "b"}, five_workers);
+    auto const owner = settle(cluster);
+    cluster.cut(other(owner), "w0");
+    auto const rounds = cluster.term_of(owner).last_round;
+    ASSERT_TRUE(cluster.run_until(
+        [&] { return cluster.term_of(owner).last_round > rounds; }, 1000));
+    cluster.stopped.insert(owner);
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.has_owner(); }, 6000));
+    std::set<std::string> able;
+    cluster.check = [&] { able.merge(cluster.starters()); };
+    cluster.stopped.clear();
+    cluster.run(100);
+    EXPECT_EQ(able, std::set<std::string>{other(owner)});
+}
+
 // Guards against two owners when the voters are split in halves: only the side
 // that holds the store's vote may serve.
 TEST(ownership, the_store_decides_between_halves_of_the_voters)
--- a/src/jaydrift/decide/takeover.cpp
+++ b/src/jaydrift/decide/takeover.cpp
@@ -86,9 +86,17 @@
     return policy::version(step.state) >= mine.required_policy;
 }
 
+/// Tells whether the previous owner can start nothing more. Without the store
+/// the VM list may lack workers that the previous owner knew.
+bool all_known_fenced(tenure const& mine)
+{
+    return mine.store_vote && worker_links::all_fenced(mine);
+}
+
 void acquire(context& step, shard_view& view)
 {
     auto& mine = *view.mine;
+    mine.missed_inventory = !mine.store_vote;
     mine.phase = shard_phase::serving;
     mine.acquired_at = step.now;
     mine.voters_checked_at = step.now;
@@ -229,7 +237,7 @@
     {
         return;
     }
-    if (mine.handed_over || worker_links::all_fenced(mine)
+    if (mine.handed_over || all_known_fenced(mine)
         || step.now >= *mine.quorum_at + step.state.settings.authority)
     {
         acquire(step, view);
