--- a/src/jaydrift/decide/batch_detail.hpp
+++ b/include/jaydrift/decide/batch_steps.hpp
@@ -1,5 +1,5 @@
-#ifndef JAYDRIFT_SRC_DECIDE_BATCH_DETAIL_HPP
-#define JAYDRIFT_SRC_DECIDE_BATCH_DETAIL_HPP
+#ifndef JAYDRIFT_DECIDE_BATCH_STEPS_HPP
+#define JAYDRIFT_DECIDE_BATCH_STEPS_HPP
 
 #include <jaydrift/core/call_status.hpp>
 #include <jaydrift/core/job_reply.hpp>
@@ -122,7 +122,7 @@
 void reserve_worker(shard_step const& at, batch_job& job,
                     std::span<std::string_view const> workers);
 
-/// Returns the demand that running tasks leave over, for a class.
+/// Tells whether a task of the job fits on a worker now.
 bool has_room(daemon_state const& state, std::string_view worker,
               batch_job const& job);
 
@@ -136,13 +136,16 @@
 
 // Reports.
 
-/// Takes over one report. `complete` tells that running tasks are reported as
-/// well.
+/// Takes over one report of a worker about a task of the shard.
 void take_report(shard_step const& at, std::string_view worker,
                  task_report const& report);
 void take_inventory(shard_step const& at, std::string_view worker,
                     std::span<task_report const> tasks);
 
+/// Records that a worker finished a task that no worker runs any more.
+void record_finish(shard_step const& at, batch_job& job, std::uint32_t index,
+                   std::string_view worker, std::uint32_t attempt);
+
 /// Records that an attempt failed.
 void fail(shard_step const& at, batch_job& job, std::uint32_t index,
           std::string_view worker, std::string reason);
@@ -174,4 +177,4 @@
 
 } // namespace jaydrift::decide::batch
 
-#endif // JAYDRIFT_SRC_DECIDE_BATCH_DETAIL_HPP
+#endif // JAYDRIFT_DECIDE_BATCH_STEPS_HPP
--- a/src/jaydrift/decide/journal_detail.hpp
+++ b/include/jaydrift/decide/journal_steps.hpp
@@ -1,5 +1,5 @@
-#ifndef JAYDRIFT_SRC_DECIDE_JOURNAL_DETAIL_HPP
-#define JAYDRIFT_SRC_DECIDE_JOURNAL_DETAIL_HPP
+#ifndef JAYDRIFT_DECIDE_JOURNAL_STEPS_HPP
+#define JAYDRIFT_DECIDE_JOURNAL_STEPS_HPP
 
 #include <jaydrift/core/shard_id.hpp>
 #include <jaydrift/core/store_reply.hpp>
@@ -74,4 +74,4 @@
 
 } // namespace jaydrift::decide
 
-#endif // JAYDRIFT_SRC_DECIDE_JOURNAL_DETAIL_HPP
+#endif // JAYDRIFT_DECIDE_JOURNAL_STEPS_HPP
--- a/src/jaydrift/decide/batch.cpp
+++ b/src/jaydrift/decide/batch.cpp
@@ -1,6 +1,6 @@
 #include <jaydrift/decide/batch.hpp>
 
-#include "batch_detail.hpp"
+#include <jaydrift/decide/batch_steps.hpp>
 
 #include <jaydrift/decide/ownership.hpp>
 
--- a/src/jaydrift/decide/batch_answer.cpp
+++ b/src/jaydrift/decide/batch_answer.cpp
@@ -1,4 +1,4 @@
-#include "batch_detail.hpp"
+#include <jaydrift/decide/batch_steps.hpp>
 
 namespace jaydrift::decide::batch {
 
--- a/src/jaydrift/decide/batch_placement.cpp
+++ b/src/jaydrift/decide/batch_placement.cpp
@@ -1,4 +1,4 @@
-#include "batch_detail.hpp"
+#include <jaydrift/decide/batch_steps.hpp>
 
 #include <jaydrift/decide/ownership.hpp>
 #include <jaydrift/decide/workers.hpp>
--- a/src/jaydrift/decide/batch_queue.cpp
+++ b/src/jaydrift/decide/batch_queue.cpp
@@ -1,6 +1,5 @@
-#include "batch_detail.hpp"
+#include <jaydrift/decide/batch_steps.hpp>
 
-#include <jaydrift/decide/ownership.hpp>
 #include <jaydrift/decide/policy.hpp>
 
 #include <algorithm>
@@ -17,8 +16,9 @@
 /// not see what the team runs in other shards, so each has an equal part.
 std::int64_t shard_part(daemon_state const& state, std::int64_t quota)
 {
-    auto const shards =
-        std::max<std::size_t>(1, ownership::all_shards(state).size());
+    auto const& settings = state.settings;
+    auto const shards = std::max<std::size_t>(
+        1, settings.regions.size() * settings.shards_per_region);
     return quota / static_cast<std::int64_t>(shards);
 }
 
@@ -94,8 +94,13 @@
         return;
     }
     auto& task = job.tasks[index];
-    task.phase = task_phase::waiting;
     task.worker.clear();
+    if (task.phase == task_phase::unresolved)
+    {
+        // Another worker, not inventoried yet, may run a later attempt.
+        return;
+    }
+    task.phase = task_phase::waiting;
     // A task that ran before is started first, to keep its job's tasks close
     // together.
     job.waiting.push_front(index);
@@ -106,6 +111,10 @@
 void delay_retry(shard_step const& at, batch_job& job, std::uint32_t index)
 {
     auto& task = job.tasks[index];
+    if (task.phase != task_phase::recording)
+    {
+        return;
+    }
     auto const base = retry_delay_ms * task.failures;
     auto const jitter =
         at.step.state.random.below(static_cast<std::uint64_t>(base) + 1);
--- a/src/jaydrift/decide/batch_record.cpp
+++ b/src/jaydrift/decide/batch_record.cpp
@@ -128,7 +128,7 @@
     return writer.take();
 }
 
-batch_record decode_record(std::string_view text)
+batch_record decode_batch_record(std::string_view text)
 {
     field_reader reader(text);
     auto record = read_record(reader);
--- a/src/jaydrift/decide/batch_record_test.cpp
+++ b/src/jaydrift/decide/batch_record_test.cpp
@@ -58,7 +58,7 @@
 RC_GTEST_PROP(batch_record, round_trip, ())
 {
     auto const text = encode(any_record());
-    RC_ASSERT(encode(decode_record(text)) == text);
+    RC_ASSERT(encode(decode_batch_record(text)) == text);
 }
 
 // Guards against a record that was cut off and is taken for a whole one.
@@ -66,7 +66,8 @@
 {
     auto const text = encode(any_record());
     auto const length = *rc::gen::inRange<std::size_t>(0, text.size());
-    RC_ASSERT_THROWS_AS(decode_record(text.substr(0, length)), field_error);
+    RC_ASSERT_THROWS_AS(decode_batch_record(text.substr(0, length)),
+                        field_error);
 }
 
 // Guards against a restart that differs from the state before it, wherever
@@ -86,12 +87,12 @@
             records.clear();
         }
         records.push_back(encode(any_record()));
-        decide::apply(live, decode_record(records.back()));
+        decide::apply(live, decode_batch_record(records.back()));
     }
     auto restarted = decode_table(snapshot);
     for (auto const& record : records)
     {
-        decide::apply(restarted, decode_record(record));
+        decide::apply(restarted, decode_batch_record(record));
     }
     RC_ASSERT(encode(restarted) == encode(live));
 }
--- a/src/jaydrift/decide/batch_recovery.cpp
+++ b/src/jaydrift/decide/batch_recovery.cpp
@@ -1,4 +1,4 @@
-#include "batch_detail.hpp"
+#include <jaydrift/decide/batch_steps.hpp>
 
 #include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/field_error.hpp>
@@ -18,7 +18,7 @@
     auto table = decode_table(snapshot);
     for (auto const& record : records)
     {
-        decide::apply(table, decode_record(record));
+        decide::apply(table, decode_batch_record(record));
     }
     forget_old_jobs(table);
     return table;
--- a/src/jaydrift/decide/batch_reports.cpp
+++ b/src/jaydrift/decide/batch_reports.cpp
@@ -1,4 +1,4 @@
-#include "batch_detail.hpp"
+#include <jaydrift/decide/batch_steps.hpp>
 
 #include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/workers.hpp>
@@ -15,6 +15,19 @@
            || report.task.priority == task_class::background;
 }
 
+/// Appends the record of an attempt's end; the worker keeps its report until
+/// the record is durable.
+void record_end(shard_step const& at, batch_job const& job, std::uint32_t index,
+                std::string_view worker, batch_record record)
+{
+    pending_record entry;
+    entry.record = std::move(record);
+    entry.worker = worker;
+    entry.task = task_id(job.spec.id, index);
+    remember_end(at.step, at.shard, worker, entry.task, false);
+    append(at, std::move(entry));
+}
+
 /// One report about a task of a known job.
 class report_handler
 {
@@ -120,31 +133,20 @@
         {
             workers::record_result(at_.step, worker_, job_.spec.id, true);
         }
-        task_.phase = task_phase::recording;
-        task_.worker = worker_;
-        record(finish_record{job_.spec.id, index_, report_.attempt});
+        record_finish(at_, job_, index_, worker_, report_.attempt);
     }
 
     void evict()
     {
-        record(evict_record{job_.spec.id, index_, report_.attempt,
-                            report_.checkpoint_ms});
+        record_end(at_, job_, index_, worker_,
+                   evict_record{job_.spec.id, index_, report_.attempt,
+                                report_.checkpoint_ms});
         // The task need not wait for the record: a later owner that does not
         // read it learns the attempt and the checkpoint from the worker, which
         // keeps the report until the record is durable.
         enqueue(at_, job_, index_);
     }
 
-    void record(batch_record change)
-    {
-        remember_end(at_.step, at_.shard, worker_, report_.task.id, false);
-        pending_record entry;
-        entry.record = std::move(change);
-        entry.worker = worker_;
-        entry.task = report_.task.id;
-        append(at_, std::move(entry));
-    }
-
     shard_step const& at_;
     std::string_view worker_;
     task_report const& report_;
@@ -208,17 +210,26 @@
 {
     auto& task = job.tasks[index];
     unplace(at, job, index);
+    if (task.phase != task_phase::unresolved)
+    {
+        task.phase = task_phase::recording;
+        task.worker = worker;
+    }
+    workers::record_result(at.step, worker, job.spec.id, false);
+    record_end(at, job, index, worker,
+               fail_record{job.spec.id, index, task.attempt,
+                           reason.empty() ? "no reason given"
+                                          : reason.substr(0, 200)});
+}
+
+void record_finish(shard_step const& at, batch_job& job, std::uint32_t index,
+                   std::string_view worker, std::uint32_t attempt)
+{
+    auto& task = job.tasks[index];
     task.phase = task_phase::recording;
     task.worker = worker;
-    workers::record_result(at.step, worker, job.spec.id, false);
-    pending_record entry;
-    entry.worker = worker;
-    entry.task = task_id(job.spec.id, index);
-    entry.record =
-        fail_record{job.spec.id, index, task.attempt,
-                    reason.empty() ? "no reason given" : reason.substr(0, 200)};
-    remember_end(at.step, at.shard, worker, entry.task, false);
-    append(at, std::move(entry));
+    record_end(at, job, index, worker,
+               finish_record{job.spec.id, index, attempt});
 }
 
 void remember_end(context& step, shard_id const& shard, std::string_view worker,
--- a/src/jaydrift/decide/batch_start.cpp
+++ b/src/jaydrift/decide/batch_start.cpp
@@ -1,9 +1,11 @@
-#include "batch_detail.hpp"
+#include <jaydrift/decide/batch_steps.hpp>
 
 #include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/ownership.hpp>
 #include <jaydrift/decide/workers.hpp>
 
+#include <algorithm>
+
 namespace jaydrift::decide::batch {
 
 namespace {
@@ -36,15 +38,51 @@
     }
 }
 
+/// The worker ran the task before. Its report says which attempt that is and
+/// whether it has ended.
+void on_already_started(shard_step const& at, task_call const& call,
+                        found_task found, worker_reply const& reply)
+{
+    auto& task = *found.task;
+    task.phase = task_phase::running;
+    auto const id = task_id(call.task.job, call.task.index);
+    auto const report =
+        std::find_if(reply.tasks.begin(), reply.tasks.end(),
+                     [&](auto const& entry) { return entry.task.id == id; });
+    if (report == reply.tasks.end())
+    {
+        return;
+    }
+    if (report->state != task_state::running && report->attempt == call.attempt)
+    {
+        return take_report(at, call.worker, *report);
+    }
+    if (report->state == task_state::running)
+    {
+        task.attempt = report->attempt;
+        return;
+    }
+    // An earlier attempt, whose end was dropped because a later one ran.
+    unplace(at, *found.job, call.task.index);
+    if (report->state == task_state::finished)
+    {
+        return record_finish(at, *found.job, call.task.index, call.worker,
+                             report->attempt);
+    }
+    remember_end(at.step, at.shard, call.worker, id, true);
+    enqueue(at, *found.job, call.task.index);
+}
+
 void on_start_reply(shard_step const& at, task_call const& call,
                     found_task found, worker_reply const& reply)
 {
     switch (reply.outcome)
     {
     case worker_outcome::ok:
-    case worker_outcome::already_started:
         found.task->phase = task_phase::running;
         return;
+    case worker_outcome::already_started:
+        return on_already_started(at, call, found, reply);
     case worker_outcome::failed:
         return fail(at, *found.job, call.task.index, call.worker, reply.reason);
     default:
--- a/src/jaydrift/decide/job_table_text.cpp
+++ b/src/jaydrift/decide/job_table_text.cpp
@@ -95,7 +95,7 @@
 
 batch_job read_job(field_reader& reader)
 {
-    auto const record = decode_record(reader.text());
+    auto const record = decode_batch_record(reader.text());
     auto const* const submit = std::get_if<submit_record>(&record);
     if (submit == nullptr)
     {
--- a/src/jaydrift/decide/journal.cpp
+++ b/src/jaydrift/decide/journal.cpp
@@ -1,6 +1,6 @@
 #include <jaydrift/decide/journal.hpp>
 
-#include "journal_detail.hpp"
+#include <jaydrift/decide/journal_steps.hpp>
 
 #include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/context.hpp>
--- a/src/jaydrift/decide/journal_append.cpp
+++ b/src/jaydrift/decide/journal_append.cpp
@@ -1,4 +1,4 @@
-#include "journal_detail.hpp"
+#include <jaydrift/decide/journal_steps.hpp>
 
 #include <jaydrift/core/put_request.hpp>
 #include <jaydrift/core/read_request.hpp>
--- a/src/jaydrift/decide/journal_recovery.cpp
+++ b/src/jaydrift/decide/journal_recovery.cpp
@@ -1,4 +1,4 @@
-#include "journal_detail.hpp"
+#include <jaydrift/decide/journal_steps.hpp>
 
 #include <jaydrift/decide/batch.hpp>
 #include <jaydrift/decide/context.hpp>
--- a/src/jaydrift/decide/journal_text.cpp
+++ b/src/jaydrift/decide/journal_text.cpp
@@ -1,4 +1,4 @@
-#include "journal_detail.hpp"
+#include <jaydrift/decide/journal_steps.hpp>
 
 #include <jaydrift/decide/field_reader.hpp>
 #include <jaydrift/decide/field_writer.hpp>
