--- a/src/jaydrift/decide/batch_doubt.cpp
+++ b/src/jaydrift/decide/batch_doubt.cpp
@@ -89,17 +89,24 @@
 void cancel_placed(shard_step const& at)
 {
     std::size_t sent = 0;
-    for (auto const& id : at.work.cancelling)
+    for (auto entry = at.work.cancelling.begin();
+         entry != at.work.cancelling.end();)
     {
+        // The job leaves the set once nothing of it is placed.
+        auto const id = *entry++;
         auto* const job = find_job(at.work, id);
-        if (job == nullptr)
+        if (job == nullptr || job->placed.empty())
         {
+            at.work.cancelling.erase(id);
+            if (job != nullptr)
+            {
+                tidy(at, *job);
+            }
             continue;
         }
         for (auto const index : job->placed)
         {
-            auto const& task = job->tasks[index];
-            if (!task.asking && sent < max_controls_per_step)
+            if (!job->tasks[index].asking && sent < max_controls_per_step)
             {
                 ++sent;
                 send_control(at, *job, index, task_action::cancel);
--- a/src/jaydrift/decide/batch_durable.cpp
+++ b/src/jaydrift/decide/batch_durable.cpp
@@ -42,11 +42,14 @@
         auto const changed = decide::apply(at_.work.table, entry_.record);
         forget_at_worker();
         auto* const job = find_job(at_.work, record.job);
-        if (job == nullptr || !changed)
+        if (job == nullptr)
         {
             return;
         }
-        at_.step.record("task_finished", {}, entry_.task, entry_.worker);
+        if (changed)
+        {
+            at_.step.record("task_finished", {}, entry_.task, entry_.worker);
+        }
         after_end(*job);
     }
 
@@ -64,13 +67,19 @@
         auto const changed = decide::apply(at_.work.table, entry_.record);
         forget_at_worker();
         auto* const job = find_job(at_.work, record.job);
-        if (job == nullptr || !changed)
+        if (job == nullptr)
         {
             return;
         }
-        at_.step.record("task_failed", {}, entry_.task, record.reason);
-        delay_retry(at_, *job, record.index);
-        refresh_queue(at_, *job);
+        if (changed)
+        {
+            at_.step.record("task_failed", {}, entry_.task, record.reason);
+        }
+        if (!job->closed())
+        {
+            delay_retry(at_, *job, record.index);
+        }
+        after_end(*job);
     }
 
     void operator()(cancel_record const& record)
