Test requests across takeovers and lost replies

The fake workers now run starts and tell of them in their inventories, so that the property covers the records that a successor rebuilds.

--- a/src/jaydrift/decide/fake_cluster_test.hpp
+++ b/src/jaydrift/decide/fake_cluster_test.hpp
@@ -143,6 +143,12 @@
     fake_store store;
     bool store_up = true;
 
+    /// Answers to callers.
+    std::vector<answer_caller> answers;
+
+    /// The next replies to starts that are lost after the start.
+    int lost_starts = 0;
+
     /// Called after each step.
     std::function<void()> check = [] {};
 
@@ -271,10 +277,17 @@
                     daemon, call.timeout,
                     worker_failed{call.worker, call.correlation, false});
             }
-            deliver(
-                daemon, time_ms(1),
-                worker_replied{call.worker, call.correlation,
-                               workers[call.worker].answer(call.request, now)});
+            auto const reply = workers[call.worker].answer(call.request, now);
+            if (std::holds_alternative<start_request>(call.request)
+                && lost_starts > 0)
+            {
+                --lost_starts;
+                return deliver(
+                    daemon, call.timeout,
+                    worker_failed{call.worker, call.correlation, false});
+            }
+            deliver(daemon, time_ms(1),
+                    worker_replied{call.worker, call.correlation, reply});
         });
     }
 
@@ -301,6 +314,11 @@
         }
     }
 
+    void apply(std::string const&, answer_caller const& answer)
+    {
+        answers.push_back(answer);
+    }
+
     template<class Effect>
     void apply(std::string const&, Effect const&)
     {
--- a/src/jaydrift/decide/fake_worker_test.hpp
+++ b/src/jaydrift/decide/fake_worker_test.hpp
@@ -5,6 +5,8 @@
 #include <jaydrift/core/worker_request.hpp>
 
 #include <algorithm>
+#include <variant>
+#include <vector>
 
 namespace jaydrift::decide {
 
@@ -21,6 +23,14 @@
         reply.worker_clock = now + clock_ahead;
         reply.epoch = epoch;
         reply.policy_version = policy_version;
+        if (std::holds_alternative<fence_request>(request))
+        {
+            reply.tasks = started;
+        }
+        if (auto const* start = std::get_if<start_request>(&request))
+        {
+            reply.answer = start->task.id;
+        }
         return reply;
     }
 
@@ -42,6 +52,9 @@
     time_ms clock_ahead{5000};
     int fences = 0;
 
+    /// The tasks that were started, each of which finished at once.
+    std::vector<task_report> started;
+
 private:
     worker_outcome on(fence_request const& request, time_ms)
     {
@@ -73,6 +86,32 @@
         return worker_outcome::ok;
     }
 
+    worker_outcome on(start_request const& request, time_ms clock)
+    {
+        if (request.term.epoch != epoch || request.term.owner != owner)
+        {
+            return worker_outcome::stale_epoch;
+        }
+        if (clock >= request.start_before)
+        {
+            return worker_outcome::past_deadline;
+        }
+        auto const same = [&](auto const& report) {
+            return report.task.id == request.task.id;
+        };
+        if (std::any_of(started.begin(), started.end(), same))
+        {
+            return worker_outcome::already_started;
+        }
+        task_report report;
+        report.task = request.task;
+        report.attempt = request.attempt;
+        report.state = task_state::finished;
+        report.answer = request.task.id;
+        started.push_back(report);
+        return worker_outcome::ok;
+    }
+
     template<class Request>
     worker_outcome on(Request const&, time_ms)
     {
