--- a/src/jaydrift/decide/fake_cluster_test.hpp
+++ b/src/jaydrift/decide/fake_cluster_test.hpp
@@ -39,16 +39,27 @@
         }
         for (auto const& name : daemons)
         {
-            daemon_settings settings;
-            settings.self = {name, name, "north", "arima"};
-            settings.regions = {"north"};
-            settings.shards_per_region = 1;
-            for (auto const& peer : daemons)
-            {
-                settings.peers.push_back({peer, peer, "north", "arima"});
-            }
-            states[name] = std::make_unique<daemon_state>(settings);
+            add_daemon(name, daemons);
+        }
+    }
+
+    /// Starts a daemon, in place of one of the same name if there is one.
+    void add_daemon(std::string const& name,
+                    std::vector<std::string> const& peers)
+    {
+        daemon_settings settings;
+        settings.self = {name, name, "north", "arima"};
+        settings.regions = {"north"};
+        settings.shards_per_region = 1;
+        settings.random_seed = ++last_seed_;
+        for (auto const& peer : peers)
+        {
+            settings.peers.push_back({peer, peer, "north", "arima"});
         }
+        states[name] = std::make_unique<daemon_state>(settings);
+        std::erase_if(queue_, [&](auto const& entry) {
+            return entry.second.daemon == name;
+        });
     }
 
     /// Lets time pass.
@@ -118,7 +129,7 @@
         return result;
     }
 
-    ownership_state const& view(std::string const& daemon)
+    ownership_state& view(std::string const& daemon)
     {
         return states[daemon]->ownership;
     }
@@ -132,6 +143,15 @@
     fake_store store;
     bool store_up = true;
 
+    /// Answers to callers.
+    std::vector<answer_caller> answers;
+
+    /// The next replies to starts that are lost after the start.
+    int lost_starts = 0;
+
+    /// Called after each step.
+    std::function<void()> check = [] {};
+
     /// The next answers of record writes that are lost after the write.
     int lost_answers = 0;
     std::map<std::string, fake_worker> workers;
@@ -201,6 +221,7 @@
                 now = std::max(now, it->first);
                 queue_.erase(it);
                 due.run();
+                check();
                 return true;
             }
         }
@@ -210,6 +231,7 @@
         }
         now = next;
         send(timer, timer_due{});
+        check();
         return true;
     }
 
@@ -249,16 +271,23 @@
     void apply(std::string const& daemon, send_worker const& call)
     {
         later(time_ms(1), "", [this, daemon, call] {
-            if (!reaches(daemon, call.worker))
+            if (!reaches(daemon, call.worker) || store.gone(call.worker))
             {
                 return deliver(
                     daemon, call.timeout,
                     worker_failed{call.worker, call.correlation, false});
             }
-            deliver(
-                daemon, time_ms(1),
-                worker_replied{call.worker, call.correlation,
-                               workers[call.worker].answer(call.request, now)});
+            auto const reply = workers[call.worker].answer(call.request, now);
+            if (std::holds_alternative<start_request>(call.request)
+                && lost_starts > 0)
+            {
+                --lost_starts;
+                return deliver(
+                    daemon, call.timeout,
+                    worker_failed{call.worker, call.correlation, false});
+            }
+            deliver(daemon, time_ms(1),
+                    worker_replied{call.worker, call.correlation, reply});
         });
     }
 
@@ -285,6 +314,11 @@
         }
     }
 
+    void apply(std::string const&, answer_caller const& answer)
+    {
+        answers.push_back(answer);
+    }
+
     template<class Effect>
     void apply(std::string const&, Effect const&)
     {
@@ -310,6 +344,7 @@
     std::vector<waiting_watch> waiting_;
     std::map<std::uint64_t, peer_call> calls_;
     std::uint64_t last_call_ = 0;
+    std::uint64_t last_seed_ = 0;
 };
 
 } // namespace jaydrift::decide
--- a/src/jaydrift/decide/job_table_text.cpp
+++ b/src/jaydrift/decide/job_table_text.cpp
@@ -95,7 +95,7 @@
 
 batch_job read_job(field_reader& reader)
 {
-    auto const record = decode_record(reader.text());
+    auto const record = decode_batch_record(reader.text());
     auto const* const submit = std::get_if<submit_record>(&record);
     if (submit == nullptr)
     {
@@ -148,7 +148,10 @@
     }
     while (!reader.empty())
     {
+        auto const before = reader.size();
         auto job = read_job(reader);
+        job.bytes = before - reader.size();
+        table.bytes += job.bytes;
         auto id = job.spec.id;
         table.jobs.emplace(std::move(id), std::move(job));
     }
