--- a/src/jaydrift/decide/text_fields.cpp
+++ b/src/jaydrift/decide/text_fields.cpp
@@ -91,7 +91,10 @@
     std::string encoded;
     for (auto const& [name, value] : fields_)
     {
-        encoded += name + '=' + value + '\n';
+        encoded += name;
+        encoded += '=';
+        encoded += value;
+        encoded += '\n';
     }
     return encoded;
 }
--- a/src/jaydrift/decide/voter_replacement.cpp
+++ b/src/jaydrift/decide/voter_replacement.cpp
@@ -49,7 +49,7 @@
         usable = candidates(step, mine, true);
         next = choose(usable, current, limit);
     }
-    auto const fresh = choose(usable, {}, limit);
+    auto fresh = choose(usable, {}, limit);
     if (fresh.size() >= next.size()
         && largest_zone(usable, fresh) < largest_zone(usable, next))
     {
