Skip the takeover wait only with a current VM list

The fault property found a case in which a successor skipped its wait although the previous owner used a worker that the successor's VM list did not name yet. The wait is now skipped only if the store has answered for long enough to have sent the list again, and a worker that joins a served shard is given work only after 10 s.

--- a/include/jaydrift/decide/membership.hpp
+++ b/include/jaydrift/decide/membership.hpp
@@ -45,6 +45,10 @@
 /// Tells whether the store answered lately.
 bool store_available(daemon_state const& state, time_ms now);
 
+/// Tells whether the store has answered for at least `duration`.
+bool store_available_for(daemon_state const& state, time_ms now,
+                         time_ms duration);
+
 std::vector<member_status> status(daemon_state const& state, time_ms now);
 
 /// Returns when `on_timer` is next due.
--- a/include/jaydrift/decide/membership_state.hpp
+++ b/include/jaydrift/decide/membership_state.hpp
@@ -22,6 +22,9 @@
     member_key key;
     prefix_watch watch{"members/", 0, 0, {}, false, false};
     bool store_answers = false;
+
+    /// When the store began to answer again.
+    time_ms store_answers_since;
     std::optional<time_ms> started_at;
     time_ms last_timer;
 };
--- a/include/jaydrift/decide/worker_link.hpp
+++ b/include/jaydrift/decide/worker_link.hpp
@@ -26,6 +26,9 @@
     /// Outstanding fence; 0 means none.
     std::uint64_t fence_call = 0;
 
+    /// No start before this time.
+    time_ms usable_at;
+
     time_ms fence_at;
     time_ms renew_at;
 
--- a/src/jaydrift/decide/membership.cpp
+++ b/src/jaydrift/decide/membership.cpp
@@ -123,6 +123,10 @@
 void on_store_replied(context& step, store_replied const& event)
 {
     auto& self = step.state.membership;
+    if (!self.store_answers)
+    {
+        self.store_answers_since = step.now;
+    }
     self.store_answers = true;
     if (self.watch.owns(event.correlation))
     {
@@ -214,6 +218,13 @@
     return state.membership.store_answers;
 }
 
+bool store_available_for(daemon_state const& state, time_ms now,
+                         time_ms duration)
+{
+    return state.membership.store_answers
+           && now - state.membership.store_answers_since >= duration;
+}
+
 std::vector<member_status> status(daemon_state const& state, time_ms now)
 {
     std::vector<member_status> result{
--- a/src/jaydrift/decide/ownership_queries.cpp
+++ b/src/jaydrift/decide/ownership_queries.cpp
@@ -122,7 +122,7 @@
 {
     auto const [mine, link] = find_link(state, worker);
     return link != nullptr && link->fenced && link->clock
-           && serving(state, mine->term.shard, now);
+           && now >= link->usable_at && serving(state, mine->term.shard, now);
 }
 
 time_ms start_deadline(daemon_state const& state, std::string_view worker)
--- a/src/jaydrift/decide/takeover.cpp
+++ b/src/jaydrift/decide/takeover.cpp
@@ -86,17 +86,21 @@
     return policy::version(step.state) >= mine.required_policy;
 }
 
-/// Tells whether the previous owner can start nothing more. Without the store
-/// the VM list may lack workers that the previous owner knew.
-bool all_known_fenced(tenure const& mine)
+/// Tells whether the VM list names every worker that the previous owner used:
+/// the store answers, and has for long enough to have sent the list again.
+bool list_is_current(context& step, tenure const& mine)
 {
-    return mine.store_vote && worker_links::all_fenced(mine);
+    auto const& settings = step.state.settings;
+    return mine.store_vote
+           && membership::store_available_for(step.state, step.now,
+                                              settings.vm_list_interval
+                                                  + settings.store_timeout);
 }
 
 void acquire(context& step, shard_view& view)
 {
     auto& mine = *view.mine;
-    mine.missed_inventory = !mine.store_vote;
+    mine.missed_inventory = !list_is_current(step, mine);
     mine.phase = shard_phase::serving;
     mine.acquired_at = step.now;
     mine.voters_checked_at = step.now;
@@ -237,7 +241,9 @@
     {
         return;
     }
-    if (mine.handed_over || all_known_fenced(mine)
+    bool const all_fenced =
+        list_is_current(step, mine) && worker_links::all_fenced(mine);
+    if (mine.handed_over || all_fenced
         || step.now >= *mine.quorum_at + step.state.settings.authority)
     {
         acquire(step, view);
--- a/src/jaydrift/decide/worker_links.cpp
+++ b/src/jaydrift/decide/worker_links.cpp
@@ -18,6 +18,11 @@
 // clock drift (50 ppm is usual) stays below 1 ms.
 constexpr time_ms reading_window{10000};
 
+// A worker that joins is used only when the VM lists of the other daemons name
+// it as well: a store outage goes unnoticed for up to 4 s, and the list is
+// asked for every second. A successor skips its wait by its own list.
+constexpr time_ms join_delay{10000};
+
 void add(context& step, tenure& mine, std::string const& name)
 {
     auto& link = mine.links[name];
@@ -25,6 +30,7 @@
     link.fence_at = step.now;
     if (mine.quorum_at)
     {
+        link.usable_at = step.now + join_delay;
         link.lease_end = *mine.quorum_at + step.state.settings.authority
                          + step.state.settings.idle_lease;
     }
@@ -69,7 +75,12 @@
     }
     for (auto& [name, link] : mine.links)
     {
+        bool const listed_before = link.listed;
         link.listed = listed.contains(name);
+        if (link.listed && !listed_before)
+        {
+            link.usable_at = step.now + join_delay;
+        }
         if (!link.listed && link.fenced)
         {
             lose(mine, link);
