Raise the epoch of a term that lost its quorum to a rival

A term that waited to be served and then lost its voters to a rival of the same epoch waited for ever, and no other daemon took over because this one ranked first. It now starts again with a higher epoch, as a served term does.

--- a/src/jaydrift/decide/ownership.cpp
+++ b/src/jaydrift/decide/ownership.cpp
@@ -81,8 +81,9 @@
     auto const& mine = *view.mine;
     if (mine.quorum_at)
     {
-        bool const raise = mine.rival && mine.acquired_at
-                           && step.now - *mine.acquired_at >= rival_limit;
+        // A term that is not served yet may have lost its quorum to the rival.
+        bool const raise =
+            mine.rival && step.now - *mine.quorum_at >= rival_limit;
         return raise || forgotten(step, mine);
     }
     return mine.rival
