--- a/include/jaydrift/decide/batch_steps.hpp
+++ b/include/jaydrift/decide/batch_steps.hpp
@@ -148,7 +148,7 @@
 
 /// Records that an attempt failed.
 void fail(shard_step const& at, batch_job& job, std::uint32_t index,
-          std::string_view worker, std::string reason);
+          std::string_view worker, std::string const& reason);
 
 /// The worker may forget the task once its end is durable.
 void remember_end(context& step, shard_id const& shard, std::string_view worker,
--- a/src/jaydrift/decide/batch_reports.cpp
+++ b/src/jaydrift/decide/batch_reports.cpp
@@ -206,7 +206,7 @@
 }
 
 void fail(shard_step const& at, batch_job& job, std::uint32_t index,
-          std::string_view worker, std::string reason)
+          std::string_view worker, std::string const& reason)
 {
     auto& task = job.tasks[index];
     unplace(at, job, index);
--- a/src/jaydrift/decide/journal.cpp
+++ b/src/jaydrift/decide/journal.cpp
@@ -34,13 +34,12 @@
 
 void lose(context& step, shard_id const& shard, std::uint64_t epoch)
 {
-    shard_id const lost = shard;
     step.log(log_level::warning, "journal",
-             "Lost " + to_string(lost) + " to epoch " + std::to_string(epoch)
+             "Lost " + to_string(shard) + " to epoch " + std::to_string(epoch)
                  + '.');
-    step.state.journal.shards.erase(lost);
-    batch::on_journal_lost(step, lost);
-    ownership::on_stale_epoch(step, lost, epoch);
+    step.state.journal.shards.erase(shard);
+    batch::on_journal_lost(step, shard);
+    ownership::on_stale_epoch(step, shard, epoch);
 }
 
 void load(context& step, shard_id const& shard, std::uint64_t epoch)
