--- /dev/null
+++ b/src/jaydrift/decide/forwarding.cpp
@@ -0,0 +1,163 @@
+#include <jaydrift/decide/forward_steps.hpp>
+
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/membership.hpp>
+#include <jaydrift/decide/ownership.hpp>
+#include <jaydrift/decide/request_steps.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace jaydrift::decide::requests {
+
+namespace {
+
+constexpr std::int64_t first_backoff_ms = 20;
+constexpr std::int64_t max_backoff_ms = 400;
+
+/// Time left for the owner's answer to come back before the patience ends.
+constexpr time_ms answer_margin{50};
+
+/// Bounds the payloads and calls that wait for owners.
+constexpr std::size_t max_forwards = 4000;
+
+time_ms backoff(context& step, std::uint32_t attempts)
+{
+    auto const doublings = std::min<std::uint32_t>(attempts, 5);
+    auto const longest =
+        std::min(first_backoff_ms << doublings, max_backoff_ms);
+    auto const jitter =
+        step.state.random.below(static_cast<std::uint64_t>(longest / 2 + 1));
+    return time_ms(longest / 2 + static_cast<std::int64_t>(jitter));
+}
+
+/// Returns the patience that is left for the owner.
+time_ms patience_left(context const& step, forward_entry const& entry)
+{
+    auto const left = entry.waiter.deadline - step.now;
+    return left - std::min(answer_margin, time_ms(left.count() / 10));
+}
+
+peer_request message(context const& step, forward_entry const& entry)
+{
+    if (entry.purpose == forward_purpose::ask)
+    {
+        return query_request{entry.request.id};
+    }
+    auto request = entry.request;
+    request.patience = patience_left(step, entry);
+    return execute_request{std::move(request),
+                           entry.purpose == forward_purpose::delegate};
+}
+
+std::string_view event_name(forward_purpose purpose)
+{
+    switch (purpose)
+    {
+    case forward_purpose::execute:
+        return "request_forwarded";
+    case forward_purpose::delegate:
+        return "request_delegated";
+    case forward_purpose::ask:
+        break;
+    }
+    return "request_checked";
+}
+
+void send(context& step, std::uint64_t number, forward_entry& entry,
+          member_info const& owner)
+{
+    entry.correlation = step.next_correlation(part::requests);
+    entry.daemon = owner.daemon;
+    ++entry.attempts;
+    step.state.requests.forward_of_call[entry.correlation] = number;
+    step.record(event_name(entry.purpose), entry.request.id, {}, owner.daemon);
+    auto const timeout =
+        entry.waiter.deadline - step.now + step.state.settings.peer_timeout;
+    step.emit(send_peer{owner.daemon, owner.address, entry.correlation, timeout,
+                        message(step, entry)});
+    schedule_forward(step.state, number, entry,
+                     step.now + owner_check_interval);
+}
+
+void execute_locally(context& step, std::uint64_t number)
+{
+    auto entry = take_forward(step.state, number);
+    if (entry.purpose == forward_purpose::ask)
+    {
+        auto const reply = answer_check(step, {entry.shard, entry.request.id});
+        on_checked(step, std::get<waiting_record>(entry.waiter.who).key, reply);
+        return;
+    }
+    entry.request.patience = entry.waiter.deadline - step.now;
+    execute_here(step, entry.shard, std::move(entry.request),
+                 entry.purpose == forward_purpose::delegate,
+                 std::move(entry.waiter));
+}
+
+} // namespace
+
+void attempt_forward(context& step, std::uint64_t number)
+{
+    auto& entry = step.state.requests.forwards.at(number);
+    if (ownership::serving(step.state, entry.shard, step.now))
+    {
+        execute_locally(step, number);
+        return;
+    }
+    auto const owner = ownership::owner_of(step.state, entry.shard);
+    auto const elsewhere = owner && *owner != step.state.settings.self.daemon;
+    if (elsewhere && std::holds_alternative<waiting_peer>(entry.waiter.who))
+    {
+        // The caller's daemon finds the owner itself; passing the request on
+        // from here could go round in circles.
+        auto const refused = take_forward(step.state, number);
+        step.emit(answer_peer{std::get<waiting_peer>(refused.waiter.who).call,
+                              peer_acknowledgement{false}});
+        return;
+    }
+    auto const member =
+        elsewhere ? membership::find(step.state, *owner) : std::nullopt;
+    if (!member)
+    {
+        schedule_forward(step.state, number, entry,
+                         step.now + owner_check_interval);
+        return;
+    }
+    send(step, number, entry, *member);
+}
+
+void retry_forward_later(context& step, std::uint64_t number)
+{
+    auto& entry = step.state.requests.forwards.at(number);
+    close_call(step.state, entry);
+    schedule_forward(step.state, number, entry,
+                     step.now + backoff(step, entry.attempts));
+}
+
+std::uint64_t forward(context& step, urgent_request request,
+                      shard_id const& shard, forward_purpose purpose,
+                      request_waiter waiter)
+{
+    auto& requests = step.state.requests;
+    if (requests.forwards.size() >= max_forwards)
+    {
+        send_result(step, waiter, request.id,
+                    unknown("too many requests wait for their owner"));
+        return 0;
+    }
+    auto const number = ++requests.last_forward;
+    auto& entry = requests.forwards[number];
+    requests.payload_bytes += request.payload.size();
+    entry.request = std::move(request);
+    entry.shard = shard;
+    entry.purpose = purpose;
+    entry.waiter = std::move(waiter);
+    entry.due = entry.waiter.deadline;
+    requests.forwards_due.emplace(entry.due, number);
+    attempt_forward(step, number);
+    return requests.forwards.contains(number) ? number : 0;
+}
+
+} // namespace jaydrift::decide::requests
