--- a/src/jaydrift/decide/batch_bench_test.hpp
+++ b/src/jaydrift/decide/batch_bench_test.hpp
@@ -28,6 +28,7 @@
                          time_ms start = time_ms(1'000'000))
         : now(start), state(settings()), store_(store)
     {
+        state.membership.store_answers = true;
         state.policy.record.current = policy();
         list_workers(workers);
         auto& mine = state.ownership.shards[shard].mine.emplace();
--- /dev/null
+++ b/src/jaydrift/decide/batch_test.cpp
@@ -0,0 +1,397 @@
+#include "batch_bench_test.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace jaydrift::decide {
+
+namespace {
+
+using bench = batch_bench;
+
+class batch_shard : public testing::Test
+{
+protected:
+    batch_shard() { owner.acquire(); }
+
+    ring_store store;
+    bench owner{store};
+};
+
+// Guards against acknowledging a job that a restart would not know.
+TEST_F(batch_shard, acknowledges_only_what_is_durable)
+{
+    owner.store_up = false;
+    auto const call = owner.request(bench::spec("job"));
+    owner.pass(10'000);
+    EXPECT_FALSE(owner.replies.contains(call));
+    EXPECT_TRUE(owner.starts.empty());
+    owner.store_up = true;
+    owner.pass(10'000);
+    ASSERT_TRUE(owner.replies.contains(call));
+    EXPECT_EQ(owner.replies[call].status, call_status::ok);
+    EXPECT_TRUE(store.holds("job"));
+    EXPECT_EQ(owner.starts.size(), 1U);
+}
+
+// Guards against a submission that hangs, or that is written after it was
+// refused, while the store cannot be reached.
+TEST_F(batch_shard, refuses_what_was_never_sent)
+{
+    owner.store_up = false;
+    owner.store_reachable = false;
+    auto const call = owner.request(bench::spec("job"));
+    owner.pass(5000);
+    ASSERT_TRUE(owner.replies.contains(call));
+    EXPECT_EQ(owner.replies[call].status, call_status::refused);
+    EXPECT_TRUE(owner.replies[call].reason.starts_with("store unavailable"));
+    owner.store_up = true;
+    owner.pass(20'000);
+    EXPECT_FALSE(store.holds("job"));
+}
+
+// Guards against a repeated submission that runs a job twice.
+TEST_F(batch_shard, submission_is_idempotent)
+{
+    auto const first = owner.request(bench::spec("job"));
+    auto const joined = owner.request(bench::spec("job"));
+    owner.pass(2000);
+    auto const repeated = owner.request(bench::spec("job"));
+    auto const other = owner.request(bench::spec("job", 2));
+    for (auto const call : {first, joined, repeated})
+    {
+        EXPECT_EQ(owner.replies.at(call).status, call_status::ok);
+    }
+    EXPECT_EQ(owner.replies.at(other).status, call_status::refused);
+    EXPECT_EQ(owner.starts.size(), 1U);
+}
+
+// Guards against bad jobs in the queue and refusals without the field.
+TEST_F(batch_shard, refusals_name_the_field)
+{
+    auto const expect = [&](std::string_view field, auto change) {
+        auto spec = bench::spec("bad");
+        change(spec);
+        auto const call = owner.request(spec);
+        ASSERT_TRUE(owner.replies.contains(call)) << field;
+        EXPECT_EQ(owner.replies[call].status, call_status::refused);
+        EXPECT_TRUE(owner.replies[call].reason.starts_with(field))
+            << owner.replies[call].reason;
+    };
+    expect("id", [](auto& spec) { spec.id.clear(); });
+    expect("team", [](auto& spec) { spec.team = std::string(200, 'x'); });
+    expect("kind", [](auto& spec) { spec.kind = "unheard-of"; });
+    expect("kind", [](auto& spec) { spec.kind = "tally"; });
+    expect("home_region", [](auto& spec) { spec.home_region = "east"; });
+    expect("task_count", [](auto& spec) { spec.task_count = 0; });
+    expect("task_count", [](auto& spec) { spec.task_count = 10'001; });
+    expect("demand.millicores", [](auto& spec) { spec.demand = {}; });
+    expect("run_time_ms", [](auto& spec) { spec.run_time_ms = 0; });
+    expect("run_time_ms", [](auto& spec) { spec.run_time_ms = 604'800'001; });
+}
+
+// Guards against an evicted task that is lost, runs twice or starts over.
+TEST_F(batch_shard, evicted_task_resumes_exactly_once)
+{
+    owner.submit(bench::spec("job", 1, 4000));
+    ASSERT_EQ(owner.starts.size(), 1U);
+    auto const worker = owner.start_calls[0].worker;
+    owner.answer_controls = false;
+    bool room = false;
+    owner.run([&](context& step) {
+        room = batch::make_room(step, worker, {1000, 0, 0});
+    });
+    EXPECT_TRUE(room);
+    ASSERT_EQ(owner.controls.size(), 1U);
+    EXPECT_EQ(owner.controls[0].action, task_action::evict);
+    auto const evicted = bench::report("job/0", 1, task_state::evicted, 700);
+    worker_reply reply;
+    reply.tasks = {evicted};
+    owner.answer(owner.control_calls[0], reply);
+    owner.renew(worker, {evicted});
+    owner.pass(2000);
+    owner.renew(worker, {evicted});
+    owner.pass(2000);
+    ASSERT_EQ(owner.starts.size(), 2U);
+    EXPECT_EQ(owner.starts[1].attempt, 2U);
+    EXPECT_EQ(owner.starts[1].task.checkpoint_ms, 700);
+    EXPECT_NE(owner.start_calls[1].worker, worker);
+    owner.renew(worker, {bench::report("job/0", 1, task_state::finished)});
+    owner.pass(2000);
+    EXPECT_EQ(owner.status("job").finished, 0U);
+    EXPECT_EQ(owner.status("job").evictions, 1U);
+}
+
+// Guards against a finish that counts twice, and against a worker that forgets
+// one before it is durable.
+TEST_F(batch_shard, finish_counts_once_and_is_durable_first)
+{
+    owner.submit(bench::spec("job", 2));
+    auto const worker = owner.start_calls.at(0).worker;
+    auto const finish =
+        bench::report(owner.starts[0].task.id, 1, task_state::finished);
+    owner.renew(worker, {finish});
+    owner.renew(worker, {finish});
+    EXPECT_TRUE(batch::acknowledged(owner.state, worker).empty());
+    EXPECT_EQ(owner.status("job").finished, 0U);
+    owner.pass(3000);
+    owner.renew(worker, {finish});
+    owner.pass(3000);
+    EXPECT_EQ(owner.status("job").finished, 1U);
+    EXPECT_EQ(batch::acknowledged(owner.state, worker).size(), 1U);
+    owner.renew(worker);
+    EXPECT_TRUE(batch::acknowledged(owner.state, worker).empty());
+    EXPECT_EQ(owner.starts.size(), 2U);
+}
+
+// Guards against a job that is reported both cancelled and finished.
+TEST_F(batch_shard, cancellation_and_completion_have_one_winner)
+{
+    owner.submit(bench::spec("late"));
+    owner.submit(bench::spec("early"));
+    ASSERT_EQ(owner.starts.size(), 2U);
+    auto const finish = [&](std::size_t start) {
+        owner.renew(owner.start_calls[start].worker,
+                    {bench::report(owner.starts[start].task.id, 1,
+                                   task_state::finished)});
+    };
+    finish(0);
+    auto const refused = owner.request(cancel_job{"late", "north"});
+    auto const cancelled = owner.request(cancel_job{"early", "north"});
+    finish(1);
+    owner.pass(3000);
+    EXPECT_EQ(owner.replies.at(refused).status, call_status::refused);
+    EXPECT_EQ(owner.status("late").state, job_state::finished);
+    EXPECT_EQ(owner.replies.at(cancelled).status, call_status::ok);
+    EXPECT_EQ(owner.status("early").state, job_state::cancelled);
+    EXPECT_EQ(owner.status("early").finished, 0U);
+}
+
+// Guards against cancelled tasks that go on running.
+TEST_F(batch_shard, cancellation_stops_running_tasks)
+{
+    owner.submit(bench::spec("job", 20));
+    EXPECT_EQ(owner.status("job").running, 8U);
+    owner.request(cancel_job{"job", "north"});
+    owner.pass(3000);
+    EXPECT_EQ(owner.controls.size(), 8U);
+    EXPECT_EQ(owner.status("job").running, 0U);
+    EXPECT_EQ(batch::waiting_tasks(owner.state, bench::shard), 0U);
+    owner.pass(10'000);
+    EXPECT_EQ(owner.starts.size(), 8U);
+}
+
+// Guards against a job that can never run and stops those behind it.
+TEST_F(batch_shard, job_that_can_never_run_does_not_block)
+{
+    owner.submit(bench::spec("giant", 1, 4001));
+    owner.submit(bench::spec("small"));
+    EXPECT_EQ(owner.status("giant").state, job_state::parked);
+    EXPECT_FALSE(owner.status("giant").reason.empty());
+    EXPECT_EQ(owner.status("small").running, 1U);
+}
+
+// Guards against a large job that small ones keep waiting for ever.
+TEST_F(batch_shard, large_job_does_not_starve)
+{
+    owner.submit(bench::spec("small", 100));
+    owner.submit(bench::spec("large", 1, 4000));
+    for (int round = 0; round < 200 && owner.status("large").running == 0;
+         ++round)
+    {
+        // One task ends each second, so a whole worker is never free unless
+        // it is kept free.
+        owner.pass(1000);
+        auto const index = static_cast<std::size_t>(round);
+        owner.renew(owner.start_calls.at(index).worker,
+                    {bench::report(owner.starts[index].task.id, 1,
+                                   task_state::finished)});
+    }
+    EXPECT_EQ(owner.status("large").running, 1U);
+    EXPECT_LT(owner.status("small").finished, 60U);
+}
+
+// Guards against a team that holds more than its quota.
+TEST_F(batch_shard, quota_bounds_a_team)
+{
+    owner.state.policy.record.current.quotas = {{"kitchen", 3000}};
+    owner.submit(bench::spec("job", 10));
+    EXPECT_EQ(owner.status("job").running, 3U);
+    auto other = bench::spec("other", 2);
+    other.team = "garden";
+    owner.submit(other);
+    EXPECT_EQ(owner.status("other").running, 2U);
+}
+
+// Guards against a team with many jobs that keeps the others out.
+TEST_F(batch_shard, teams_share_fairly)
+{
+    owner.request(bench::spec("many", 100));
+    auto other = bench::spec("few", 100);
+    other.team = "garden";
+    owner.request(other);
+    owner.pass(3000);
+    EXPECT_EQ(owner.status("many").running, 4U);
+    EXPECT_EQ(owner.status("few").running, 4U);
+}
+
+// Guards against a task in two places after the answer of its start was lost.
+TEST_F(batch_shard, lost_start_is_resolved_by_the_worker)
+{
+    owner.answer_starts = false;
+    owner.answer_controls = false;
+    owner.submit(bench::spec("job"));
+    ASSERT_EQ(owner.starts.size(), 1U);
+    auto const worker = owner.start_calls[0].worker;
+    owner.lose(owner.start_calls[0]);
+    owner.pass(3000);
+    ASSERT_EQ(owner.controls.size(), 1U);
+    worker_reply unknown;
+    unknown.outcome = worker_outcome::unknown_task;
+    owner.answer(owner.control_calls[0], unknown);
+    owner.renew(worker);
+    owner.pass(3000);
+    EXPECT_EQ(owner.starts.size(), 1U);
+    owner.renew(worker);
+    owner.pass(3000);
+    ASSERT_EQ(owner.starts.size(), 2U);
+    EXPECT_EQ(owner.starts[1].attempt, 2U);
+}
+
+// Guards against a finish that is lost because the worker first said that it
+// does not run the task.
+TEST_F(batch_shard, finish_after_a_lost_start_counts)
+{
+    owner.answer_starts = false;
+    owner.submit(bench::spec("job"));
+    auto const worker = owner.start_calls.at(0).worker;
+    owner.answer_controls = false;
+    owner.lose(owner.start_calls[0]);
+    owner.pass(3000);
+    worker_reply unknown;
+    unknown.outcome = worker_outcome::unknown_task;
+    owner.answer(owner.control_calls.at(0), unknown);
+    owner.renew(worker, {bench::report("job/0", 1, task_state::finished)});
+    owner.pass(3000);
+    EXPECT_EQ(owner.status("job").state, job_state::finished);
+    EXPECT_EQ(owner.starts.size(), 1U);
+}
+
+// Guards against a refused start that is lost, and a failing one that is
+// retried for ever.
+TEST_F(batch_shard, failing_task_parks_its_job)
+{
+    owner.answer_starts = false;
+    owner.submit(bench::spec("job"));
+    worker_reply reply;
+    reply.outcome = worker_outcome::over_limit;
+    owner.answer(owner.start_calls.at(0), reply);
+    owner.pass(1000);
+    ASSERT_EQ(owner.starts.size(), 2U);
+    reply.outcome = worker_outcome::failed;
+    reply.reason = "no disk";
+    for (std::size_t start = 1; start < 4; ++start)
+    {
+        ASSERT_GT(owner.starts.size(), start);
+        owner.answer(owner.start_calls[start], reply);
+        owner.pass(10'000);
+        // Both workers have forgotten the attempt.
+        owner.renew("w0");
+        owner.renew("w1");
+        owner.pass(2000);
+    }
+    EXPECT_EQ(owner.starts.size(), 4U);
+    EXPECT_EQ(owner.status("job").state, job_state::parked);
+    EXPECT_NE(owner.status("job").reason.find("no disk"), std::string::npos);
+}
+
+// Guards against tasks of a vanished worker that are lost.
+TEST_F(batch_shard, tasks_restart_when_the_lease_has_lapsed)
+{
+    owner.submit(bench::spec("job"));
+    auto const worker = owner.start_calls.at(0).worker;
+    owner.links().at(worker).fenced = false;
+    owner.pass(20'000);
+    EXPECT_EQ(owner.starts.size(), 1U);
+    owner.run([&](context& step) {
+        batch::on_lease_lapsed(step, bench::shard, worker);
+    });
+    owner.pass(2000);
+    ASSERT_EQ(owner.starts.size(), 2U);
+    EXPECT_NE(owner.start_calls[1].worker, worker);
+    EXPECT_EQ(owner.starts[1].attempt, 2U);
+}
+
+// Guards against steps on one lagging report, and against more than one step
+// a report.
+TEST_F(batch_shard, interference_ladder)
+{
+    owner.submit(bench::spec("job"));
+    auto const worker = owner.start_calls.at(0).worker;
+    std::uint64_t generation = 0;
+    auto const report = [&](std::int64_t slowdown) {
+        usage_report usage;
+        usage.generation = ++generation;
+        usage.tasks = {{"tally-1", "tally", 500, 50, slowdown}};
+        owner.run([&](context& step) { batch::on_usage(step, worker, usage); });
+        owner.run([&](context& step) { batch::on_usage(step, worker, usage); });
+    };
+    for (auto const slowdown : {1600, 1400, 1600, 1600, 1600, 1300, 1100, 1100})
+    {
+        report(slowdown);
+    }
+    std::vector<task_action> actions;
+    for (auto const& control : owner.controls)
+    {
+        actions.push_back(control.action);
+    }
+    EXPECT_EQ(actions,
+              (std::vector{task_action::throttle, task_action::checkpoint,
+                           task_action::unthrottle}));
+    for (int step = 0; step < 4; ++step)
+    {
+        report(1600);
+    }
+    EXPECT_EQ(owner.controls.back().action, task_action::evict);
+}
+
+// Guards against a takeover that loses jobs, starts a running task again, or
+// starts one that a worker which did not answer may run.
+TEST(batch_restart, journal_and_inventories_rebuild_the_shard)
+{
+    ring_store store;
+    {
+        bench first(store);
+        first.acquire();
+        first.submit(bench::spec("job", 3));
+        ASSERT_EQ(first.starts.size(), 3U);
+        first.renew(first.start_calls[2].worker,
+                    {bench::report("job/2", 1, task_state::finished)});
+        first.pass(2000);
+    }
+    bench second(store, 2, 2);
+    // An old end of a task does not tell that no later attempt runs.
+    second.acquire(
+        {{"w0",
+          {bench::report("job/0", 1, task_state::running),
+           bench::report("job/1", 1, task_state::lease_lapsed, 500)}}});
+    second.pass(5000);
+    EXPECT_TRUE(second.starts.empty());
+    EXPECT_EQ(second.status("job").running, 1U);
+    EXPECT_EQ(second.status("job").finished, 1U);
+    second.pass(20'000);
+    EXPECT_TRUE(second.starts.empty());
+    second.run([](context& step) {
+        batch::on_lease_lapsed(step, bench::shard, "w1");
+    });
+    second.pass(5000);
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts[0].task.id, "job/1");
+    EXPECT_EQ(second.starts[0].attempt, 2U);
+    EXPECT_EQ(second.starts[0].task.checkpoint_ms, 500);
+}
+
+} // namespace
+
+} // namespace jaydrift::decide
