--- a/src/jaydrift/decide/batch_bench_test.hpp
+++ b/src/jaydrift/decide/batch_bench_test.hpp
@@ -1,6 +1,7 @@
 #ifndef JAYDRIFT_DECIDE_BATCH_BENCH_TEST_HPP
 #define JAYDRIFT_DECIDE_BATCH_BENCH_TEST_HPP
 
+#include "batch_setup_test.hpp"
 #include "ring_store_test.hpp"
 
 #include <jaydrift/decide/batch.hpp>
@@ -26,10 +27,10 @@
     explicit batch_bench(ring_store& store, int workers = 2,
                          std::uint64_t epoch = 1,
                          time_ms start = time_ms(1'000'000))
-        : now(start), state(settings()), store_(store)
+        : now(start), state(one_shard_settings()), store_(store)
     {
         state.membership.store_answers = true;
-        state.policy.record.current = policy();
+        state.policy.record.current = open_zone_policy();
         list_workers(workers);
         auto& mine = state.ownership.shards[shard].mine.emplace();
         mine.phase = shard_phase::serving;
@@ -185,29 +186,6 @@
     bool store_answers_are_lost = false;
 
 private:
-    static daemon_settings settings()
-    {
-        daemon_settings settings;
-        settings.self = {"a", "127.0.0.1:1", "north", "arima"};
-        settings.regions = {"north"};
-        settings.shards_per_region = 1;
-        return settings;
-    }
-
-    static policy_document policy()
-    {
-        policy_document policy;
-        policy.version = 1;
-        policy.zones = {{"arima", "north", true}};
-        policy.kinds = {{"menu_plan", task_class::batch, true, {}},
-                        {"archive_sweep", task_class::background, true, {}},
-                        {"tally", task_class::urgent, false, {}}};
-        policy.shares = {{task_class::urgent, 100},
-                         {task_class::batch, 100},
-                         {task_class::background, 100}};
-        return policy;
-    }
-
     void list_workers(int count)
     {
         store_reply reply;
--- a/src/jaydrift/decide/batch_placement.cpp
+++ b/src/jaydrift/decide/batch_placement.cpp
@@ -74,7 +74,7 @@
 {
 public:
     explicit scheduling_pass(shard_step const& at)
-        : at_(at), workers_(workers::of_shard(at.step.state, at.shard))
+        : at_(at), workers_(workers::names_of_shard(at.step.state, at.shard))
     {
         for (auto const& [key, jobs] : at.work.queues)
         {
@@ -239,7 +239,7 @@
     }
 
     shard_step const& at_;
-    std::vector<std::string> workers_;
+    std::span<std::string const> workers_;
     std::vector<queue_line> lines_;
     std::uint32_t failed_ = 0;
 };
--- a/src/jaydrift/decide/batch_recovery.cpp
+++ b/src/jaydrift/decide/batch_recovery.cpp
@@ -114,7 +114,7 @@
     // then.
     auto const lapsed =
         ownership::acquired_at(state, at.shard) + state.settings.idle_lease;
-    auto const names = workers::of_shard(state, at.shard);
+    auto const names = workers::names_of_shard(state, at.shard);
     return at.step.now >= lapsed
            && std::all_of(names.begin(), names.end(), [&](auto const& name) {
                   return at.work.covered.contains(name);
@@ -264,60 +264,4 @@
     }
 }
 
-void forget(context& step, shard_id const& shard)
-{
-    auto& state = step.state.batch;
-    auto const found = state.shards.find(shard);
-    if (found == state.shards.end())
-    {
-        return;
-    }
-    shard_step const at{step, shard, found->second};
-    for (auto& [id, job] : found->second.table.jobs)
-    {
-        while (!job.placed.empty())
-        {
-            unplace(at, job, *job.placed.begin());
-        }
-    }
-    for (auto& [name, worker] : state.workers)
-    {
-        std::erase_if(worker.unforgotten, [&](auto const& entry) {
-            return entry.second.shard == shard;
-        });
-    }
-    std::erase_if(state.calls, [&](auto const& entry) {
-        return entry.second.task.shard == shard;
-    });
-    for (auto const& [sequence, entry] : found->second.pending)
-    {
-        answer(step, entry.callers,
-               make_reply(call_status::pending,
-                          "shard " + to_string(shard)
-                              + " changed its owner before the record was "
-                                "known to be durable; ask again with the "
-                                "same ID"));
-    }
-    state.shards.erase(shard);
-}
-
-void on_shard_lost(context& step, shard_id const& shard)
-{
-    if (auto* const work = find_shard(step, shard))
-    {
-        refuse_unsent({step, shard, *work},
-                      time_ms(std::numeric_limits<std::int64_t>::max()),
-                      "shard " + to_string(shard)
-                          + " changes its owner; nothing was written, try "
-                            "again");
-    }
-    forget(step, shard);
-    journal::drop(step, shard);
-}
-
-void on_journal_lost(context& step, shard_id const& shard)
-{
-    forget(step, shard);
-}
-
 } // namespace jaydrift::decide::batch
--- a/src/jaydrift/decide/batch_test.cpp
+++ b/src/jaydrift/decide/batch_test.cpp
@@ -1,24 +1,9 @@
-#include "batch_bench_test.hpp"
-
-#include <gtest/gtest.h>
-
-#include <algorithm>
+#include "batch_shard_test.hpp"
 
 namespace jaydrift::decide {
 
 namespace {
 
-using bench = batch_bench;
-
-class batch_shard : public testing::Test
-{
-protected:
-    batch_shard() { owner.acquire(); }
-
-    ring_store store;
-    bench owner{store};
-};
-
 // Guards against acknowledging a job that a restart would not know.
 TEST_F(batch_shard, acknowledges_only_what_is_durable)
 {
@@ -182,147 +167,6 @@
     EXPECT_EQ(owner.starts.size(), 8U);
 }
 
-// Guards against a job that can never run and stops those behind it.
-TEST_F(batch_shard, job_that_can_never_run_does_not_block)
-{
-    owner.submit(bench::spec("giant", 1, 4001));
-    owner.submit(bench::spec("small"));
-    EXPECT_EQ(owner.status("giant").state, job_state::parked);
-    EXPECT_FALSE(owner.status("giant").reason.empty());
-    EXPECT_EQ(owner.status("small").running, 1U);
-}
-
-// Guards against a large job that small ones keep waiting for ever.
-TEST_F(batch_shard, large_job_does_not_starve)
-{
-    owner.submit(bench::spec("small", 100));
-    owner.submit(bench::spec("large", 1, 4000));
-    for (int round = 0; round < 200 && owner.status("large").running == 0;
-         ++round)
-    {
-        // One task ends each second, so a whole worker is never free unless
-        // it is kept free.
-        owner.pass(1000);
-        auto const index = static_cast<std::size_t>(round);
-        owner.renew(owner.start_calls.at(index).worker,
-                    {bench::report(owner.starts[index].task.id, 1,
-                                   task_state::finished)});
-    }
-    EXPECT_EQ(owner.status("large").running, 1U);
-    EXPECT_LT(owner.status("small").finished, 60U);
-}
-
-// Guards against a team that holds more than its quota.
-TEST_F(batch_shard, quota_bounds_a_team)
-{
-    owner.state.policy.record.current.quotas = {{"kitchen", 3000}};
-    owner.submit(bench::spec("job", 10));
-    EXPECT_EQ(owner.status("job").running, 3U);
-    auto other = bench::spec("other", 2);
-    other.team = "garden";
-    owner.submit(other);
-    EXPECT_EQ(owner.status("other").running, 2U);
-}
-
-// Guards against a team with many jobs that keeps the others out.
-TEST_F(batch_shard, teams_share_fairly)
-{
-    owner.request(bench::spec("many", 100));
-    auto other = bench::spec("few", 100);
-    other.team = "garden";
-    owner.request(other);
-    owner.pass(3000);
-    EXPECT_EQ(owner.status("many").running, 4U);
-    EXPECT_EQ(owner.status("few").running, 4U);
-}
-
-// Guards against a task in two places after the answer of its start was lost.
-TEST_F(batch_shard, lost_start_is_resolved_by_the_worker)
-{
-    owner.answer_starts = false;
-    owner.answer_controls = false;
-    owner.submit(bench::spec("job"));
-    ASSERT_EQ(owner.starts.size(), 1U);
-    auto const worker = owner.start_calls[0].worker;
-    owner.lose(owner.start_calls[0]);
-    owner.pass(3000);
-    ASSERT_EQ(owner.controls.size(), 1U);
-    worker_reply unknown;
-    unknown.outcome = worker_outcome::unknown_task;
-    owner.answer(owner.control_calls[0], unknown);
-    owner.renew(worker);
-    owner.pass(3000);
-    EXPECT_EQ(owner.starts.size(), 1U);
-    owner.renew(worker);
-    owner.pass(3000);
-    ASSERT_EQ(owner.starts.size(), 2U);
-    EXPECT_EQ(owner.starts[1].attempt, 2U);
-}
-
-// Guards against a finish that is lost because the worker first said that it
-// does not run the task.
-TEST_F(batch_shard, finish_after_a_lost_start_counts)
-{
-    owner.answer_starts = false;
-    owner.submit(bench::spec("job"));
-    auto const worker = owner.start_calls.at(0).worker;
-    owner.answer_controls = false;
-    owner.lose(owner.start_calls[0]);
-    owner.pass(3000);
-    worker_reply unknown;
-    unknown.outcome = worker_outcome::unknown_task;
-    owner.answer(owner.control_calls.at(0), unknown);
-    owner.renew(worker, {bench::report("job/0", 1, task_state::finished)});
-    owner.pass(3000);
-    EXPECT_EQ(owner.status("job").state, job_state::finished);
-    EXPECT_EQ(owner.starts.size(), 1U);
-}
-
-// Guards against a refused start that is lost, and a failing one that is
-// retried for ever.
-TEST_F(batch_shard, failing_task_parks_its_job)
-{
-    owner.answer_starts = false;
-    owner.submit(bench::spec("job"));
-    worker_reply reply;
-    reply.outcome = worker_outcome::over_limit;
-    owner.answer(owner.start_calls.at(0), reply);
-    owner.pass(1000);
-    ASSERT_EQ(owner.starts.size(), 2U);
-    reply.outcome = worker_outcome::failed;
-    reply.reason = "no disk";
-    for (std::size_t start = 1; start < 4; ++start)
-    {
-        ASSERT_GT(owner.starts.size(), start);
-        owner.answer(owner.start_calls[start], reply);
-        owner.pass(10'000);
-        // Both workers have forgotten the attempt.
-        owner.renew("w0");
-        owner.renew("w1");
-        owner.pass(2000);
-    }
-    EXPECT_EQ(owner.starts.size(), 4U);
-    EXPECT_EQ(owner.status("job").state, job_state::parked);
-    EXPECT_NE(owner.status("job").reason.find("no disk"), std::string::npos);
-}
-
-// Guards against tasks of a vanished worker that are lost.
-TEST_F(batch_shard, tasks_restart_when_the_lease_has_lapsed)
-{
-    owner.submit(bench::spec("job"));
-    auto const worker = owner.start_calls.at(0).worker;
-    owner.links().at(worker).fenced = false;
-    owner.pass(20'000);
-    EXPECT_EQ(owner.starts.size(), 1U);
-    owner.run([&](context& step) {
-        batch::on_lease_lapsed(step, bench::shard, worker);
-    });
-    owner.pass(2000);
-    ASSERT_EQ(owner.starts.size(), 2U);
-    EXPECT_NE(owner.start_calls[1].worker, worker);
-    EXPECT_EQ(owner.starts[1].attempt, 2U);
-}
-
 // Guards against steps on one lagging report, and against more than one step
 // a report.
 TEST_F(batch_shard, interference_ladder)
@@ -362,20 +206,20 @@
 {
     ring_store store;
     {
-        bench first(store);
+        batch_bench first(store);
         first.acquire();
-        first.submit(bench::spec("job", 3));
+        first.submit(batch_bench::spec("job", 3));
         ASSERT_EQ(first.starts.size(), 3U);
         first.renew(first.start_calls[2].worker,
-                    {bench::report("job/2", 1, task_state::finished)});
+                    {batch_bench::report("job/2", 1, task_state::finished)});
         first.pass(2000);
     }
-    bench second(store, 2, 2);
+    batch_bench second(store, 2, 2);
     // An old end of a task does not tell that no later attempt runs.
     second.acquire(
         {{"w0",
-          {bench::report("job/0", 1, task_state::running),
-           bench::report("job/1", 1, task_state::lease_lapsed, 500)}}});
+          {batch_bench::report("job/0", 1, task_state::running),
+           batch_bench::report("job/1", 1, task_state::lease_lapsed, 500)}}});
     second.pass(5000);
     EXPECT_TRUE(second.starts.empty());
     EXPECT_EQ(second.status("job").running, 1U);
@@ -383,7 +227,7 @@
     second.pass(20'000);
     EXPECT_TRUE(second.starts.empty());
     second.run([](context& step) {
-        batch::on_lease_lapsed(step, bench::shard, "w1");
+        batch::on_lease_lapsed(step, batch_bench::shard, "w1");
     });
     second.pass(5000);
     ASSERT_EQ(second.starts.size(), 1U);
--- a/src/jaydrift/decide/batch_validation.cpp
+++ b/src/jaydrift/decide/batch_validation.cpp
@@ -107,7 +107,7 @@
     }
     auto const share = policy::share(state, job.priority);
     bool known = false;
-    for (auto const& worker : workers::of_shard(state, shard))
+    for (auto const& worker : workers::names_of_shard(state, shard))
     {
         auto const* const vm = workers::find(state, worker);
         if (vm == nullptr)
--- /dev/null
+++ b/src/jaydrift/decide/journal_owner_test.hpp
@@ -0,0 +1,154 @@
+#ifndef JAYDRIFT_DECIDE_JOURNAL_OWNER_TEST_HPP
+#define JAYDRIFT_DECIDE_JOURNAL_OWNER_TEST_HPP
+
+#include "ring_store_test.hpp"
+
+#include <jaydrift/decide/batch.hpp>
+#include <jaydrift/decide/batch_record.hpp>
+#include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/journal.hpp>
+
+#include <deque>
+#include <string>
+#include <variant>
+
+namespace jaydrift::decide {
+
+/// Runs the journal of one owner; its calls wait until they are delivered.
+class journal_owner
+{
+public:
+    static inline shard_id const shard{"north", 1};
+
+    journal_owner(ring_store& store, std::string daemon, std::uint64_t epoch)
+        : store_(store), state_(settings_of(std::move(daemon)))
+    {
+        run([&](context& step) { journal::load(step, shard, epoch); });
+    }
+
+    std::uint64_t append(std::string const& job)
+    {
+        std::uint64_t sequence = 0;
+        submit_record record;
+        record.spec.id = job;
+        run([&](context& step) {
+            sequence = journal::append(step, shard, encode(record));
+        });
+        // As a submission does, so that a durable record becomes a job.
+        state_.batch.shards[shard].pending[sequence].record = record;
+        return sequence;
+    }
+
+    void advance(std::int64_t duration)
+    {
+        now_ += time_ms(duration);
+        run([](context& step) { journal::on_timer(step); });
+    }
+
+    /// Lets the store answer every call in flight.
+    void deliver()
+    {
+        while (!calls_.empty())
+        {
+            auto const call = take();
+            reply(call, store_.answer(call.request));
+        }
+    }
+
+    /// The store acts on the call, but the answer is lost.
+    void lose_answer()
+    {
+        auto const call = take();
+        store_.answer(call.request);
+        fail(call, false);
+    }
+
+    void fail(send_store const& call, bool never_sent)
+    {
+        run([&](context& step) {
+            journal::on_store_failed(step, {call.correlation, never_sent});
+        });
+    }
+
+    send_store take()
+    {
+        auto call = calls_.at(0);
+        calls_.pop_front();
+        return call;
+    }
+
+    /// Lets time pass, with the store answering at once.
+    void settle(std::int64_t duration = 30'000)
+    {
+        for (std::int64_t passed = 0; passed < duration; passed += 250)
+        {
+            advance(250);
+            deliver();
+        }
+    }
+
+    bool withdraw(std::uint64_t sequence)
+    {
+        bool result = false;
+        run([&](context& step) {
+            result = journal::withdraw(step, shard, sequence);
+        });
+        return result;
+    }
+
+    bool ready() const { return journal::ready(state_, shard); }
+
+    std::size_t calls() const { return calls_.size(); }
+
+    std::size_t jobs() const
+    {
+        return state_.batch.shards.at(shard).table.jobs.size();
+    }
+
+    bool knows(std::string const& job) const
+    {
+        auto const found = state_.batch.shards.find(shard);
+        return found != state_.batch.shards.end()
+               && found->second.table.jobs.contains(job);
+    }
+
+private:
+    static daemon_settings settings_of(std::string daemon)
+    {
+        daemon_settings settings;
+        settings.self = {std::move(daemon), "127.0.0.1:1", "north", "arima"};
+        settings.regions = {"north"};
+        return settings;
+    }
+
+    template<class Action>
+    void run(Action action)
+    {
+        effect_list effects;
+        context step{state_, now_, effects};
+        action(step);
+        for (auto const& effect : effects)
+        {
+            if (auto const* const call = std::get_if<send_store>(&effect))
+            {
+                calls_.push_back(*call);
+            }
+        }
+    }
+
+    void reply(send_store const& call, store_reply const& answer)
+    {
+        run([&](context& step) {
+            journal::on_store_replied(step, {call.correlation, answer});
+        });
+    }
+
+    ring_store& store_;
+    daemon_state state_;
+    time_ms now_{1000};
+    std::deque<send_store> calls_;
+};
+
+} // namespace jaydrift::decide
+
+#endif // JAYDRIFT_DECIDE_JOURNAL_OWNER_TEST_HPP
