--- a/src/jaydrift/decide/renewal.cpp
+++ b/src/jaydrift/decide/renewal.cpp
@@ -217,6 +217,7 @@
     if (view.mine && view.mine->acquired_at)
     {
         batch::on_reports(step, worker, reply.tasks);
+        batch::on_usage(step, worker, reply.usage);
     }
 }
 
