--- /dev/null
+++ b/src/jaydrift/decide/batch_property_test.cpp
@@ -0,0 +1,27 @@
+#include "faulty_shard_test.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace jaydrift::decide {
+
+namespace {
+
+// Guards against any order of lost messages, lapsed leases, evictions,
+// takeovers and store failures that loses a task or runs it in two places.
+RC_GTEST_PROP(batch_faults, tasks_run_once_and_finish, (std::uint64_t seed))
+{
+    faulty_shard shard(seed);
+    for (int number = 0; number < 120; ++number)
+    {
+        shard.step();
+        RC_ASSERT(shard.runs_once());
+    }
+    shard.recover();
+    RC_ASSERT(shard.runs_once());
+    RC_ASSERT(shard.all_finished());
+}
+
+} // namespace
+
+} // namespace jaydrift::decide
