Hand the query of an HTTP request to its handler

Cause: fault controls of the stand-ins carry their value in the query, which the HTTP server dropped. Change: http_request has the decoded parameters of the query.

--- a/include/jaydrift/net/http_request.hpp
+++ b/include/jaydrift/net/http_request.hpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace jaydrift::net {
 
@@ -17,6 +19,8 @@
     std::string path;
     http_headers headers;
     std::string body;
+    /// Names and values of the query, decoded.
+    std::vector<std::pair<std::string, std::string>> parameters;
 
     /// The value of a header, whose name is compared without regard to case.
     std::optional<std::string_view> header(std::string_view name) const;
--- a/src/jaydrift/net/http_protocol.cpp
+++ b/src/jaydrift/net/http_protocol.cpp
@@ -204,8 +204,11 @@
     void run(httplib::Request const& request, std::string body,
              httplib::Response& out) const
     {
-        answer_with(handle_({request.method, request.path,
-                             copy_headers(request.headers), std::move(body)}),
+        answer_with(handle_({request.method,
+                             request.path,
+                             copy_headers(request.headers),
+                             std::move(body),
+                             {request.params.begin(), request.params.end()}}),
                     out);
     }
 
--- a/src/jaydrift/net/http_server_test.cpp
+++ b/src/jaydrift/net/http_server_test.cpp
@@ -80,6 +80,23 @@
     EXPECT_NE(client.headers().find("Echo: /c d\r\n"), std::string::npos);
 }
 
+// Guards against a query that is lost, left encoded or taken for a part of the
+// path.
+TEST(http_server, query_is_told_apart_from_the_path)
+{
+    http_server server({}, [](http_request const& request) {
+        auto text = request.path;
+        for (auto const& [name, value] : request.parameters)
+        {
+            text += ' ' + name + ' ' + value;
+        }
+        return http_response{200, {}, text};
+    });
+    EXPECT_EQ(post(server.port(), "/a/b?value=1,2&x=y", "c=d").body,
+              "/a/b value 1,2 x y");
+    EXPECT_EQ(post(server.port(), "/a", "").body, "/a");
+}
+
 // Guards against a stop that cuts off a request in flight.
 TEST(http_server, stop_waits_for_requests_in_flight)
 {
