--- a/include/jaydrift/app/control_parameters.hpp
+++ b/include/jaydrift/app/control_parameters.hpp
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace jaydrift::app {
 
@@ -13,8 +15,9 @@
 class control_parameters
 {
 public:
-    /// Reads `name=value` pairs, separated by `&`; values are not encoded.
-    explicit control_parameters(std::string_view text);
+    /// Takes names with their values; the first value of a name counts.
+    explicit control_parameters(
+        std::span<std::pair<std::string, std::string> const> pairs);
 
     /// @throws std::invalid_argument if the parameter is missing or empty.
     std::string const& text(std::string_view name) const;
--- a/include/jaydrift/app/standin_controls.hpp
+++ b/include/jaydrift/app/standin_controls.hpp
@@ -33,7 +33,7 @@
 standin::backend_event backend_control(std::string_view name,
                                        control_parameters const& parameters);
 
-/// Prints the parameters with which a worker registers in the VM list.
+/// Prints the query with which a worker registers in the VM list.
 std::string print_registration(vm_info const& vm);
 
 } // namespace jaydrift::app
--- a/src/jaydrift/app/control_parameters.cpp
+++ b/src/jaydrift/app/control_parameters.cpp
@@ -6,16 +6,10 @@
 
 namespace jaydrift::app {
 
-control_parameters::control_parameters(std::string_view text)
+control_parameters::control_parameters(
+    std::span<std::pair<std::string, std::string> const> pairs)
+    : values_(pairs.begin(), pairs.end())
 {
-    for (auto const pair : split(text, '&'))
-    {
-        auto const at = pair.find('=');
-        if (at != std::string_view::npos)
-        {
-            values_.emplace(pair.substr(0, at), pair.substr(at + 1));
-        }
-    }
 }
 
 std::string const& control_parameters::text(std::string_view name) const
--- a/src/jaydrift/app/standin_front_end.cpp
+++ b/src/jaydrift/app/standin_front_end.cpp
@@ -59,7 +59,7 @@
 {
     try
     {
-        handlers_.control(name, control_parameters(request.body));
+        handlers_.control(name, control_parameters(request.parameters));
     }
     catch (std::invalid_argument const& wrong)
     {
--- a/src/jaydrift/app/standin_process_test.cpp
+++ b/src/jaydrift/app/standin_process_test.cpp
@@ -82,10 +82,11 @@
         send<Service>(thread, port, std::move(request)).get());
 }
 
-int control(std::uint16_t port, std::string_view name, std::string_view body)
+int control(std::uint16_t port, std::string const& name,
+            std::string const& value)
 {
     auto const result = net::http_post(
-        local(port), "/control/" + std::string(name), {}, body, 10'000_ms);
+        local(port), "/control/" + name + "?value=" + value, {}, "", 10'000_ms);
     return std::get<net::http_response>(result).status;
 }
 
@@ -171,18 +172,18 @@
 {
     platform all;
     auto const port = all.store->rpc_port();
-    EXPECT_EQ(control(all.store->http_port(), "outage", "value=1"), 200);
+    EXPECT_EQ(control(all.store->http_port(), "outage", "1"), 200);
     auto const lost =
         send<net::store_service>(all.thread, port, read_request{""}, 200_ms)
             .get();
     ASSERT_TRUE(std::holds_alternative<net::rpc_failure>(lost));
     EXPECT_FALSE(std::get<net::rpc_failure>(lost).never_sent);
-    EXPECT_EQ(control(all.store->http_port(), "outage", "value=0"), 200);
+    EXPECT_EQ(control(all.store->http_port(), "outage", "0"), 200);
     EXPECT_EQ(
         call<net::store_service>(all.thread, port, read_request{""}).outcome,
         store_outcome::ok);
-    EXPECT_EQ(control(all.store->http_port(), "outage", "value=2"), 400);
-    EXPECT_EQ(control(all.store->http_port(), "no-such", "value=1"), 400);
+    EXPECT_EQ(control(all.store->http_port(), "outage", "2"), 400);
+    EXPECT_EQ(control(all.store->http_port(), "no-such", "1"), 400);
 }
 
 // Guards against a planned stop that cuts off a request in flight.
@@ -190,7 +191,7 @@
 {
     platform all;
     all.lease();
-    control(all.backend->http_port(), "slow", "value=300");
+    EXPECT_EQ(control(all.backend->http_port(), "slow", "300"), 200);
     auto answer = send<net::worker_service>(all.thread, all.worker->rpc_port(),
                                             urgent("r1", ""));
     // Control calls are handled in order, so this one waits for the start.
--- a/src/jaydrift/app/worker_process.cpp
+++ b/src/jaydrift/app/worker_process.cpp
@@ -148,9 +148,9 @@
         }
         auto vm = options_.vm;
         vm.address = address;
-        auto const result =
-            net::http_post(options_.vm_list, "/control/register", {},
-                           print_registration(vm), registration_timeout);
+        auto const result = net::http_post(
+            options_.vm_list, "/control/register?" + print_registration(vm), {},
+            "", registration_timeout);
         auto const* response = std::get_if<net::http_response>(&result);
         if (response == nullptr || response->status != 200)
         {
