Bound the answers that a worker stand-in keeps

Cause: answers of up to 16 MB kept for 10 minutes make an inventory that exceeds the 64 MB of an RPC message, so that no fence would succeed. Change: beyond 16 MiB the oldest answers are dropped and their requests reported as failed, which an owner answers as unknown.

--- a/include/jaydrift/standin/worker_settings.hpp
+++ b/include/jaydrift/standin/worker_settings.hpp
@@ -17,6 +17,9 @@
     /// An ended task is remembered this long, so that it is not started again.
     time_ms retention{600'000};
     time_ms usage_interval{1'000};
+    /// Bytes of answers that are kept, so that an inventory fits in a message;
+    /// beyond it, the oldest requests are reported as failed.
+    std::size_t answer_bytes = std::size_t{16} << 20U;
 };
 
 } // namespace jaydrift::standin
--- a/include/jaydrift/standin/worker_state.hpp
+++ b/include/jaydrift/standin/worker_state.hpp
@@ -11,6 +11,7 @@
 #include <jaydrift/standin/task_run.hpp>
 #include <jaydrift/standin/worker_settings.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -34,6 +35,9 @@
     std::map<std::string, task_run, std::less<>> runs;
     std::set<std::string, std::less<>> running;
     std::deque<ended_run> ended;
+    /// Urgent requests whose answers are kept, oldest first.
+    std::deque<std::string> answered;
+    std::size_t answer_bytes = 0;
     /// Time up to which the work done is counted.
     time_ms progressed_to;
     resources used;
--- a/src/jaydrift/standin/worker_property_test.cpp
+++ b/src/jaydrift/standin/worker_property_test.cpp
@@ -27,7 +27,7 @@
     case 3:
         return executor_answered{
             id, attempt, static_cast<executor_result>(*rc::gen::inRange(0, 3)),
-            ""};
+            "a"};
     case 4:
         return worker_called{0, control_request{by, id, attempt,
                                                 static_cast<task_action>(
@@ -53,6 +53,8 @@
 RC_GTEST_PROP(worker, never_exceeds_capacity_nor_runs_a_task_twice, ())
 {
     auto worker = leased_worker();
+    worker.state.settings.answer_bytes = 2;
+    worker.state.settings.retention = 500_ms;
     auto const steps = *rc::gen::inRange(1, 150);
     for (int i = 0; i < steps; ++i)
     {
@@ -62,6 +64,7 @@
         RC_ASSERT(fits(worker.state.used, worker.state.settings.capacity));
         RC_ASSERT(fits(worker.state.max_used, worker.state.settings.capacity));
         RC_ASSERT(!has_overlapping_runs(worker.state.log));
+        RC_ASSERT(worker.state.answer_bytes <= 2U);
         RC_ASSERT(next_timer(worker.state) > worker.now);
     }
 }
--- a/src/jaydrift/standin/worker_tasks.cpp
+++ b/src/jaydrift/standin/worker_tasks.cpp
@@ -68,6 +68,37 @@
     step.state.runs.erase(run.task.id);
 }
 
+/// Drops the oldest answer. Its request keeps its ID, but ended without a
+/// result that anyone can still get.
+void drop_oldest_answer(worker_state& state)
+{
+    auto& run = state.runs.find(state.answered.front())->second;
+    state.answer_bytes -= run.answer.size();
+    run.answer.clear();
+    run.state = task_state::failed;
+    state.answered.pop_front();
+}
+
+void keep_answer(worker_state& state, task_run const& run)
+{
+    state.answered.push_back(run.task.id);
+    state.answer_bytes += run.answer.size();
+    while (state.answer_bytes > state.settings.answer_bytes)
+    {
+        drop_oldest_answer(state);
+    }
+}
+
+/// Requests are forgotten in the order in which they were answered.
+void forget(worker_state& state, std::string const& task)
+{
+    if (!state.answered.empty() && state.answered.front() == task)
+    {
+        drop_oldest_answer(state);
+    }
+    state.runs.erase(task);
+}
+
 /// An urgent request is reported to its caller and in inventories only.
 bool may_forget(task_run const& run)
 {
@@ -129,7 +160,8 @@
     {
     case executor_result::finished:
         run.answer = event.answer;
-        return end(step, run, task_state::finished);
+        end(step, run, task_state::finished);
+        return keep_answer(step.state, run);
     case executor_result::failed:
         return end(step, run, task_state::failed, event.answer);
     case executor_result::not_run:
@@ -150,7 +182,7 @@
         if (found != state.runs.end() && found->second.ended_at == old.ended_at
             && may_forget(found->second))
         {
-            state.runs.erase(found);
+            forget(state, old.task);
         }
     }
 }
--- a/src/jaydrift/standin/worker_tasks_test.cpp
+++ b/src/jaydrift/standin/worker_tasks_test.cpp
@@ -45,6 +45,28 @@
     EXPECT_EQ(worker.call(fence_request{term(2)}).tasks.at(0).answer, "answer");
 }
 
+// Guards against an inventory that is too large for a message, and against an
+// empty answer that is taken for a result.
+TEST(worker, drops_the_oldest_answers_beyond_its_limit)
+{
+    auto worker = leased_worker(10'000'000_ms);
+    worker.state.settings.answer_bytes = 10;
+    for (std::string const id : {"u1", "u2", "u3"})
+    {
+        worker.send(start(id, 1, task_class::urgent));
+        worker.apply(
+            executor_answered{id, 1, executor_result::finished, "12345"});
+        worker.now += 1_ms;
+    }
+    auto const tasks = worker.call(fence_request{term(2)}).tasks;
+    EXPECT_EQ(tasks.at(0).state, task_state::failed);
+    EXPECT_EQ(tasks.at(1).answer, "12345");
+    EXPECT_EQ(tasks.at(2).answer, "12345");
+    worker.pass(600'000_ms);
+    EXPECT_TRUE(worker.state.runs.empty());
+    EXPECT_EQ(worker.state.answer_bytes, 0U);
+}
+
 // Guards against an answer of `failed`, which may have run, for a request that
 // the executor refused.
 TEST(worker, forgets_a_start_that_the_executor_refused)
