--- a/src/jaydrift/app/command_session.cpp
+++ b/src/jaydrift/app/command_session.cpp
@@ -124,10 +124,11 @@
     }
     catch (operator_error const& fault)
     {
-        input_.errors << "jaydriftctl: " << fault.what();
+        input_.errors << "jaydriftctl: " << fault.what()
+                      << "; repeat the command";
         if (uses_token_)
         {
-            input_.errors << "; repeat with --token " << token_;
+            input_.errors << " with --token " << token_;
         }
         input_.errors << '\n';
         return 1;
