--- a/src/jaydrift/app/timeline_command.cpp
+++ b/src/jaydrift/app/timeline_command.cpp
@@ -34,7 +34,9 @@
                   "Files with the time lines of stand-ins, as JSON lines, "
                   "separated by commas.",
                   presence::optional);
-    settings.name("request", target.request, "Only events of this request.",
+    settings.name("request", target.request,
+                  "Only events of this request, which workers run as a task "
+                  "with the same ID.",
                   presence::optional);
     settings.name("task", target.task, "Only events of this task.",
                   presence::optional);
@@ -87,6 +89,15 @@
     return complete;
 }
 
+bool matches(timeline_event const& event, timeline_settings const& chosen)
+{
+    auto const in_request = chosen.request.empty()
+                            || event.request == chosen.request
+                            || event.task == chosen.request;
+    auto const in_task = chosen.task.empty() || event.task == chosen.task;
+    return in_request && in_task;
+}
+
 } // namespace
 
 int timeline_command(command_input const& input)
@@ -108,8 +119,7 @@
     auto const read = read_files(chosen.files, input.errors, parts);
     auto events = merge_timelines(std::move(parts));
     std::erase_if(events, [&](timeline_event const& event) {
-        return (!chosen.request.empty() && event.request != chosen.request)
-               || (!chosen.task.empty() && event.task != chosen.task);
+        return !matches(event, chosen);
     });
     input.output << (session.json() ? timeline_lines(events)
                                     : timeline_table(events));
