Treat a restarted or gone worker as a gap in the inventory of requests

The worker that ran it died and restarted with nothing remembered; the next owner fenced it, took the inventory as complete and ran the repeat. The time of issue was also compared with the daemon's monotonic clock, although callers send their wall clock, so that every request looked newer than the takeover. Change: a worker tells whether it remembers its whole retention time; a VM that restarted or went within that time leaves IDs unknown unless they were issued after the takeover. The edges of a daemon turn the time of issue into its own clock and back.

--- a/include/jaydrift/app/daemon_interpreter.hpp
+++ b/include/jaydrift/app/daemon_interpreter.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <variant>
 
+#include <jaydrift/app/caller_clock.hpp>
 #include <jaydrift/app/daemon_transport.hpp>
 #include <jaydrift/app/effect_names.hpp>
 #include <jaydrift/app/event_queue.hpp>
@@ -65,6 +66,10 @@
 
     void run(decide::send_peer effect)
     {
+        if (auto* const execute = std::get_if<execute_request>(&effect.request))
+        {
+            to_wall_clock(execute->request);
+        }
         transport_.call_peer(
             std::move(effect.address), std::move(effect.request),
             effect.timeout,
--- a/include/jaydrift/core/worker_reply.hpp
+++ b/include/jaydrift/core/worker_reply.hpp
@@ -32,6 +32,10 @@
     resources capacity;
     resources used;
 
+    /// The worker remembers every task of its retention time. It does not after
+    /// a restart, so a task that it does not name may have run there.
+    bool remembers_all = true;
+
     /// The VM is leaving and takes no new work.
     bool leaving = false;
 
--- a/include/jaydrift/decide/ownership.hpp
+++ b/include/jaydrift/decide/ownership.hpp
@@ -74,6 +74,11 @@
 time_ms acquired_at(daemon_state const& state, shard_id const& shard);
 bool inventory_complete(daemon_state const& state, shard_id const& shard);
 
+/// Tells whether the inventory names every request ID that an earlier owner may
+/// have started: no worker had restarted or gone within the retention time.
+bool request_inventory_complete(daemon_state const& state,
+                                shard_id const& shard);
+
 /// Returns the shards that this daemon serves, with the policy version that is
 /// in force there.
 std::vector<owned_shard> owned(daemon_state const& state, time_ms now);
--- a/include/jaydrift/decide/worker_link.hpp
+++ b/include/jaydrift/decide/worker_link.hpp
@@ -23,6 +23,9 @@
     /// The worker's tasks were told during this term.
     bool inventoried = false;
 
+    /// The worker had restarted, so its inventory may lack ended tasks.
+    bool forgot_tasks = false;
+
     /// Outstanding fence; 0 means none.
     std::uint64_t fence_call = 0;
 
--- a/include/jaydrift/decide/workers.hpp
+++ b/include/jaydrift/decide/workers.hpp
@@ -43,6 +43,10 @@
 std::span<std::string const> names_of_shard(daemon_state const& state,
                                             shard_id const& shard);
 
+/// Tells whether a VM of the shard has gone since a time.
+bool any_gone_since(daemon_state const& state, shard_id const& shard,
+                    time_ms since);
+
 /// Tells whether a worker may be given work: it is live, not leaving, its
 /// availability zone is open and it is not quarantined.
 bool usable(daemon_state const& state, std::string_view worker, time_ms now);
--- a/include/jaydrift/standin/worker_state.hpp
+++ b/include/jaydrift/standin/worker_state.hpp
@@ -16,6 +16,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -31,6 +32,9 @@
     std::map<shard_id, shard_term> shards;
     std::uint64_t policy_version = 0;
 
+    /// When the worker began to remember tasks; set by its first event.
+    std::optional<time_ms> started_at;
+
     /// Running and remembered tasks by ID.
     std::map<std::string, task_run, std::less<>> runs;
     std::set<std::string, std::less<>> running;
--- a/schema/jaydrift.capnp
+++ b/schema/jaydrift.capnp
@@ -382,6 +382,7 @@
   tasks @8 :List(TaskReport);
   usage @9 :UsageReport;
   answer @10 :Data;           # bytes
+  remembersAll @11 :Bool = true;  # false for the retention time after a restart
 }
 
 # Peer
--- a/schema/jaydrift.capnp.h
+++ b/schema/jaydrift.capnp.h
@@ -5831,6 +5831,8 @@
   inline bool hasAnswer() const;
   inline  ::capnp::Data::Reader getAnswer() const;
 
+  inline bool getRemembersAll() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5916,6 +5918,9 @@
   inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
 
+  inline bool getRemembersAll();
+  inline void setRemembersAll(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12857,6 +12862,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool WorkerReply::Reader::getRemembersAll() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, true);
+}
+
+inline bool WorkerReply::Builder::getRemembersAll() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, true);
+}
+inline void WorkerReply::Builder::setRemembersAll(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value, true);
+}
+
 inline bool OwnedShard::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/jaydrift/app/daemon_edge.cpp
+++ b/src/jaydrift/app/daemon_edge.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include <jaydrift/app/caller_clock.hpp>
 #include <jaydrift/app/effect_names.hpp>
 #include <jaydrift/app/metrics.hpp>
 #include <jaydrift/app/open_calls.hpp>
@@ -96,6 +97,7 @@
 void daemon_edge::on_request(urgent_request request,
                              net::responder<request_result> respond)
 {
+    to_local_clock(request);
     admit<decide::request_arrived>(calls_.callers, std::move(request),
                                    std::move(respond));
 }
@@ -109,6 +111,10 @@
 void daemon_edge::on_peer(peer_request request,
                           net::responder<peer_reply> respond)
 {
+    if (auto* const execute = std::get_if<execute_request>(&request))
+    {
+        to_local_clock(execute->request);
+    }
     admit<decide::peer_called>(calls_.peers, std::move(request),
                                std::move(respond));
 }
--- a/src/jaydrift/decide/admission.cpp
+++ b/src/jaydrift/decide/admission.cpp
@@ -46,7 +46,7 @@
     }
     auto const acquired = ownership::acquired_at(step.state, shard);
     if (acquired > retained && may_be_older(step.state, shard, request)
-        && !ownership::inventory_complete(step.state, shard))
+        && !ownership::request_inventory_complete(step.state, shard))
     {
         return "an earlier owner may have run it on a worker that did not "
                "answer";
--- a/src/jaydrift/decide/delegation_check.cpp
+++ b/src/jaydrift/decide/delegation_check.cpp
@@ -32,7 +32,7 @@
 {
     auto const acquired = ownership::acquired_at(step.state, shard);
     return step.now < acquired + step.state.settings.request_retention
-           && !ownership::inventory_complete(step.state, shard);
+           && !ownership::request_inventory_complete(step.state, shard);
 }
 
 /// Makes sure that a delegated request that is still on its way finds a record
--- a/src/jaydrift/decide/ownership_queries.cpp
+++ b/src/jaydrift/decide/ownership_queries.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// No daemon owned the shard before this epoch.
+constexpr std::uint64_t first_epoch = 1;
+
 // Keeps the shards of keys and of workers independent of each other.
 constexpr std::uint64_t key_seed = 1;
 constexpr std::uint64_t worker_seed = 2;
@@ -150,6 +153,26 @@
                [](auto const& entry) { return entry.second.inventoried; });
 }
 
+bool request_inventory_complete(daemon_state const& state,
+                                shard_id const& shard)
+{
+    auto const* mine = find_tenure(state, shard);
+    if (mine == nullptr || !mine->acquired_at)
+    {
+        return false;
+    }
+    if (mine->term.epoch == first_epoch)
+    {
+        return true;
+    }
+    auto const oldest = *mine->acquired_at - state.settings.request_retention;
+    return inventory_complete(state, shard)
+           && std::none_of(
+               mine->links.begin(), mine->links.end(),
+               [](auto const& entry) { return entry.second.forgot_tasks; })
+           && !workers::any_gone_since(state, shard, oldest);
+}
+
 std::vector<shard_status> status(daemon_state const& state, time_ms now)
 {
     std::vector<shard_status> result;
--- a/src/jaydrift/decide/vm_list.cpp
+++ b/src/jaydrift/decide/vm_list.cpp
@@ -185,4 +185,15 @@
                     state.workers.interference.next_ageing);
 }
 
+bool any_gone_since(daemon_state const& state, shard_id const& shard,
+                    time_ms since)
+{
+    auto const& entries = state.workers.entries;
+    return std::any_of(entries.begin(), entries.end(), [&](auto const& item) {
+        auto const& entry = item.second;
+        return entry.shard == shard && entry.vm.state == vm_state::gone
+               && entry.gone_at >= since;
+    });
+}
+
 } // namespace jaydrift::decide::workers
--- a/src/jaydrift/decide/worker_links.cpp
+++ b/src/jaydrift/decide/worker_links.cpp
@@ -124,6 +124,7 @@
     }
     link.fenced = true;
     link.inventoried = true;
+    link.forgot_tasks = link.forgot_tasks || !reply.remembers_all;
     link.failures = 0;
     link.answered_at = step.now;
     link.renew_at = step.now;
--- a/src/jaydrift/net/worker_wire.hpp
+++ b/src/jaydrift/net/worker_wire.hpp
@@ -142,6 +142,7 @@
     using table = field_list<
         JAYDRIFT_VALUE(outcome, Outcome), JAYDRIFT_VALUE(reason, Reason),
         JAYDRIFT_VALUE(worker_clock, WorkerClockMs),
+        JAYDRIFT_VALUE(remembers_all, RemembersAll),
         JAYDRIFT_VALUE(epoch, Epoch),
         JAYDRIFT_VALUE(policy_version, PolicyVersion),
         JAYDRIFT_MESSAGE(capacity, Capacity), JAYDRIFT_MESSAGE(used, Used),
--- a/src/jaydrift/scenario/world_callers.cpp
+++ b/src/jaydrift/scenario/world_callers.cpp
@@ -16,6 +16,15 @@
     return std::visit([](auto const& value) { return value.id; }, request);
 }
 
+/// Turns a time of issue into another clock.
+void shift_issue(urgent_request& request, time_ms offset)
+{
+    if (request.issued_at)
+    {
+        *request.issued_at += offset;
+    }
+}
+
 policy_document default_policy(std::span<zone_location const> zones)
 {
     policy_document policy;
@@ -49,7 +58,9 @@
         call_daemon(
             daemon,
             [&](std::uint64_t call) {
-                return decide::request_arrived{call, request};
+                auto local = request;
+                shift_issue(local, daemons_.at(daemon).clock_offset);
+                return decide::request_arrived{call, local};
             },
             [=, this](decide::effect const& item) {
                 auto const* const reply =
--- a/src/jaydrift/scenario/world_daemons.cpp
+++ b/src/jaydrift/scenario/world_daemons.cpp
@@ -283,11 +283,20 @@
                 });
             }
         };
-        at(now_ + *there, [=, this] {
+        at(now_ + *there, [=, this, &node] {
             call_daemon(
                 item.address,
                 [&](std::uint64_t call) {
-                    return decide::peer_called{call, item.request};
+                    auto request = item.request;
+                    auto* const execute =
+                        std::get_if<execute_request>(&request);
+                    if (execute != nullptr && execute->request.issued_at)
+                    {
+                        *execute->request.issued_at +=
+                            daemons_.at(item.address).clock_offset
+                            - node.clock_offset;
+                    }
+                    return decide::peer_called{call, request};
                 },
                 respond);
         });
--- a/src/jaydrift/standin/reduce_worker.cpp
+++ b/src/jaydrift/standin/reduce_worker.cpp
@@ -80,6 +80,7 @@
 {
     worker_effects effects;
     worker_step step{state, now, effects};
+    state.started_at = state.started_at.value_or(now);
     worker_progress::advance(step);
     worker_tasks::forget_old(step);
     std::visit(dispatcher(step), input);
