--- a/src/jaydrift/decide/ownership.cpp
+++ b/src/jaydrift/decide/ownership.cpp
@@ -6,7 +6,6 @@
 #include <jaydrift/decide/membership.hpp>
 #include <jaydrift/decide/policy.hpp>
 #include <jaydrift/decide/ranking.hpp>
-#include <jaydrift/decide/record_text.hpp>
 #include <jaydrift/decide/record_writes.hpp>
 #include <jaydrift/decide/renewal.hpp>
 #include <jaydrift/decide/requests.hpp>
@@ -229,40 +228,6 @@
               });
 }
 
-std::optional<std::string> owner_of(daemon_state const& state,
-                                    shard_id const& shard)
-{
-    auto const now =
-        std::max(state.ownership.last_timer, state.membership.last_timer);
-    auto const found = state.ownership.shards.find(shard);
-    if (found == state.ownership.shards.end())
-    {
-        return {};
-    }
-    auto const& view = found->second;
-    if (view.mine && view.mine->phase != shard_phase::handing_over)
-    {
-        return state.settings.self.daemon;
-    }
-    if (view.mine)
-    {
-        return view.mine->successor;
-    }
-    if (auto owner = claimant(state, shard, now))
-    {
-        return owner;
-    }
-    for (auto const& owner : {view.expected_owner, view.record.owner})
-    {
-        if (!owner.empty() && owner != state.settings.self.daemon
-            && membership::live(state, owner, now))
-        {
-            return owner;
-        }
-    }
-    return best_owner(state, shard, now);
-}
-
 bool serving(daemon_state const& state, shard_id const& shard, time_ms now)
 {
     return find_serving(state, shard, now) != nullptr;
--- a/src/jaydrift/decide/ownership_queries.cpp
+++ b/src/jaydrift/decide/ownership_queries.cpp
@@ -2,7 +2,10 @@
 
 #include <jaydrift/core/hash.hpp>
 #include <jaydrift/decide/batch.hpp>
+#include <jaydrift/decide/claims.hpp>
 #include <jaydrift/decide/context.hpp>
+#include <jaydrift/decide/membership.hpp>
+#include <jaydrift/decide/ranking.hpp>
 #include <jaydrift/decide/requests.hpp>
 #include <jaydrift/decide/workers.hpp>
 
@@ -108,6 +111,40 @@
     return shard_of(state, region, worker, worker_seed);
 }
 
+std::optional<std::string> owner_of(daemon_state const& state,
+                                    shard_id const& shard)
+{
+    auto const now =
+        std::max(state.ownership.last_timer, state.membership.last_timer);
+    auto const found = state.ownership.shards.find(shard);
+    if (found == state.ownership.shards.end())
+    {
+        return {};
+    }
+    auto const& view = found->second;
+    if (view.mine && view.mine->phase != shard_phase::handing_over)
+    {
+        return state.settings.self.daemon;
+    }
+    if (view.mine)
+    {
+        return view.mine->successor;
+    }
+    if (auto owner = claimant(state, shard, now))
+    {
+        return owner;
+    }
+    for (auto const& owner : {view.expected_owner, view.record.owner})
+    {
+        if (!owner.empty() && owner != state.settings.self.daemon
+            && membership::live(state, owner, now))
+        {
+            return owner;
+        }
+    }
+    return best_owner(state, shard, now);
+}
+
 ownership_term term(daemon_state const& state, shard_id const& shard)
 {
     auto const* mine = find_tenure(state, shard);
--- a/src/jaydrift/decide/quorum_test.cpp
+++ b/src/jaydrift/decide/quorum_test.cpp
@@ -1,4 +1,6 @@
 #include <jaydrift/decide/quorum.hpp>
+#include <jaydrift/decide/tenure.hpp>
+#include <jaydrift/decide/voters.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -29,6 +31,19 @@
     RC_ASSERT(!is_quorum(voters, voters / 2, false));
 }
 
+// Guards against a replacement of voters in which a daemon that knows only the
+// old voters and one that knows only the new ones both have a quorum.
+TEST(quorum, a_replacement_of_voters_needs_both_sets)
+{
+    tenure mine;
+    mine.term.generation = 2;
+    mine.term.voters = {"n1", "n2", "n3"};
+    mine.term.previous_voters = {"o1", "o2", "o3"};
+    EXPECT_TRUE(voters::quorum(mine, {"n1", "n2", "o1", "o2"}, false));
+    EXPECT_FALSE(voters::quorum(mine, {"n1", "n2", "n3", "o1"}, false));
+    EXPECT_FALSE(voters::quorum(mine, {"n1", "o1", "o2", "o3"}, false));
+}
+
 } // namespace
 
 } // namespace jaydrift::decide
