Keep a waiting batch queue awake while authority is lapsed

The pass over its queue saw no authority and set no next pass, so the acknowledged job never ran. Change: a queue that is not empty always has a next pass.

--- a/include/jaydrift/scenario/oracle.hpp
+++ b/include/jaydrift/scenario/oracle.hpp
@@ -38,10 +38,10 @@
                       resources const& capacity, time_ms now);
 
     /// An operator was told that a close of the zone is in force.
-    void on_zone_closed(std::string const& zone, time_ms now);
+    void on_zone_closed(std::string const& zone, std::uint64_t version);
 
-    /// An operator has asked to open the zone.
-    void on_zone_opening(std::string const& zone);
+    /// A durable policy version has the zone open.
+    void on_zone_open(std::string const& zone, std::uint64_t version);
 
     /// The platform marked the worker as leaving.
     void on_leaving(std::string const& worker, time_ms now);
@@ -64,10 +64,15 @@
 private:
     void on_started(std::string const& worker, std::string const& zone,
                     standin::run_log_entry const& entry, time_ms now);
+    bool is_closed(std::string const& zone) const;
     void violate(time_ms now, std::string text);
 
     std::map<std::string, task_history, std::less<>> tasks_;
-    std::map<std::string, time_ms, std::less<>> closed_zones_;
+
+    /// Latest version that was accepted with the zone closed, and latest
+    /// durable version with the zone open.
+    std::map<std::string, std::uint64_t, std::less<>> closed_;
+    std::map<std::string, std::uint64_t, std::less<>> open_;
     std::map<std::string, time_ms, std::less<>> leaving_;
     std::map<std::string, time_ms, std::less<>> ended_jobs_;
     std::vector<std::string> violations_;
--- a/include/jaydrift/scenario/world.hpp
+++ b/include/jaydrift/scenario/world.hpp
@@ -137,6 +137,9 @@
     void run_store(standin::store_event const& input);
     void arm_store_timer();
 
+    /// Tells the oracle of each policy version that became durable.
+    void observe_policy();
+
     void at(time_ms when, event_queue::action task);
     void retry(urgent_request const& request, std::size_t turn,
                time_ms interval, time_ms give_up_at);
@@ -155,6 +158,7 @@
     std::map<std::uint64_t, std::function<void(store_reply const&)>>
         store_calls_;
     time_ms store_timer_at_;
+    std::uint64_t policy_revision_ = 0;
     std::vector<caller_answer> answers_;
     std::map<std::string, job_reply, std::less<>> job_replies_;
     std::set<std::string> acknowledged_jobs_;
--- a/src/jaydrift/decide/batch_placement.cpp
+++ b/src/jaydrift/decide/batch_placement.cpp
@@ -271,12 +271,12 @@
 
 void schedule(shard_step const& at)
 {
-    if (at.work.queues.empty()
-        || !ownership::serving(at.step.state, at.shard, at.step.now))
+    if (ownership::serving(at.step.state, at.shard, at.step.now))
     {
-        return;
+        scheduling_pass(at).run();
     }
-    scheduling_pass(at).run();
+    // Authority that lapsed may be renewed without another event for batch, so
+    // a waiting queue always has a next pass.
     if (!at.work.queues.empty())
     {
         wake(at, at.step.now + pass_interval);
--- a/src/jaydrift/scenario/chaos.cpp
+++ b/src/jaydrift/scenario/chaos.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/scenario/world.hpp>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,14 @@
 
 using namespace literals;
 
+std::string describe(job_reply const& reply)
+{
+    return "finished " + std::to_string(reply.job.finished) + ", running "
+           + std::to_string(reply.job.running) + ", state "
+           + std::to_string(static_cast<int>(reply.job.state)) + " "
+           + reply.reason + reply.job.reason;
+}
+
 /// Brings random faults about in a deployment under load.
 class chaos
 {
@@ -61,13 +70,19 @@
         }
         for (auto const& name : workers_)
         {
+            if (world_.worker(name).alive && leaving_.contains(name))
+            {
+                world_.kill_worker(name);
+            }
             if (!world_.worker(name).alive)
             {
                 world_.start_worker(name);
             }
         }
-        world_.run_until([this] { return world_.every_shard_served(); },
-                         recovery_limit);
+        recovered_ = world_.run_until(
+            [this] { return world_.every_shard_served(); }, recovery_limit);
+        // Closes that were pending may still become durable.
+        world_.advance(recovery_limit);
         for (auto const& zone : zones)
         {
             set_zone(zone, true);
@@ -75,6 +90,9 @@
         }
     }
 
+    /// Tells whether every shard was served in time after the faults ended.
+    bool recovered() const { return recovered_; }
+
     /// Waits until every acknowledged job has finished, and returns the last
     /// one that has not.
     std::string unfinished_job()
@@ -95,7 +113,7 @@
                 auto const* const reply = world_.last_job_reply(job);
                 if (reply->job.state != job_state::finished)
                 {
-                    unfinished = job + ": " + reply->reason;
+                    unfinished = job + ": " + describe(*reply);
                 }
             }
         } while (!unfinished.empty() && world_.now() < end);
@@ -235,6 +253,7 @@
         if (random_.below(4) == 0)
         {
             world_.mark_worker(name, vm_state::leaving);
+            leaving_.insert(name);
         }
     }
 
@@ -250,6 +269,8 @@
                                                        "san-fernando"};
 
     std::vector<urgent_request> sent_;
+    std::set<std::string> leaving_;
+    bool recovered_ = false;
     world& world_;
     random_source random_;
     std::vector<std::string> daemons_;
@@ -276,7 +297,7 @@
         faults.step();
     }
     faults.end();
-    if (!target.every_shard_served())
+    if (!faults.recovered() || !target.every_shard_served())
     {
         result.mistakes.push_back("not every shard is served at the end");
     }
--- a/src/jaydrift/scenario/oracle.cpp
+++ b/src/jaydrift/scenario/oracle.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/standin/answer_body.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jaydrift::scenario {
@@ -92,7 +93,7 @@
                          + " was started after it was reported as not "
                            "run");
     }
-    if (closed_zones_.contains(zone))
+    if (is_closed(zone))
     {
         violate(now, entry.task + " was started in " + zone
                          + " after its close was in force");
@@ -147,14 +148,22 @@
     }
 }
 
-void oracle::on_zone_closed(std::string const& zone, time_ms now)
+void oracle::on_zone_closed(std::string const& zone, std::uint64_t version)
 {
-    closed_zones_[zone] = now;
+    closed_[zone] = std::max(closed_[zone], version);
 }
 
-void oracle::on_zone_opening(std::string const& zone)
+void oracle::on_zone_open(std::string const& zone, std::uint64_t version)
 {
-    closed_zones_.erase(zone);
+    open_[zone] = std::max(open_[zone], version);
+}
+
+bool oracle::is_closed(std::string const& zone) const
+{
+    auto const closed = closed_.find(zone);
+    auto const open = open_.find(zone);
+    return closed != closed_.end()
+           && (open == open_.end() || open->second < closed->second);
 }
 
 void oracle::on_leaving(std::string const& worker, time_ms now)
--- a/src/jaydrift/scenario/world_callers.cpp
+++ b/src/jaydrift/scenario/world_callers.cpp
@@ -133,18 +133,6 @@
 void world::send_operator(std::string const& daemon,
                           operator_request const& request)
 {
-    auto const* const zone = std::get_if<set_zone>(&request);
-    if (zone != nullptr && zone->open)
-    {
-        oracle_.on_zone_opening(zone->zone);
-    }
-    if (std::holds_alternative<undo_policy>(request))
-    {
-        for (auto const& known : settings_.zones)
-        {
-            oracle_.on_zone_opening(known.zone);
-        }
-    }
     at(now_ + caller_delay, [=, this] {
         call_daemon(
             daemon,
@@ -164,7 +152,7 @@
                 if (change != nullptr && !change->open
                     && reply->reply.status == call_status::ok)
                 {
-                    oracle_.on_zone_closed(change->zone, now_);
+                    oracle_.on_zone_closed(change->zone, reply->reply.version);
                 }
             });
     });
--- a/src/jaydrift/scenario/world_platform.cpp
+++ b/src/jaydrift/scenario/world_platform.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/scenario/world.hpp>
 
+#include <jaydrift/decide/policy_record.hpp>
 #include <jaydrift/standin/answer_body.hpp>
 #include <jaydrift/standin/reduce_store.hpp>
 #include <jaydrift/standin/reduce_worker.hpp>
@@ -165,6 +166,7 @@
 void world::run_store(standin::store_event const& input)
 {
     auto const effects = standin::reduce(store_, input, now_);
+    observe_policy();
     for (auto const& item : effects)
     {
         if (auto const* const reply =
@@ -187,6 +189,25 @@
     arm_store_timer();
 }
 
+void world::observe_policy()
+{
+    auto const found = store_.values.find("policy/current");
+    if (found == store_.values.end()
+        || found->second.revision == policy_revision_)
+    {
+        return;
+    }
+    policy_revision_ = found->second.revision;
+    auto const record = decide::decode_policy_record(found->second.value);
+    for (auto const& zone : record.current.zones)
+    {
+        if (zone.open)
+        {
+            oracle_.on_zone_open(zone.name, record.current.version);
+        }
+    }
+}
+
 void world::arm_store_timer()
 {
     auto const due = standin::next_timer(store_);
