Keep a request unknown once an attempt of it may have started

The second delegation never left before the deadline, so the repeat was told not_run although the first attempt had run. Change: a record that was unresolved once never becomes not_run.

--- a/include/jaydrift/decide/request_entry.hpp
+++ b/include/jaydrift/decide/request_entry.hpp
@@ -39,6 +39,10 @@
     /// It never arrived; the home region's owner asked that it is not run.
     bool withdrawn = false;
 
+    /// It was unresolved once, so a later attempt that is not sent does not
+    /// make it `not_run`.
+    bool maybe_started = false;
+
     /// Number of the forward to another region.
     std::uint64_t forward = 0;
     time_ms arrived;
--- a/src/jaydrift/decide/request_answer.cpp
+++ b/src/jaydrift/decide/request_answer.cpp
@@ -148,6 +148,7 @@
     }
     close(step, key, *entry);
     entry->phase = request_phase::unresolved;
+    entry->maybe_started = true;
     entry->result = unknown(std::string(reason));
     step.record("request_unknown", key.id, {}, reason);
     answer_all(step, key, *entry, unknown(std::string(reason)));
--- a/src/jaydrift/decide/request_deadline.cpp
+++ b/src/jaydrift/decide/request_deadline.cpp
@@ -25,9 +25,11 @@
         never_left || entry.phase == request_phase::waiting;
     if (entry.phase == request_phase::checking
         || (not_started
-            && !ownership::serving(step.state, key.shard, step.now)))
+            && (entry.maybe_started
+                || !ownership::serving(step.state, key.shard, step.now))))
     {
-        // A successor may run it for a repeat that reached it.
+        // An earlier attempt may have started it, or a successor may run it for
+        // a repeat that reached it.
         cancel_forward(step.state, entry.forward);
         leave_unresolved(step, key, "no answer before the deadline");
         return;
--- a/src/jaydrift/decide/request_shard.cpp
+++ b/src/jaydrift/decide/request_shard.cpp
@@ -84,7 +84,8 @@
     case request_phase::waiting:
         return false;
     case request_phase::delegated:
-        return entry.forward == 0 || forward_sent(state, entry.forward);
+        return entry.forward == 0 || entry.maybe_started
+               || forward_sent(state, entry.forward);
     default:
         return true;
     }
--- a/src/jaydrift/scenario/runner.cpp
+++ b/src/jaydrift/scenario/runner.cpp
@@ -230,7 +230,7 @@
     if (name.starts_with(owner_prefix))
     {
         auto const shard = name.substr(owner_prefix.size());
-        auto const owner = owner_of(*world_, shard);
+        auto owner = owner_of(*world_, shard);
         if (owner.empty())
         {
             line.fail("no daemon serves shard " + shard);
