--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -106,13 +106,14 @@
   done
   local calls=()
   for ((i = 0; i < 24; ++i)); do
-    call "$urgent-load-$i" $((i % 6)) -o /dev/null \
+    call "$urgent-load-$i" $((i % 6)) -o /dev/null -D "$logs/load-h-$i" \
       -w '%{http_code}\n' > "$logs/load-$i" &
     calls+=($!)
   done
   wait "${calls[@]}"
+  grep -hi '^jaydrift-reason' "$logs"/load-h-* | sort | uniq -c
   check "24 urgent requests are answered beside it" \
-    equal "$(cat "$logs"/load-* | sort | uniq -c | xargs)" "24 200"
+    equal "$(cat "$logs"/load-[0-9]* | sort | uniq -c | xargs)" "24 200"
   for job in plan-a plan-b plan-c; do
     check "$job finishes" wait_for 90 job_done "$job"
     check "$job finished each task once" equal "$(job_field "$job" finished)" 24
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -61,12 +61,12 @@
   wait_for 20 curl -fs "$store_http/stats" -o /dev/null
   local i=0 place n name
   for place in "${places[@]}"; do
-    for n in 0 1 2; do
+    for ((n = 0; n < ${workers_per_zone:-3}; ++n)); do
       name="${place#*/}-w$n"
       run "$name-backend" jaydrift-backend --name "$name-backend" \
         --listen-http "127.0.0.1:$((port + 400 + i))"
       run "$name" jaydrift-worker --name "$name" --region "${place%%/*}" \
-        --zone "${place#*/}" --rack "${place#*/}-rack0" "${capacity[@]}" \
+        --zone "${place#*/}" --rack "${place#*/}-rack$((n / 8))" "${capacity[@]}" \
         --listen "127.0.0.1:$((port + 500 + i))" \
         --listen-http "127.0.0.1:$((port + 600 + i))" \
         --backend "127.0.0.1:$((port + 400 + i))" --vm-list "$store_http"
