Remove unused functions of the scenario library

Cause: oracle::last_start and the two-argument network::heal have no caller, and the comment on last_start described something else. Change: both are removed; behaviour is the same.

--- a/include/jaydrift/scenario/network.hpp
+++ b/include/jaydrift/scenario/network.hpp
@@ -27,7 +27,6 @@
     /// Cuts two regions, or a node and a region or node, from each other.
     void cut(std::string const& a, std::string const& b);
     void heal();
-    void heal(std::string const& a, std::string const& b);
 
     /// Adds a delay to every message that a node sends from now on.
     void delay_from(std::string const& node, time_ms extra);
--- a/include/jaydrift/scenario/oracle.hpp
+++ b/include/jaydrift/scenario/oracle.hpp
@@ -58,9 +58,6 @@
     task_history const* history(std::string_view task) const;
     std::uint64_t starts() const { return starts_; }
 
-    /// Returns the longest time without any start since a time.
-    time_ms last_start() const { return last_start_; }
-
 private:
     void on_started(std::string const& worker, std::string const& zone,
                     standin::run_log_entry const& entry, time_ms now);
@@ -77,7 +74,6 @@
     std::map<std::string, time_ms, std::less<>> ended_jobs_;
     std::vector<std::string> violations_;
     std::uint64_t starts_ = 0;
-    time_ms last_start_;
 };
 
 } // namespace jaydrift::scenario
--- a/src/jaydrift/scenario/network.cpp
+++ b/src/jaydrift/scenario/network.cpp
@@ -37,12 +37,6 @@
     extra_.clear();
 }
 
-void network::heal(std::string const& a, std::string const& b)
-{
-    cuts_.erase({a, b});
-    cuts_.erase({b, a});
-}
-
 void network::delay_from(std::string const& node, time_ms extra)
 {
     extra_[node] = extra;
--- a/src/jaydrift/scenario/oracle.cpp
+++ b/src/jaydrift/scenario/oracle.cpp
@@ -71,7 +71,6 @@
 {
     auto& task = tasks_[entry.task];
     ++starts_;
-    last_start_ = now;
     if (!task.running_on.empty())
     {
         violate(now, entry.task + " runs on " + *task.running_on.begin()
