--- a/include/jaydrift/core/time_ms.hpp
+++ b/include/jaydrift/core/time_ms.hpp
@@ -41,6 +41,11 @@
 
 constexpr time_ms operator-(time_ms a, time_ms b) { return a -= b; }
 
+constexpr time_ms operator*(time_ms a, std::int64_t factor)
+{
+    return time_ms(a.count() * factor);
+}
+
 namespace literals {
 
 constexpr time_ms operator""_ms(unsigned long long count)
--- a/include/jaydrift/schedule/answer.hpp
+++ b/include/jaydrift/schedule/answer.hpp
@@ -35,12 +35,16 @@
         not_owner,
 
         /// The call may have been carried out.
-        unknown
+        unknown,
+
+        /// The submission belongs to the shard in `shard`, if it exists.
+        moved
     };
 
     code result = code::unknown;
     submission_phase phase = submission_phase::queued;
     std::uint64_t pending = 0;
+    std::uint32_t shard = 0;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/call_arrived.hpp
+++ b/include/jaydrift/schedule/call_arrived.hpp
@@ -25,8 +25,9 @@
     /// How long the caller waits for the answer.
     time_ms time_limit;
 
-    /// Another daemon has forwarded the call.
-    bool forwarded = false;
+    /// Shard that another daemon has forwarded the call to; absent if it comes
+    /// from a caller.
+    std::optional<std::uint32_t> forwarded_to;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/calls.hpp
+++ b/include/jaydrift/schedule/calls.hpp
@@ -9,6 +9,7 @@
 struct call_arrived;
 struct context;
 struct forward_replied;
+struct shard_context;
 
 /// Calls of callers: served here, forwarded to the owner, or refused.
 namespace calls {
@@ -16,11 +17,15 @@
 void arrived(context& c, call_arrived const& request);
 void forwarded(context& c, forward_replied const& reply);
 
-/// Answers a call that waited for a change to be stored.
-void stored(context& c, std::uint64_t call);
+/// Answers a call that waited for a change of the shard to be stored.
+void stored(shard_context& c, std::uint64_t call);
 
-/// The calls that waited for the log will not learn whether it is stored.
-void log_abandoned(context& c);
+/// Passes a call on to the shard that its submission belongs to.
+void relocated(shard_context& c, std::uint64_t call, std::uint32_t to);
+
+/// The calls that waited for the shard's log will not learn whether it is
+/// stored.
+void log_abandoned(shard_context& c);
 
 void tick(context& c);
 
--- a/include/jaydrift/schedule/context.hpp
+++ b/include/jaydrift/schedule/context.hpp
@@ -17,7 +17,7 @@
 {
     state& s;
     time_ms now;
-    effects out;
+    effects& out;
 
     void emit(effect output) { out.push_back(std::move(output)); }
 
--- a/include/jaydrift/schedule/forward_call.hpp
+++ b/include/jaydrift/schedule/forward_call.hpp
@@ -12,6 +12,7 @@
 struct forward_call
 {
     std::uint64_t call = 0;
+    std::uint32_t shard = 0;
     std::string address;
     time_ms time_limit;
 };
--- a/include/jaydrift/schedule/heartbeat.hpp
+++ b/include/jaydrift/schedule/heartbeat.hpp
@@ -1,20 +1,28 @@
 #ifndef JAYDRIFT_SCHEDULE_HEARTBEAT_HPP
 #define JAYDRIFT_SCHEDULE_HEARTBEAT_HPP
 
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/shard_load.hpp>
+
 #include <cstdint>
 #include <string>
 
 namespace jaydrift::schedule {
 
-/// Sent by the owner to every other daemon.
+/// Sent by the owner of a shard to the other daemons.
 struct heartbeat
 {
+    std::uint32_t shard = 0;
     std::string node;
     std::string address;
 
     /// Revision of the owner's record.
     std::uint64_t revision = 0;
     std::uint64_t term = 0;
+
+    /// Time until the next heartbeat to the same daemon.
+    time_ms interval;
+    shard_load load;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/heartbeat_reply.hpp
+++ b/include/jaydrift/schedule/heartbeat_reply.hpp
@@ -11,14 +11,12 @@
 /// Answers a heartbeat.
 struct heartbeat_reply
 {
+    std::uint32_t shard = 0;
     std::string node;
 
     /// Highest revision of the owner's record that the daemon knows.
     std::uint64_t revision = 0;
 
-    /// Share of a core that the daemon has; the largest one succeeds.
-    double cpu_share = 0.0;
-
     /// Time since the store last answered the daemon.
     time_ms store_age;
 };
--- a/include/jaydrift/schedule/interference.hpp
+++ b/include/jaydrift/schedule/interference.hpp
@@ -5,9 +5,9 @@
 
 namespace jaydrift::schedule {
 
-struct context;
+struct interference_model;
+struct shard_context;
 struct run_state;
-struct state;
 struct worker_state;
 
 /// Learns how tasks disturb each other, by pairs of images, from the reports
@@ -16,11 +16,11 @@
 
 /// Learns from a new report of the worker. The load of a serving task drifts
 /// slowly, so that changes between two reports tell of its neighbours.
-void learn(context& c, worker_state& worker);
+void learn(shard_context& c, worker_state& worker);
 
 /// Growth of the logarithm of a serving task's tail per worker that the
 /// neighbour uses.
-double weight(state const& s, std::string_view serving,
+double weight(interference_model const& model, std::string_view serving,
               std::string_view neighbour);
 
 /// Processors that a run uses, as a share of the worker's.
@@ -29,7 +29,7 @@
 /// Returns the largest tail of the worker's serving tasks, relative to its
 /// target, that is expected when a task of the image uses `share` of the
 /// worker beside them.
-double expected_tail(state const& s, worker_state& worker,
+double expected_tail(interference_model const& model, worker_state& worker,
                      std::string_view neighbour, double share);
 
 } // namespace interference
--- a/include/jaydrift/schedule/log_state.hpp
+++ b/include/jaydrift/schedule/log_state.hpp
@@ -26,6 +26,7 @@
     std::optional<std::uint64_t> call;
     std::vector<std::pair<std::string, std::uint64_t>> versions;
     std::vector<std::string> removed;
+    std::vector<std::string> relocated;
     time_ms first_sent;
     time_ms retry_at;
     std::uint32_t attempts = 0;
@@ -42,6 +43,10 @@
     fleet_record next_fleet;
     bool fleet_changed = false;
 
+    /// Relocations to store, and those to remove.
+    std::deque<std::string> new_relocations;
+    std::deque<std::string> expired_relocations;
+
     /// Ended submissions whose retention is over.
     std::deque<std::string> expired;
 };
--- a/include/jaydrift/schedule/member_record.hpp
+++ b/include/jaydrift/schedule/member_record.hpp
@@ -10,6 +10,9 @@
 {
     std::string node;
     std::string address;
+
+    /// Share of a core that the daemon has; large ones own shards first.
+    double cpu_share = 0.0;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/open_call.hpp
+++ b/include/jaydrift/schedule/open_call.hpp
@@ -3,6 +3,9 @@
 
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/call_arrived.hpp>
+#include <jaydrift/schedule/call_part.hpp>
+
+#include <vector>
 
 #include <cstdint>
 #include <optional>
@@ -16,17 +19,9 @@
     call_arrived request;
     time_ms arrived;
 
-    /// It is on its way to another daemon.
-    bool with_peer = false;
-
-    /// It may have been carried out elsewhere.
-    bool maybe_done = false;
-
-    /// It waits here for a change to be stored.
-    bool with_log = false;
-
-    /// Earliest time of the next attempt to serve or forward it.
-    time_ms retry_at;
+    /// One for the shard of the submission; one for each shard if the call
+    /// asks for a count.
+    std::vector<call_part> parts;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/owner_query.hpp
+++ b/include/jaydrift/schedule/owner_query.hpp
@@ -9,6 +9,7 @@
 /// Asks whether the owner is still heard elsewhere.
 struct owner_query
 {
+    std::uint32_t shard = 0;
     std::string node;
 
     /// Where the answer goes; the others may not know the daemon yet.
--- a/include/jaydrift/schedule/owner_sighting.hpp
+++ b/include/jaydrift/schedule/owner_sighting.hpp
@@ -11,6 +11,7 @@
 /// Answers an owner query.
 struct owner_sighting
 {
+    std::uint32_t shard = 0;
     std::string node;
     std::uint64_t revision = 0;
 
--- a/include/jaydrift/schedule/ownership.hpp
+++ b/include/jaydrift/schedule/ownership.hpp
@@ -5,7 +5,7 @@
 
 namespace jaydrift::schedule {
 
-struct context;
+struct shard_context;
 struct heartbeat;
 struct heartbeat_reply;
 struct owner_query;
@@ -18,31 +18,28 @@
 namespace ownership {
 
 /// Takes note of a record that the store holds.
-void observe_record(context& c, owner_record const& record,
+void observe_record(shard_context& c, owner_record const& record,
                     std::uint64_t revision);
 
-/// The store holds no owner record.
-void observe_absence(context& c);
-
 /// Ends this daemon's ownership; it was refused or succeeded.
-void step_down(context& c);
+void step_down(shard_context& c);
 
 /// Handles the end of the swap of the owner record.
-void claim_replied(context& c, store_replied const& reply);
+void claim_replied(shard_context& c, store_replied const& reply);
 
 /// Handles the answer to a read of the owner record.
-void verify_replied(context& c, store_replied const& reply);
+void verify_replied(shard_context& c, store_replied const& reply);
 
 /// Looks for a gap in the clock, which tells of a frozen process.
-void check_gap(context& c);
+void check_gap(shard_context& c);
 
-void tick(context& c);
+void tick(shard_context& c);
 
-void received(context& c, heartbeat const& message);
-void received(context& c, heartbeat_reply const& message);
-void received(context& c, owner_query const& message);
-void received(context& c, owner_sighting const& message);
-void received(context& c, yield_request const& message);
+void received(shard_context& c, heartbeat const& message);
+void received(shard_context& c, heartbeat_reply const& message);
+void received(shard_context& c, owner_query const& message);
+void received(shard_context& c, owner_sighting const& message);
+void received(shard_context& c, yield_request const& message);
 
 } // namespace ownership
 
--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -11,24 +11,27 @@
 
 namespace jaydrift::schedule {
 
-/// Who owns the shard, as far as this daemon knows.
+/// Interval of heartbeats to the daemons that are the first to succeed.
+inline constexpr time_ms heartbeat_interval{150};
+
+/// Who owns a shard, as far as this daemon knows.
 struct ownership_state
 {
     owner_role role = owner_role::follower;
 
-    /// Newest known record and its revision; revision 0 if there is none.
+    /// Newest record and its revision; revision 0 if the store holds none.
     owner_record record;
     std::uint64_t revision = 0;
 
-    /// The record was read or heard of, so that 0 means that there is none.
-    bool known = false;
-
     /// Last sign of the owner: a heartbeat, a peer's sighting or its record.
     time_ms heard_at;
 
     /// Last heartbeat that reached this daemon.
     time_ms heartbeat_at{-1000000};
 
+    /// Time from one heartbeat to the next, as the owner said last.
+    time_ms heartbeat_interval = schedule::heartbeat_interval;
+
     /// Time at which the peers were asked; absent while the owner is heard.
     std::optional<time_ms> queried_at;
 
@@ -39,6 +42,9 @@
     time_ms role_since;
     time_ms next_heartbeat;
 
+    /// Next heartbeat to those that are not the first to succeed.
+    time_ms next_full_heartbeat;
+
     /// Daemon that was asked to succeed.
     std::string successor;
     bool verifying = false;
--- a/include/jaydrift/schedule/pacing.hpp
+++ b/include/jaydrift/schedule/pacing.hpp
@@ -3,14 +3,14 @@
 
 namespace jaydrift::schedule {
 
-struct context;
+struct shard_context;
 struct worker_state;
 
 /// Slows opportunistic tasks down where serving tasks miss their targets.
 namespace pacing {
 
 /// Acts on a new report of the worker.
-void reported(context& c, worker_state& worker);
+void reported(shard_context& c, worker_state& worker);
 
 } // namespace pacing
 
--- /dev/null
+++ b/include/jaydrift/schedule/pending_store_call.hpp
@@ -0,0 +1,21 @@
+#ifndef JAYDRIFT_SCHEDULE_PENDING_STORE_CALL_HPP
+#define JAYDRIFT_SCHEDULE_PENDING_STORE_CALL_HPP
+
+#include <jaydrift/schedule/store_purpose.hpp>
+
+#include <cstdint>
+
+namespace jaydrift::schedule {
+
+/// What a call to the store that has not ended is for.
+struct pending_store_call
+{
+    store_purpose purpose = store_purpose::read_operators;
+
+    /// Shard that the answer concerns; 0 if it concerns none.
+    std::uint32_t shard = 0;
+};
+
+} // namespace jaydrift::schedule
+
+#endif // JAYDRIFT_SCHEDULE_PENDING_STORE_CALL_HPP
--- a/include/jaydrift/schedule/placement_policy.hpp
+++ b/include/jaydrift/schedule/placement_policy.hpp
@@ -3,12 +3,12 @@
 
 namespace jaydrift::schedule {
 
-struct context;
+struct shard_context;
 
 /// Chooses which tasks start, and where.
 namespace placement_policy {
 
-void tick(context& c);
+void tick(shard_context& c);
 
 } // namespace placement_policy
 
--- a/include/jaydrift/schedule/read_area.hpp
+++ b/include/jaydrift/schedule/read_area.hpp
@@ -3,12 +3,17 @@
 
 #include <jaydrift/schedule/store_area.hpp>
 
+#include <cstdint>
+
 namespace jaydrift::schedule {
 
 /// Reads all records of an area.
 struct read_area
 {
     store_area area = store_area::operators;
+
+    /// Only for `submissions`.
+    std::uint32_t shard = 0;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/record_key.hpp
+++ b/include/jaydrift/schedule/record_key.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/schedule/record_kind.hpp>
 
 #include <compare>
+#include <cstdint>
 #include <string>
 
 namespace jaydrift::schedule {
@@ -16,6 +17,9 @@
     /// Tells apart records of one kind; empty where there is only one.
     std::string name;
 
+    /// Shard that the record belongs to; 0 for records of no shard.
+    std::uint32_t shard = 0;
+
     auto operator<=>(record_key const&) const = default;
 };
 
--- a/include/jaydrift/schedule/record_kind.hpp
+++ b/include/jaydrift/schedule/record_kind.hpp
@@ -11,12 +11,14 @@
     configuration,
     zone_closure,
     worker,
+    layout,
     owner,
     member,
     serial,
     fleet,
     submission,
     progress,
+    relocation,
     other
 };
 
--- a/include/jaydrift/schedule/record_log.hpp
+++ b/include/jaydrift/schedule/record_log.hpp
@@ -5,7 +5,7 @@
 
 namespace jaydrift::schedule {
 
-struct context;
+struct shard_context;
 struct store_replied;
 struct submission_state;
 
@@ -13,14 +13,17 @@
 namespace record_log {
 
 /// Plans to store a change of a submission. Returns its version.
-void changed(context& c, submission_state& item);
+void changed(shard_context& c, submission_state& item);
 
 /// As `changed`, with a caller that waits for it.
-void changed_urgently(context& c, submission_state& item);
+void changed_urgently(shard_context& c, submission_state& item);
 
-void replied(context& c, store_replied const& reply);
+/// A caller waits for something in the next transaction.
+void store_soon(shard_context& c);
 
-void tick(context& c);
+void replied(shard_context& c, store_replied const& reply);
+
+void tick(shard_context& c);
 
 } // namespace record_log
 
--- a/include/jaydrift/schedule/recovery.hpp
+++ b/include/jaydrift/schedule/recovery.hpp
@@ -3,26 +3,26 @@
 
 namespace jaydrift::schedule {
 
-struct context;
+struct shard_context;
 struct store_replied;
 
 /// What a new owner does before it gives orders: it reads the submissions and
 /// fences the workers.
 namespace recovery {
 
-void begin(context& c);
+void begin(shard_context& c);
 
 /// Forgets the shard's state.
-void forget(context& c);
+void forget(shard_context& c);
 
 /// Handles the answer to the read of the submissions.
-void submissions_read(context& c, store_replied const& reply);
+void submissions_read(shard_context& c, store_replied const& reply);
 
-void tick(context& c);
+void tick(shard_context& c);
 
 /// Tells whether an earlier owner may have started tasks on a worker that has
 /// not answered yet.
-bool unaccounted(context const& c);
+bool unaccounted(shard_context const& c);
 
 } // namespace recovery
 
--- /dev/null
+++ b/include/jaydrift/schedule/relocation_record.hpp
@@ -0,0 +1,23 @@
+#ifndef JAYDRIFT_SCHEDULE_RELOCATION_RECORD_HPP
+#define JAYDRIFT_SCHEDULE_RELOCATION_RECORD_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::schedule {
+
+/// A submission that its first shard has left to its second one.
+struct relocation_record
+{
+    std::string id;
+    std::uint32_t to = 0;
+
+    /// Wall clock time of the decision.
+    time_ms decided_at;
+};
+
+} // namespace jaydrift::schedule
+
+#endif // JAYDRIFT_SCHEDULE_RELOCATION_RECORD_HPP
--- a/include/jaydrift/schedule/run_numbers.hpp
+++ b/include/jaydrift/schedule/run_numbers.hpp
@@ -1,7 +1,7 @@
 #ifndef JAYDRIFT_SCHEDULE_RUN_NUMBERS_HPP
 #define JAYDRIFT_SCHEDULE_RUN_NUMBERS_HPP
 
-#include <jaydrift/schedule/state.hpp>
+#include <jaydrift/schedule/owner_record.hpp>
 
 #include <cstdint>
 
@@ -9,10 +9,10 @@
 
 /// Numbers of the runs that an owner starts are above this, and those of
 /// earlier owners are not.
-inline std::uint64_t run_number_base(state const& s)
+inline std::uint64_t run_number_base(owner_record const& owner)
 {
     constexpr std::uint64_t runs_per_term = 1U << 20U;
-    return s.owner.record.term * runs_per_term;
+    return owner.term * runs_per_term;
 }
 
 } // namespace jaydrift::schedule
--- /dev/null
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -0,0 +1,55 @@
+#ifndef JAYDRIFT_SCHEDULE_SHARD_STATE_HPP
+#define JAYDRIFT_SCHEDULE_SHARD_STATE_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/interference_model.hpp>
+#include <jaydrift/schedule/log_state.hpp>
+#include <jaydrift/schedule/ownership_state.hpp>
+#include <jaydrift/schedule/relocation_state.hpp>
+#include <jaydrift/schedule/shard_load.hpp>
+#include <jaydrift/schedule/submission_state.hpp>
+#include <jaydrift/schedule/worker_state.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace jaydrift::schedule {
+
+/// A part of the workers, with the submissions that run on them. Each shard
+/// has one owner at a time.
+struct shard_state
+{
+    std::uint32_t number = 0;
+    ownership_state owner;
+
+    /// As the owner measured it last, and what was sent there since.
+    shard_load load;
+
+    // Empty unless this daemon holds the shard.
+    log_state log;
+    std::map<std::string, worker_state, std::less<>> workers;
+    std::unordered_map<std::string, submission_state> submissions;
+
+    /// Submissions that were left to their second shard.
+    std::unordered_map<std::string, relocation_state> relocations;
+    time_ms next_relocation_expiry;
+
+    /// Submissions that have not ended.
+    std::set<std::string> active;
+    interference_model interference;
+
+    /// Something has changed that may let a task start.
+    bool dispatch_due = false;
+    time_ms last_dispatch;
+
+    /// Last pass that looked at opportunistic tasks too.
+    time_ms last_full_dispatch;
+    time_ms next_expiry;
+};
+
+} // namespace jaydrift::schedule
+
+#endif // JAYDRIFT_SCHEDULE_SHARD_STATE_HPP
--- a/include/jaydrift/schedule/store_area.hpp
+++ b/include/jaydrift/schedule/store_area.hpp
@@ -14,10 +14,10 @@
     /// Entries of the workers.
     workers,
 
-    /// Owner and members.
+    /// Layout, owners and members.
     coordination,
 
-    /// Submissions, their progress and the write serial.
+    /// Submissions of a shard, their progress and the write serial.
     submissions
 };
 
--- a/include/jaydrift/schedule/store_purpose.hpp
+++ b/include/jaydrift/schedule/store_purpose.hpp
@@ -15,6 +15,8 @@
     read_workers,
     watch_workers,
     read_submissions,
+    count_workers,
+    write_layout,
     announce,
     remove_member,
     claim,
--- a/include/jaydrift/schedule/store_session.hpp
+++ b/include/jaydrift/schedule/store_session.hpp
@@ -10,6 +10,7 @@
 namespace jaydrift::schedule {
 
 struct context;
+struct shard_context;
 struct state;
 struct store_replied;
 
@@ -22,6 +23,10 @@
 std::uint64_t call(context& c, store_purpose purpose, request what,
                    time_ms time_limit);
 
+/// As above, for one shard.
+std::uint64_t call(shard_context& c, store_purpose purpose, request what,
+                   time_ms time_limit);
+
 /// Handles the end of a call.
 void replied(context& c, store_replied const& reply);
 
--- a/include/jaydrift/schedule/store_session_state.hpp
+++ b/include/jaydrift/schedule/store_session_state.hpp
@@ -2,7 +2,7 @@
 #define JAYDRIFT_SCHEDULE_STORE_SESSION_STATE_HPP
 
 #include <jaydrift/core/time_ms.hpp>
-#include <jaydrift/schedule/store_purpose.hpp>
+#include <jaydrift/schedule/pending_store_call.hpp>
 #include <jaydrift/schedule/watch_state.hpp>
 
 #include <cstdint>
@@ -15,7 +15,7 @@
 struct store_session_state
 {
     std::uint64_t next_call = 1;
-    std::map<std::uint64_t, store_purpose> calls;
+    std::map<std::uint64_t, pending_store_call> calls;
     watch_state operators;
     watch_state coordination;
     watch_state workers;
--- a/include/jaydrift/schedule/worker_purpose.hpp
+++ b/include/jaydrift/schedule/worker_purpose.hpp
@@ -21,6 +21,7 @@
     };
 
     kind what = kind::hold;
+    std::uint32_t shard = 0;
     std::string worker;
 
     /// Empty for a hold.
--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -11,6 +11,7 @@
 
 struct context;
 struct run_state;
+struct shard_context;
 struct state;
 struct submission_state;
 struct worker_entry;
@@ -20,10 +21,10 @@
 /// Workers, their leases and the runs on them.
 namespace workers {
 
-void entry_changed(context& c, worker_entry const& entry);
+void entry_changed(shard_context& c, worker_entry const& entry);
 
 /// The store no longer lists the worker.
-void entry_removed(context& c, std::string_view id);
+void entry_removed(shard_context& c, std::string_view id);
 
 /// Returns what a run of a step reserves.
 run_state reservation(submission_state const& item, std::uint32_t step);
@@ -33,18 +34,18 @@
 void remove_run(worker_state& worker, run_id const& run);
 
 /// Orders a run to start. Its place must have been reserved.
-void start(context& c, worker_state& worker, run_id const& run);
+void start(shard_context& c, worker_state& worker, run_id const& run);
 
 /// Orders a run to stop, until the worker has confirmed it.
-void stop(context& c, worker_state& worker, run_id const& run);
+void stop(shard_context& c, worker_state& worker, run_id const& run);
 
 /// Sets the share of its speed at which a run works.
-void pace(context& c, worker_state& worker, run_id const& run,
+void pace(shard_context& c, worker_state& worker, run_id const& run,
           std::uint32_t percent);
 
 void replied(context& c, worker_replied const& reply);
 
-void tick(context& c);
+void tick(shard_context& c);
 
 /// Length of the leases that an owner grants.
 time_ms lease(state const& s);
@@ -53,7 +54,7 @@
 time_ms longest_lease_of(state const& s);
 
 /// Tells whether tasks may be started on the worker.
-bool usable(context const& c, worker_state const& worker);
+bool usable(shard_context const& c, worker_state const& worker);
 
 } // namespace workers
 
--- a/include/jaydrift/schedule/yield_request.hpp
+++ b/include/jaydrift/schedule/yield_request.hpp
@@ -9,6 +9,7 @@
 /// Asks a daemon to succeed the owner at once.
 struct yield_request
 {
+    std::uint32_t shard = 0;
     std::string node;
     std::uint64_t revision = 0;
 };
--- a/src/jaydrift/codec/peer_codec.cpp
+++ b/src/jaydrift/codec/peer_codec.cpp
@@ -23,13 +23,14 @@
 {
     put_field(out, "address", message.address);
     put_field(out, "term", static_cast<std::int64_t>(message.term));
+    put_field(out, "interval_ms", message.interval.count());
+    put_field(out, "firm_load", message.load.firm);
+    put_field(out, "opportunistic_load", message.load.opportunistic);
 }
 
 void write_fields(json_writer& out, heartbeat_reply const& message)
 {
     put_field(out, "store_age_ms", message.store_age.count());
-    put_key(out, "cpu_share");
-    out.Double(message.cpu_share);
 }
 
 void write_fields(json_writer& out, owner_sighting const& message)
@@ -54,6 +55,7 @@
     put_field(out, "type", type_of(message));
     std::visit(
         [&out](auto const& each) {
+            put_field(out, "shard", each.shard);
             put_field(out, "node", each.node);
             put_field(out, "revision",
                       static_cast<std::int64_t>(each.revision));
@@ -68,32 +70,39 @@
 {
     auto const value = parse_object(bytes);
     auto const type = text(value, "type");
+    auto const shard = static_cast<std::uint32_t>(integer(value, "shard"));
     auto node = text(value, "node");
     auto const revision =
         static_cast<std::uint64_t>(integer(value, "revision"));
     if (type == "heartbeat")
     {
-        return heartbeat{std::move(node), text(value, "address"), revision,
-                         static_cast<std::uint64_t>(integer(value, "term"))};
+        return heartbeat{shard,
+                         std::move(node),
+                         text(value, "address"),
+                         revision,
+                         static_cast<std::uint64_t>(integer(value, "term")),
+                         milliseconds(value, "interval_ms"),
+                         {integer(value, "firm_load"),
+                          integer(value, "opportunistic_load")}};
     }
     if (type == "reply")
     {
-        return heartbeat_reply{std::move(node), revision,
-                               number(value, "cpu_share"),
+        return heartbeat_reply{shard, std::move(node), revision,
                                milliseconds(value, "store_age_ms")};
     }
     if (type == "query")
     {
-        return owner_query{std::move(node), text(value, "address"), revision};
+        return owner_query{shard, std::move(node), text(value, "address"),
+                           revision};
     }
     if (type == "sighting")
     {
-        return owner_sighting{std::move(node), revision,
+        return owner_sighting{shard, std::move(node), revision,
                               milliseconds(value, "age_ms")};
     }
     if (type == "yield")
     {
-        return yield_request{std::move(node), revision};
+        return yield_request{shard, std::move(node), revision};
     }
     throw codec_error("datagram of unknown type '" + type + "'");
 }
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -242,6 +242,20 @@
 {
     put_field(out, "node", record.node);
     put_field(out, "address", record.address);
+    put_key(out, "cpu_share");
+    out.Double(record.cpu_share);
+}
+
+void write_fields(json_writer& out, layout_record const& record)
+{
+    put_field(out, "shards", record.shards);
+}
+
+void write_fields(json_writer& out, relocation_record const& record)
+{
+    put_field(out, "id", record.id);
+    put_field(out, "to", record.to);
+    put_field(out, "decided_ms", record.decided_at.count());
 }
 
 void write_fields(json_writer& out, write_serial const& record)
@@ -306,7 +320,10 @@
             static_cast<std::uint64_t>(integer(value, "term")),
             static_cast<std::uint64_t>(integer(value, "incarnation"))};
     case record_kind::member:
-        return member_record{text(value, "node"), text(value, "address")};
+        return member_record{text(value, "node"), text(value, "address"),
+                             number(value, "cpu_share")};
+    case record_kind::layout:
+        return layout_record{unsigned_field(value, "shards")};
     case record_kind::serial:
         return write_serial{
             static_cast<std::uint64_t>(integer(value, "value"))};
@@ -316,6 +333,9 @@
         return read_submission(value);
     case record_kind::progress:
         return read_progress(value);
+    case record_kind::relocation:
+        return relocation_record{text(value, "id"), unsigned_field(value, "to"),
+                                 milliseconds(value, "decided_ms")};
     default:
         throw codec_error("a record of the platform is decoded elsewhere");
     }
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -1,10 +1,12 @@
 #include <jaydrift/schedule/areas.hpp>
 
-#include <jaydrift/schedule/context.hpp>
+#include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <variant>
@@ -13,6 +15,11 @@
 
 namespace {
 
+shard_state& shard_with(context& c, std::string_view worker)
+{
+    return c.s.shards[layout::shard_of(worker, c.s.shards.size())];
+}
+
 void report_unreadable(context& c, store_item const& item)
 {
     auto const* const bad = std::get_if<unreadable_record>(&item.record);
@@ -32,8 +39,12 @@
         return;
     }
     c.s.config = *config;
-    submissions::configuration_changed(c);
-    c.s.dispatch_due = true;
+    for (auto& shard : c.s.shards)
+    {
+        shard_context part(c, shard);
+        submissions::configuration_changed(part);
+        shard.dispatch_due = true;
+    }
     c.log(log_level::info, "config",
           "version " + std::to_string(config->version) + " in force, "
               + std::to_string(config->queues.size()) + " queues, revision "
@@ -46,7 +57,10 @@
                                 : c.s.closed_zones.erase(zone) > 0;
     if (changed)
     {
-        c.s.dispatch_due = true;
+        for (auto& shard : c.s.shards)
+        {
+            shard.dispatch_due = true;
+        }
         c.log(log_level::info, "config",
               "zone " + zone + (closed ? " closed" : " opened"));
     }
@@ -75,6 +89,7 @@
             member = {};
             member.address = record->address;
         }
+        member.cpu_share = record->cpu_share;
     }
 }
 
@@ -121,21 +136,38 @@
     {
         take_member(c, item);
     }
-    else if (auto const* const record = std::get_if<owner_record>(&item.record);
-             record && item.key.kind == record_kind::owner)
+    else if (auto const* const layout =
+                 std::get_if<layout_record>(&item.record))
     {
-        ownership::observe_record(c, *record, item.revision);
+        layout::observe(c, *layout);
+    }
+    else if (auto const* const owner = std::get_if<owner_record>(&item.record);
+             owner && item.key.shard < c.s.shards.size())
+    {
+        shard_context shard(c, c.s.shards[item.key.shard]);
+        ownership::observe_record(shard, *owner, item.revision);
     }
 }
 
 void coordination_read(context& c, std::span<store_item const> items)
 {
     std::set<std::string, std::less<>> nodes;
-    auto owned = false;
+    auto const layout =
+        std::find_if(items.begin(), items.end(), [](store_item const& item) {
+            return item.key.kind == record_kind::layout;
+        });
+    if (layout == items.end())
+    {
+        layout::observe_absence(c);
+    }
+    else
+    {
+        // The owners' records can be taken only by a shard that is known.
+        coordination_changed(c, *layout);
+    }
     for (auto const& item : items)
     {
         coordination_changed(c, item);
-        owned = owned || item.key.kind == record_kind::owner;
         if (item.key.kind == record_kind::member)
         {
             nodes.insert(item.key.name);
@@ -146,22 +178,34 @@
     });
     c.s.store.announced =
         c.s.store.announced && nodes.contains(c.s.options.node);
-    if (!owned)
-    {
-        ownership::observe_absence(c);
-    }
 }
 
 void workers_changed(context& c, store_item const& item)
 {
     auto const* const entry = std::get_if<worker_entry>(&item.record);
-    if (!item.deleted && entry && entry->id == item.key.name)
+    auto const present = !item.deleted && entry && entry->id == item.key.name;
+    if (present)
+    {
+        c.s.worker_entries[entry->id] = *entry;
+    }
+    else
+    {
+        report_unreadable(c, item);
+        c.s.worker_entries.erase(item.key.name);
+    }
+    shard_context shard(c, shard_with(c, item.key.name));
+    if (!holds_shard(shard.shard.owner.role))
     {
-        workers::entry_changed(c, *entry);
         return;
     }
-    report_unreadable(c, item);
-    workers::entry_removed(c, item.key.name);
+    if (present)
+    {
+        workers::entry_changed(shard, *entry);
+    }
+    else
+    {
+        workers::entry_removed(shard, item.key.name);
+    }
 }
 
 void workers_read(context& c, std::span<store_item const> items)
@@ -172,14 +216,21 @@
         workers_changed(c, item);
         ids.insert(item.key.name);
     }
-    for (auto const& [id, worker] : c.s.workers)
+    std::erase_if(c.s.worker_entries, [&ids](auto const& each) {
+        return !ids.contains(each.first);
+    });
+    for (auto& each : c.s.shards)
     {
-        if (worker.listed && !ids.contains(id))
+        shard_context shard(c, each);
+        for (auto const& [id, worker] : each.workers)
         {
-            workers::entry_removed(c, id);
+            if (worker.listed && !ids.contains(id))
+            {
+                workers::entry_removed(shard, id);
+            }
         }
+        each.owner.workers_read = holds_shard(each.owner.role);
     }
-    c.s.owner.workers_read = true;
 }
 
 } // namespace jaydrift::schedule::areas
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -1,13 +1,16 @@
 #include <jaydrift/schedule/calls.hpp>
 
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/record_log.hpp>
+#include <jaydrift/schedule/relocation.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jaydrift::schedule::calls {
@@ -34,11 +37,25 @@
 std::string_view name_of(answer::code result)
 {
     static constexpr std::string_view names[] = {
-        "ok",   "state",       "count",     "no_queue",
-        "gone", "unavailable", "not_owner", "unknown"};
+        "ok",          "state",     "count",   "no_queue", "gone",
+        "unavailable", "not_owner", "unknown", "moved"};
     return names[static_cast<std::size_t>(result)];
 }
 
+/// Names the owners that the call depended on, for the log.
+std::string owners_of(context const& c, open_call const& call)
+{
+    std::string result;
+    for (auto const& part : call.parts)
+    {
+        auto const& owner = c.s.shards[part.shard].owner;
+        result += ", shard " + std::to_string(part.shard) + " of "
+                  + owner.record.node + " at revision "
+                  + std::to_string(owner.revision);
+    }
+    return result;
+}
+
 void finish(context& c, std::uint64_t call, answer reply)
 {
     auto const found = c.s.calls.find(call);
@@ -55,9 +72,8 @@
         c.log(log_level::info, "call",
               found->second.request.path + " answered "
                   + std::string(name_of(reply.result)) + " after "
-                  + std::to_string(age.count()) + " ms, owner "
-                  + c.s.owner.record.node + " at revision "
-                  + std::to_string(c.s.owner.revision));
+                  + std::to_string(age.count()) + " ms"
+                  + owners_of(c, found->second));
     }
     c.emit(answer_call{call, reply});
     c.s.calls.erase(found);
@@ -65,7 +81,43 @@
 
 void finish(context& c, std::uint64_t call, answer::code result)
 {
-    finish(c, call, answer{result, {}, 0});
+    finish(c, call, answer{result, {}, 0, 0});
+}
+
+call_part* part_of(open_call& call, std::uint32_t shard)
+{
+    auto const found = std::find_if(
+        call.parts.begin(), call.parts.end(),
+        [shard](call_part const& each) { return each.shard == shard; });
+    return found == call.parts.end() ? nullptr : &*found;
+}
+
+/// Takes the answer of one shard. Counts are added up when all have answered.
+void finish_part(context& c, std::uint64_t number, std::uint32_t shard,
+                 answer reply)
+{
+    auto& call = c.s.calls.at(number);
+    if (call.parts.size() == 1 || reply.result != answer::code::count)
+    {
+        finish(c, number, reply);
+        return;
+    }
+    part_of(call, shard)->reply = reply;
+    answer sum{answer::code::count, {}, 0, 0};
+    for (auto const& part : call.parts)
+    {
+        if (!part.reply)
+        {
+            return;
+        }
+        sum.pending += part.reply->pending;
+    }
+    finish(c, number, sum);
+}
+
+void finish_part(shard_context& c, std::uint64_t call, answer::code result)
+{
+    finish_part(c, call, c.shard.number, answer{result, {}, 0, 0});
 }
 
 /// Returns the queue with the longest prefix of the path.
@@ -93,10 +145,10 @@
               });
 }
 
-std::uint64_t pending_count(context& c, queue const& asked)
+std::uint64_t pending_count(shard_context& c, queue const& asked)
 {
     std::uint64_t count = 0;
-    for (auto const& id : c.s.active)
+    for (auto const& id : c.shard.active)
     {
         auto const& item = *submissions::find(c, id);
         count += item.queue == asked.name && item.record_stored && !item.started
@@ -106,27 +158,27 @@
     return count;
 }
 
-void wait_for_log(context& c, std::uint64_t call, submission_state& item)
+void wait_for_log(shard_context& c, std::uint64_t call, submission_state& item)
 {
-    c.s.calls.at(call).with_log = true;
+    part_of(c.s.calls.at(call), c.shard.number)->with_log = true;
     item.waiters.emplace_back(call, item.version);
 }
 
-bool overloaded(context const& c)
+bool overloaded(shard_context const& c)
 {
-    auto const& log = c.s.log;
+    auto const& log = c.shard.log;
     return (log.in_flight && c.now - log.first_sent >= stalled_log)
-           || c.s.submissions.size() >= max_submissions;
+           || c.shard.submissions.size() >= max_submissions;
 }
 
-void submit(context& c, std::uint64_t call, queue const& target,
+void submit(shard_context& c, std::uint64_t call, queue const& target,
             std::string const& id)
 {
     if (auto* const known = submissions::find(c, id))
     {
         if (known->record_stored)
         {
-            finish(c, call, answer::code::ok);
+            finish_part(c, call, answer::code::ok);
         }
         else
         {
@@ -134,31 +186,62 @@
         }
         return;
     }
+    if (auto const moved = c.shard.relocations.find(id);
+        moved != c.shard.relocations.end())
+    {
+        if (moved->second.stored)
+        {
+            relocated(c, call, moved->second.record.to);
+            return;
+        }
+        part_of(c.s.calls.at(call), c.shard.number)->with_log = true;
+        moved->second.waiters.push_back(call);
+        return;
+    }
     if (overloaded(c) || c.s.stopping_since)
     {
         c.count("submissions_refused_total", "overloaded");
         c.log(log_level::info, "call",
               id + " refused, the store has not answered for "
-                  + std::to_string((c.now - c.s.log.first_sent).count())
+                  + std::to_string((c.now - c.shard.log.first_sent).count())
                   + " ms");
-        finish(c, call, answer::code::unavailable);
+        finish_part(c, call, answer::code::unavailable);
         return;
     }
-    auto& item = submissions::add(
-        c, {id, target.name, c.wall(), *c.s.calls.at(call).request.work});
+    auto const& work = *c.s.calls.at(call).request.work;
+    if (relocation::wanted(c, id, target.service, work))
+    {
+        part_of(c.s.calls.at(call), c.shard.number)->with_log = true;
+        relocation::relocate(c, call, id, work);
+        return;
+    }
+    auto& item = submissions::add(c, {id, target.name, c.wall(), work});
     record_log::changed_urgently(c, item);
     wait_for_log(c, call, item);
     c.log(log_level::info, "call",
           id + " arrived in queue " + target.name + ", "
-              + std::to_string(c.s.active.size()) + " active");
+              + std::to_string(c.shard.active.size()) + " active");
 }
 
-void show(context& c, std::uint64_t call, std::string const& id)
+/// The submission may belong to its second shard.
+void not_here(shard_context& c, std::uint64_t call, std::string const& id)
+{
+    auto const second = layout::second_shard_of(id, c.s.shards.size());
+    if (second != c.shard.number
+        && layout::shard_of(id, c.s.shards.size()) == c.shard.number)
+    {
+        relocated(c, call, second);
+        return;
+    }
+    finish_part(c, call, answer::code::gone);
+}
+
+void show(shard_context& c, std::uint64_t call, std::string const& id)
 {
     auto const* const item = submissions::find(c, id);
     if (!item || !item->record_stored)
     {
-        finish(c, call, answer::code::gone);
+        not_here(c, call, id);
         return;
     }
     auto const phase = ended(item->phase) && !ended(item->stored_phase)
@@ -166,15 +249,15 @@
                        : ended(item->phase) ? item->stored_phase
                        : item->started      ? submission_phase::running
                                             : submission_phase::queued;
-    finish(c, call, answer{answer::code::state, phase, 0});
+    finish(c, call, answer{answer::code::state, phase, 0, 0});
 }
 
-void cancel(context& c, std::uint64_t call, std::string const& id)
+void cancel(shard_context& c, std::uint64_t call, std::string const& id)
 {
     auto* const item = submissions::find(c, id);
     if (!item)
     {
-        finish(c, call, answer::code::gone);
+        not_here(c, call, id);
         return;
     }
     if (!ended(item->phase))
@@ -183,13 +266,13 @@
     }
     if (item->stored_version >= item->version)
     {
-        finish(c, call, answer::code::ok);
+        finish_part(c, call, answer::code::ok);
         return;
     }
     wait_for_log(c, call, *item);
 }
 
-void serve(context& c, std::uint64_t call)
+void serve(shard_context& c, std::uint64_t call)
 {
     auto const& request = c.s.calls.at(call).request;
     auto const* const target = route(c, request);
@@ -202,8 +285,9 @@
     auto const id = request.path.substr(target->prefix.size());
     if (id.empty())
     {
-        finish(c, call,
-               answer{answer::code::count, {}, pending_count(c, *target)});
+        finish_part(
+            c, call, c.shard.number,
+            answer{answer::code::count, {}, pending_count(c, *target), 0});
         return;
     }
     switch (request.verb)
@@ -222,47 +306,60 @@
     return call.arrived + call.request.time_limit - answer_margin;
 }
 
-/// Serves a call here, forwards it, or leaves it waiting for an owner.
-void proceed(context& c, std::uint64_t number)
+/// Serves a part of a call here, forwards it, or leaves it waiting for an
+/// owner.
+void proceed(context& c, std::uint64_t number, std::uint32_t shard)
 {
     auto& call = c.s.calls.at(number);
-    auto const role = c.s.owner.role;
-    if (role == owner_role::owner)
+    auto& part = *part_of(call, shard);
+    auto const& owner = c.s.shards[shard].owner;
+    if (owner.role == owner_role::owner)
     {
-        serve(c, number);
+        shard_context here(c, c.s.shards[shard]);
+        serve(here, number);
         return;
     }
-    auto const may_forward = role == owner_role::follower
-                             && c.s.owner.revision != 0
-                             && !c.s.owner.queried_at;
-    if (call.request.forwarded && role == owner_role::follower)
+    if (call.request.forwarded_to && owner.role == owner_role::follower)
     {
         finish(c, number, answer::code::not_owner);
         return;
     }
-    if (may_forward && c.s.owner.record.node != c.s.options.node)
+    if (owner.role == owner_role::follower && owner.revision != 0
+        && !owner.queried_at && owner.record.node != c.s.options.node)
     {
-        call.with_peer = true;
+        part.with_peer = true;
         auto const left = due(call) - c.now;
-        c.emit(forward_call{number, c.s.owner.record.address,
+        c.emit(forward_call{number, shard, owner.record.address,
                             std::min(forward_limit, left)});
         return;
     }
-    call.retry_at = c.now + retry_pause;
+    part.retry_at = c.now + retry_pause;
 }
 
-void give_up(context& c, std::uint64_t number, open_call const& call)
+void give_up(context& c, std::uint64_t number, open_call const& call,
+             call_part const& part)
 {
     auto const submits = call.request.verb == call_verb::submit;
-    auto const result = call.maybe_done && submits ? answer::code::unknown
+    auto const result = part.maybe_done && submits ? answer::code::unknown
                                                    : answer::code::unavailable;
     finish(c, number, result);
 }
 
-void check(context& c, std::uint64_t number)
+/// Looks whether a part of a call is due. The call may end.
+void check(context& c, std::uint64_t number, std::uint32_t shard)
 {
-    auto const& call = c.s.calls.at(number);
-    if (call.with_log || call.with_peer)
+    auto const found = c.s.calls.find(number);
+    if (found == c.s.calls.end())
+    {
+        return;
+    }
+    auto const& call = found->second;
+    auto const& part = *part_of(found->second, shard);
+    if (part.reply)
+    {
+        return;
+    }
+    if (part.with_log || part.with_peer)
     {
         if (c.now >= due(call))
         {
@@ -270,17 +367,41 @@
         }
         return;
     }
-    auto const patience = call.maybe_done ? forward_limit : owner_wait;
+    auto const patience = part.maybe_done ? forward_limit : owner_wait;
     if (c.now - call.arrived >= patience || c.now >= due(call))
     {
-        give_up(c, number, call);
+        give_up(c, number, call, part);
     }
-    else if (c.now >= call.retry_at)
+    else if (c.now >= part.retry_at)
     {
-        proceed(c, number);
+        proceed(c, number, shard);
     }
 }
 
+/// Returns the shards that a call concerns: that of the submission, or all for
+/// a count.
+std::vector<call_part> parts_of(context const& c, call_arrived const& request,
+                                std::string_view id)
+{
+    std::vector<call_part> result;
+    if (request.forwarded_to)
+    {
+        result.emplace_back().shard = *request.forwarded_to;
+    }
+    else if (!id.empty())
+    {
+        result.emplace_back().shard = layout::shard_of(id, c.s.shards.size());
+    }
+    else
+    {
+        for (auto const& shard : c.s.shards)
+        {
+            result.emplace_back().shard = shard.number;
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 void arrived(context& c, call_arrived const& request)
@@ -292,7 +413,8 @@
     {
         call.request.time_limit = default_time_limit;
     }
-    if (!c.s.config)
+    auto const to = request.forwarded_to;
+    if (!c.s.config || c.s.shards.empty() || (to && *to >= c.s.shards.size()))
     {
         finish(c, request.call, answer::code::unavailable);
         return;
@@ -301,13 +423,19 @@
     auto const id =
         target ? std::string_view(request.path).substr(target->prefix.size())
                : std::string_view();
-    if (!request.forwarded
-        && (!target || !(is_id(id) || (id.empty() && !request.work))))
+    if (!to && (!target || !(is_id(id) || (id.empty() && !request.work))))
     {
         finish(c, request.call, answer::code::no_queue);
         return;
     }
-    proceed(c, request.call);
+    call.parts = parts_of(c, request, id);
+    for (auto const& part : std::vector<call_part>(call.parts))
+    {
+        if (c.s.calls.contains(request.call))
+        {
+            proceed(c, request.call, part.shard);
+        }
+    }
 }
 
 void forwarded(context& c, forward_replied const& reply)
@@ -317,39 +445,65 @@
     {
         return;
     }
-    auto& call = found->second;
-    call.with_peer = false;
+    auto& part = *part_of(found->second, reply.shard);
+    part.with_peer = false;
     if (reply.reply.result == answer::code::not_owner)
     {
-        call.retry_at = c.now + retry_pause;
+        part.retry_at = c.now + retry_pause;
+        return;
+    }
+    if (reply.reply.result == answer::code::moved
+        && reply.reply.shard < c.s.shards.size())
+    {
+        part.shard = reply.reply.shard;
+        proceed(c, reply.call, part.shard);
         return;
     }
     if (reply.reply.result == answer::code::unknown)
     {
-        call.maybe_done = true;
-        call.retry_at = c.now + retry_pause;
+        part.maybe_done = true;
+        part.retry_at = c.now + retry_pause;
         return;
     }
-    if (reply.reply.result == answer::code::unavailable && call.maybe_done
-        && call.request.verb == call_verb::submit)
+    if (reply.reply.result == answer::code::unavailable && part.maybe_done
+        && found->second.request.verb == call_verb::submit)
     {
         finish(c, reply.call, answer::code::unknown);
         return;
     }
-    finish(c, reply.call, reply.reply);
+    finish_part(c, reply.call, reply.shard, reply.reply);
 }
 
-void stored(context& c, std::uint64_t call)
+void stored(shard_context& c, std::uint64_t call)
 {
     finish(c, call, answer::code::ok);
 }
 
-void log_abandoned(context& c)
+void relocated(shard_context& c, std::uint64_t number, std::uint32_t to)
+{
+    auto const found = c.s.calls.find(number);
+    if (found == c.s.calls.end())
+    {
+        return;
+    }
+    if (found->second.request.forwarded_to)
+    {
+        finish(c, number, answer{answer::code::moved, {}, 0, to});
+        return;
+    }
+    auto& part = *part_of(found->second, c.shard.number);
+    part.with_log = false;
+    part.shard = to;
+    proceed(c, number, to);
+}
+
+void log_abandoned(shard_context& c)
 {
     std::vector<std::uint64_t> waiting;
-    for (auto const& [number, call] : c.s.calls)
+    for (auto& [number, call] : c.s.calls)
     {
-        if (call.with_log)
+        auto const* const part = part_of(call, c.shard.number);
+        if (part && part->with_log)
         {
             waiting.push_back(number);
         }
@@ -357,28 +511,32 @@
     for (auto const number : waiting)
     {
         auto& call = c.s.calls.at(number);
-        if (call.request.forwarded)
+        if (call.request.forwarded_to)
         {
             finish(c, number, answer::code::unknown);
             continue;
         }
         // The same ID joins at the new owner.
-        call.with_log = false;
-        call.maybe_done = true;
-        call.retry_at = c.now + retry_pause;
+        auto& part = *part_of(call, c.shard.number);
+        part.with_log = false;
+        part.maybe_done = true;
+        part.retry_at = c.now + retry_pause;
     }
 }
 
 void tick(context& c)
 {
-    std::vector<std::uint64_t> open;
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> open;
     for (auto const& [number, call] : c.s.calls)
     {
-        open.push_back(number);
+        for (auto const& part : call.parts)
+        {
+            open.emplace_back(number, part.shard);
+        }
     }
-    for (auto const number : open)
+    for (auto const& [number, shard] : open)
     {
-        check(c, number);
+        check(c, number, shard);
     }
 }
 
--- a/src/jaydrift/schedule/interference.cpp
+++ b/src/jaydrift/schedule/interference.cpp
@@ -1,6 +1,6 @@
 #include <jaydrift/schedule/interference.hpp>
 
-#include <jaydrift/schedule/context.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -72,22 +72,22 @@
 }
 
 /// Neighbours that started since the last report are not in its tails yet.
-double unreported_growth(state const& s, worker_state const& worker,
-                         std::string_view serving)
+double unreported_growth(interference_model const& model,
+                         worker_state const& worker, std::string_view serving)
 {
     auto growth = 0.0;
     for (auto const& [id, run] : worker.runs)
     {
         if (run.opportunistic && run.load == 0 && run.pace > 0)
         {
-            growth += weight(s, serving, run.image) * use(worker, run);
+            growth += weight(model, serving, run.image) * use(worker, run);
         }
     }
     return growth;
 }
 
 /// Keeps the largest tail per image.
-void look_at_serving(state const& s, worker_state& worker)
+void look_at_serving(interference_model const& model, worker_state& worker)
 {
     worker.serving.clear();
     worker.serving_known = true;
@@ -114,15 +114,15 @@
     }
     for (auto& each : worker.serving)
     {
-        each.tail *= std::exp(unreported_growth(s, worker, each.image));
+        each.tail *= std::exp(unreported_growth(model, worker, each.image));
     }
 }
 
 } // namespace
 
-void learn(context& c, worker_state& worker)
+void learn(shard_context& c, worker_state& worker)
 {
-    auto& model = c.s.interference;
+    auto& model = c.shard.interference;
     if (c.now - model.refreshed_at >= refresh_interval)
     {
         model.refreshed_at = c.now;
@@ -147,13 +147,13 @@
     }
 }
 
-double weight(state const& s, std::string_view serving,
+double weight(interference_model const& model, std::string_view serving,
               std::string_view neighbour)
 {
-    auto const& models = s.interference.by_serving_image;
-    auto const model = models.find(serving);
-    return model == models.end() ? unknown_weight
-                                 : model->second.weight(neighbour);
+    auto const& models = model.by_serving_image;
+    auto const known = models.find(serving);
+    return known == models.end() ? unknown_weight
+                                 : known->second.weight(neighbour);
 }
 
 double use(worker_state const& worker, run_state const& run)
@@ -169,17 +169,17 @@
     return millicores / capacity;
 }
 
-double expected_tail(state const& s, worker_state& worker,
+double expected_tail(interference_model const& model, worker_state& worker,
                      std::string_view neighbour, double share)
 {
     if (!worker.serving_known)
     {
-        look_at_serving(s, worker);
+        look_at_serving(model, worker);
     }
     auto worst = 0.0;
     for (auto const& each : worker.serving)
     {
-        auto const growth = weight(s, each.image, neighbour) * share;
+        auto const growth = weight(model, each.image, neighbour) * share;
         worst = std::max(worst, each.tail * std::exp(growth));
     }
     return worst;
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -1,33 +1,45 @@
 #include <jaydrift/schedule/ownership.hpp>
 
+#include <jaydrift/core/hash.hpp>
 #include <jaydrift/schedule/calls.hpp>
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/recovery.hpp>
+#include <jaydrift/schedule/relocation.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 
 #include <algorithm>
-#include <cmath>
+#include <map>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace jaydrift::schedule::ownership {
 
 namespace {
 
-constexpr time_ms heartbeat_interval{150};
+/// Interval for daemons that are not among the first to succeed.
+constexpr time_ms slow_heartbeat_interval{900};
 
-/// Four heartbeats; datagrams are lost now and then.
-constexpr time_ms suspect_after{600};
+/// Daemons that hear the owner at the short interval: enough to find one alive
+/// after the loss of a zone.
+constexpr std::size_t watching_candidates = 7;
+
+/// Heartbeats missed before an owner is suspected; datagrams are lost now and
+/// then.
+constexpr std::int64_t suspected_misses = 4;
 
 /// Time for the peers' answers to an owner query.
 constexpr time_ms query_wait{120};
 constexpr time_ms claim_limit{600};
 constexpr time_ms claim_pause{300};
 
-/// The smallest daemon waits this much longer than the largest one.
-constexpr double claim_rank_ms = 80.0;
-constexpr std::uint64_t claim_jitter_ms = 40;
+/// Each candidate leaves the one before it this time for its claim.
+constexpr time_ms claim_rank_delay{30};
+constexpr std::size_t last_claim_rank = 10;
+constexpr std::uint64_t claim_jitter_ms = 15;
 
 /// The owner ticks every 20 ms; a longer gap means that it was frozen.
 constexpr time_ms frozen_after{500};
@@ -36,6 +48,17 @@
 constexpr time_ms yield_after{500};
 constexpr time_ms peer_fresh{500};
 
+/// An owner that the store has not answered for so long hears all members at
+/// the short interval, to tell an outage from a cut.
+constexpr time_ms store_doubtful_after{600};
+
+/// Shards move from loaded daemons to idle ones at this pace at most, since a
+/// move stops the shard's starts for a fraction of a second.
+constexpr time_ms rebalance_pause{5000};
+
+/// A move must at least halve the load of the owner.
+constexpr double rebalance_gain = 2.0;
+
 /// An outage does not begin at the same moment for all daemons.
 constexpr time_ms outage_overlap{250};
 
@@ -52,9 +75,9 @@
 /// Members that have not answered for so long are removed.
 constexpr time_ms member_retention{30000};
 
-void enter(context& c, owner_role role, std::string_view reason)
+void enter(shard_context& c, owner_role role, std::string_view reason)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     static constexpr std::string_view names[] = {
         "follower", "claiming", "recovering", "owner", "suspended", "yielding"};
     c.log(log_level::info, "ownership",
@@ -64,13 +87,23 @@
     owner.role_since = c.now;
 }
 
-bool is_self(context const& c, owner_record const& record)
+record_key owner_key(shard_context const& c)
+{
+    return {record_kind::owner, {}, c.shard.number};
+}
+
+time_ms suspect_after(ownership_state const& owner)
+{
+    return owner.heartbeat_interval * suspected_misses;
+}
+
+bool is_self(shard_context const& c, owner_record const& record)
 {
     return record.incarnation == c.s.options.incarnation
            && record.node == c.s.options.node;
 }
 
-void send_to_all(context& c, peer_message const& message)
+void send_to_all(shard_context& c, peer_message const& message)
 {
     for (auto const& [node, member] : c.s.members)
     {
@@ -78,66 +111,153 @@
     }
 }
 
-void own(context& c)
+/// A daemon that may own the shard; `member` is null for this one.
+struct candidate
+{
+    /// Shards that it would own, by its share of a core.
+    double load = 0.0;
+
+    /// Other shards that it owns.
+    std::uint32_t others = 0;
+    std::uint64_t order = 0;
+    member_state const* member = nullptr;
+};
+
+using owned_shards = std::map<std::string_view, std::uint32_t>;
+
+/// Counts the other shards of each daemon.
+owned_shards count_owned(shard_context const& c)
+{
+    owned_shards result;
+    for (auto const& each : c.s.shards)
+    {
+        if (each.number == c.shard.number)
+        {
+            continue;
+        }
+        if (each.owner.role == owner_role::claiming)
+        {
+            ++result[c.s.options.node];
+        }
+        else if (each.owner.revision != 0)
+        {
+            ++result[each.owner.record.node];
+        }
+    }
+    return result;
+}
+
+candidate make_candidate(shard_context const& c, owned_shards const& owned,
+                         std::string_view node, double cpu_share)
+{
+    constexpr double smallest_share = 0.01;
+    auto const found = owned.find(node);
+    candidate result;
+    result.others = found == owned.end() ? 0U : found->second;
+    result.load = (result.others + 1.0) / std::max(smallest_share, cpu_share);
+    result.order = rendezvous_score(std::to_string(c.shard.number), node);
+    return result;
+}
+
+double own_load(shard_context const& c)
+{
+    return make_candidate(c, count_owned(c), c.s.options.node,
+                          c.s.options.cpu_share)
+        .load;
+}
+
+/// Returns the daemons other than the recorded owner, those that should own
+/// the shard first.
+std::vector<candidate> candidates(shard_context const& c)
+{
+    auto const owned = count_owned(c);
+    std::vector<candidate> result;
+    auto const add = [&](std::string_view node, double cpu_share,
+                         member_state const* member) {
+        if (node != c.shard.owner.record.node)
+        {
+            result.push_back(make_candidate(c, owned, node, cpu_share));
+            result.back().member = member;
+        }
+    };
+    add(c.s.options.node, c.s.options.cpu_share, nullptr);
+    for (auto const& [node, member] : c.s.members)
+    {
+        add(node, member.cpu_share, &member);
+    }
+    std::sort(result.begin(), result.end(),
+              [](candidate const& a, candidate const& b) {
+                  return std::tie(a.load, a.order) < std::tie(b.load, b.order);
+              });
+    return result;
+}
+
+void own(shard_context& c)
 {
-    if (!holds_shard(c.s.owner.role))
+    if (!holds_shard(c.shard.owner.role))
     {
         enter(c, owner_role::recovering, "record swapped");
         recovery::begin(c);
     }
 }
 
-void claim(context& c, std::string_view reason)
+void claim(shard_context& c, std::string_view reason)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     owner.queried_at.reset();
     enter(c, owner_role::claiming, reason);
     owner_record const next{c.s.options.node, c.s.options.address,
                             owner.revision == 0 ? 0 : owner.record.term + 1,
                             c.s.options.incarnation};
     commit swap;
-    record_key const key{record_kind::owner, {}};
+    auto const key = owner_key(c);
     swap.expected.emplace_back(key, owner.revision);
     swap.puts.emplace_back(key, next);
     store::call(c, store_purpose::claim, std::move(swap), claim_limit);
 }
 
-void verify(context& c)
+void verify(shard_context& c)
 {
-    if (!c.s.owner.verifying)
+    if (!c.shard.owner.verifying)
     {
-        c.s.owner.verifying = true;
-        store::call(c, store_purpose::verify_owner,
-                    read_record{record_key{record_kind::owner, {}}},
+        c.shard.owner.verifying = true;
+        store::call(c, store_purpose::verify_owner, read_record{owner_key(c)},
                     verify_limit);
     }
 }
 
-void become_follower(context& c, std::string_view reason)
+void become_follower(shard_context& c, std::string_view reason)
 {
     enter(c, owner_role::follower, reason);
-    c.s.owner.next_claim = c.now + claim_pause;
+    c.shard.owner.next_claim = c.now + claim_pause;
 }
 
-/// Larger daemons claim first; the jitter separates equal ones.
-time_ms claim_delay(context& c)
+/// Idle and large daemons claim first.
+time_ms claim_delay(shard_context const& c)
 {
-    auto const share = std::clamp(c.s.options.cpu_share, 0.0, 1.0);
-    auto const rank = std::llround((1.0 - share) * claim_rank_ms);
-    return time_ms(
-        rank + static_cast<std::int64_t>(c.s.random.below(claim_jitter_ms)));
+    if (c.shard.owner.record.node == c.s.options.node)
+    {
+        // An earlier life of this daemon owned the shard.
+        return {};
+    }
+    auto const all = candidates(c);
+    auto const self =
+        std::find_if(all.begin(), all.end(),
+                     [](candidate const& each) { return !each.member; });
+    auto const rank =
+        std::min(last_claim_rank, static_cast<std::size_t>(self - all.begin()));
+    return claim_rank_delay * static_cast<std::int64_t>(rank);
 }
 
-void watch_owner(context& c)
+void watch_owner(shard_context& c)
 {
-    auto& owner = c.s.owner;
-    if (!owner.known || !c.s.config || c.s.stopping_since
-        || c.now < owner.next_claim)
+    auto& owner = c.shard.owner;
+    if (!c.s.config || c.s.stopping_since || c.now < owner.next_claim)
     {
         return;
     }
     auto const absent = owner.revision == 0;
-    auto const silent = c.now - owner.heard_at >= suspect_after;
+    auto const silent = c.now - owner.heard_at >= suspect_after(owner);
     if (!absent && !silent)
     {
         return;
@@ -145,65 +265,97 @@
     if (!owner.queried_at)
     {
         owner.queried_at = c.now;
-        owner.next_claim = c.now + query_wait + claim_delay(c);
-        send_to_all(c, owner_query{c.s.options.node, c.s.options.address,
-                                   owner.revision});
+        // The jitter separates daemons that know different members.
+        auto const jitter =
+            static_cast<std::int64_t>(c.s.random.below(claim_jitter_ms));
+        owner.next_claim = c.now + query_wait + time_ms(jitter);
+        send_to_all(c, owner_query{c.shard.number, c.s.options.node,
+                                   c.s.options.address, owner.revision});
         return;
     }
-    claim(c, absent ? "no owner" : "owner silent");
+    if (c.now >= *owner.queried_at + query_wait + claim_delay(c))
+    {
+        claim(c, absent ? "no owner" : "owner silent");
+    }
 }
 
-void send_heartbeats(context& c)
+void send_heartbeats(shard_context& c)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     if (c.now < owner.next_heartbeat)
     {
         return;
     }
     owner.next_heartbeat = c.now + heartbeat_interval;
-    send_to_all(c, heartbeat{c.s.options.node, c.s.options.address,
-                             owner.revision, owner.record.term});
-}
-
-/// Returns the largest peer that answered within `peer_fresh`, or none. The
-/// store must have answered it since the given time.
-member_state const* best_peer(context const& c, time_ms store_heard_since)
-{
-    member_state const* best = nullptr;
-    for (auto const& [node, member] : c.s.members)
+    if (c.s.shards.size() > 1)
+    {
+        c.shard.load = relocation::measure(c);
+    }
+    auto const all = c.now >= owner.next_full_heartbeat
+                     || c.now - c.s.store.last_success >= store_doubtful_after;
+    if (all)
+    {
+        owner.next_full_heartbeat = c.now + slow_heartbeat_interval;
+    }
+    heartbeat message{c.shard.number, c.s.options.node,  c.s.options.address,
+                      owner.revision, owner.record.term, heartbeat_interval,
+                      c.shard.load};
+    std::size_t rank = 0;
+    for (auto const& each : candidates(c))
     {
-        if (c.now - member.heard_at < peer_fresh
-            && member.store_heard_at >= store_heard_since
-            && (!best || member.cpu_share > best->cpu_share))
+        // Owners of other shards follow the load.
+        auto const often = rank++ < watching_candidates || each.others > 0;
+        message.interval = often ? heartbeat_interval : slow_heartbeat_interval;
+        if (each.member && (often || all))
         {
-            best = &member;
+            c.emit(send_message{each.member->address, message});
         }
     }
-    return best;
+}
+
+/// Returns the first candidate that answered within `peer_fresh`, or none. The
+/// store must have answered it since the given time.
+std::optional<candidate> best_peer(shard_context const& c,
+                                   time_ms store_heard_since)
+{
+    auto const all = candidates(c);
+    auto const found =
+        std::find_if(all.begin(), all.end(), [&](candidate const& each) {
+            return each.member && c.now - each.member->heard_at < peer_fresh
+                   && each.member->store_heard_at >= store_heard_since;
+        });
+    return found == all.end() ? std::nullopt : std::optional(*found);
+}
+
+void yield_to(shard_context& c, candidate const& successor,
+              std::string_view reason)
+{
+    c.shard.owner.successor = successor.member->address;
+    enter(c, owner_role::yielding, reason);
 }
 
 /// Tells whether the owner may be on the wrong side of a cut: it has not heard
 /// of the store, and a member is silent. That one may have the store and have
 /// succeeded.
-bool cut_off(context const& c)
+bool cut_off(shard_context const& c)
 {
     return c.now - c.s.store.last_success >= isolated_after
            && std::any_of(
                c.s.members.begin(), c.s.members.end(), [&c](auto const& item) {
                    auto const since =
-                       std::max(item.second.heard_at, c.s.owner.role_since);
+                       std::max(item.second.heard_at, c.shard.owner.role_since);
                    return c.now - since >= isolated_after;
                });
 }
 
-void suspend(context& c, std::string_view reason)
+void suspend(shard_context& c, std::string_view reason)
 {
     enter(c, owner_role::suspended, reason);
-    c.s.owner.verifying = false;
-    c.s.owner.next_heartbeat = c.now;
+    c.shard.owner.verifying = false;
+    c.shard.owner.next_heartbeat = c.now;
 }
 
-void watch_own_health(context& c)
+void watch_own_health(shard_context& c)
 {
     if (cut_off(c))
     {
@@ -217,28 +369,50 @@
     }
     if (c.now - *failing >= yield_after)
     {
-        if (auto const* const peer = best_peer(c, *failing + outage_overlap))
+        if (auto const peer = best_peer(c, *failing + outage_overlap))
         {
-            c.s.owner.successor = peer->address;
-            enter(c, owner_role::yielding, "store reachable by a peer only");
-            return;
+            yield_to(c, *peer, "store reachable by a peer only");
         }
     }
 }
 
-void leave_gracefully(context& c)
+void leave_gracefully(shard_context& c)
 {
-    auto const* const peer = best_peer(c, c.now - store_out_after);
-    if (c.s.stopping_since && peer && !c.s.log.in_flight)
+    if (!c.s.stopping_since || c.shard.log.in_flight)
     {
-        c.s.owner.successor = peer->address;
-        enter(c, owner_role::yielding, "stopping");
+        return;
+    }
+    if (auto const peer = best_peer(c, c.now - store_out_after))
+    {
+        yield_to(c, *peer, "stopping");
+    }
+}
+
+/// Hands the shard to a daemon that carries much less, for instance after a
+/// restart of several daemons.
+void rebalance(shard_context& c)
+{
+    auto const busy =
+        c.s.stopping_since || c.shard.log.in_flight || c.s.store.failing_since
+        || c.now - c.shard.owner.role_since < rebalance_pause
+        || std::any_of(c.s.shards.begin(), c.s.shards.end(),
+                       [](shard_state const& each) {
+                           return each.owner.role == owner_role::yielding;
+                       });
+    if (busy)
+    {
+        return;
+    }
+    auto const peer = best_peer(c, c.now - store_out_after);
+    if (peer && peer->load * rebalance_gain <= own_load(c))
+    {
+        yield_to(c, *peer, "another daemon carries less");
     }
 }
 
-void yield(context& c)
+void yield(shard_context& c)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     if (c.now - owner.role_since >= yield_limit)
     {
         suspend(c, "nobody succeeded");
@@ -247,22 +421,23 @@
     if (c.now >= owner.next_heartbeat)
     {
         owner.next_heartbeat = c.now + heartbeat_interval;
-        c.emit(send_message{owner.successor,
-                            yield_request{c.s.options.node, owner.revision}});
+        c.emit(send_message{
+            owner.successor,
+            yield_request{c.shard.number, c.s.options.node, owner.revision}});
     }
 }
 
-void remove_dead_members(context& c)
+void remove_dead_members(shard_context& c)
 {
     for (auto const& [node, member] : c.s.members)
     {
-        if (c.now - std::max(member.heard_at, c.s.owner.role_since)
+        if (c.now - std::max(member.heard_at, c.shard.owner.role_since)
             >= member_retention)
         {
             c.log(log_level::info, "membership",
                   "removed " + node + ", silent for 30 s");
             commit removal;
-            removal.removals.push_back({record_key{record_kind::member, node}});
+            removal.removals.push_back({record_kind::member, node});
             store::call(c, store_purpose::remove_member, std::move(removal),
                         claim_limit);
             c.s.members.erase(node);
@@ -273,11 +448,10 @@
 
 } // namespace
 
-void observe_record(context& c, owner_record const& record,
+void observe_record(shard_context& c, owner_record const& record,
                     std::uint64_t revision)
 {
-    auto& owner = c.s.owner;
-    owner.known = true;
+    auto& owner = c.shard.owner;
     if (revision <= owner.revision)
     {
         return;
@@ -285,6 +459,7 @@
     owner.record = record;
     owner.revision = revision;
     owner.heard_at = c.now;
+    owner.heartbeat_interval = heartbeat_interval;
     owner.queried_at.reset();
     if (is_self(c, record))
     {
@@ -298,25 +473,23 @@
     else if (record.node == c.s.options.node)
     {
         // An earlier life of this daemon, which nobody can hear any more.
-        owner.heard_at = c.now - suspect_after;
-        owner.queried_at = c.now;
+        owner.heard_at = c.now - suspect_after(owner);
+        owner.queried_at = c.now - query_wait;
         owner.next_claim = c.now;
     }
 }
 
-void observe_absence(context& c) { c.s.owner.known = true; }
-
-void step_down(context& c)
+void step_down(shard_context& c)
 {
     become_follower(c, "succeeded");
-    c.s.owner.heard_at = c.now;
+    c.shard.owner.heard_at = c.now;
     calls::log_abandoned(c);
     recovery::forget(c);
 }
 
-void claim_replied(context& c, store_replied const& reply)
+void claim_replied(shard_context& c, store_replied const& reply)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     if (owner.role != owner_role::claiming)
     {
         return;
@@ -345,9 +518,9 @@
     }
 }
 
-void verify_replied(context& c, store_replied const& reply)
+void verify_replied(shard_context& c, store_replied const& reply)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     owner.verifying = false;
     if (reply.status != store_status::ok)
     {
@@ -367,18 +540,18 @@
     }
 }
 
-void check_gap(context& c)
+void check_gap(shard_context& c)
 {
     auto const gap = c.now - c.s.last_step;
-    if (c.s.owner.role == owner_role::owner && gap >= frozen_after)
+    if (c.shard.owner.role == owner_role::owner && gap >= frozen_after)
     {
         suspend(c, "clock gap of " + std::to_string(gap.count()) + " ms");
     }
 }
 
-void tick(context& c)
+void tick(shard_context& c)
 {
-    switch (c.s.owner.role)
+    switch (c.shard.owner.role)
     {
     case owner_role::follower:
         return watch_owner(c);
@@ -389,8 +562,19 @@
     case owner_role::owner:
         send_heartbeats(c);
         watch_own_health(c);
-        leave_gracefully(c);
-        return remove_dead_members(c);
+        if (c.shard.owner.role == owner_role::owner)
+        {
+            leave_gracefully(c);
+        }
+        if (c.shard.owner.role == owner_role::owner)
+        {
+            rebalance(c);
+        }
+        if (c.shard.number == 0)
+        {
+            remove_dead_members(c);
+        }
+        return;
     case owner_role::suspended:
         send_heartbeats(c);
         return verify(c);
@@ -399,9 +583,9 @@
     }
 }
 
-void received(context& c, heartbeat const& message)
+void received(shard_context& c, heartbeat const& message)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     auto const member = c.s.members.find(message.node);
     if (message.revision > owner.revision)
     {
@@ -413,6 +597,8 @@
     {
         owner.heard_at = c.now;
         owner.heartbeat_at = c.now;
+        owner.heartbeat_interval = message.interval;
+        c.shard.load = message.load;
         owner.queried_at.reset();
     }
     if (member == c.s.members.end())
@@ -420,21 +606,20 @@
         c.s.members[message.node].address = message.address;
     }
     c.emit(send_message{message.address,
-                        heartbeat_reply{c.s.options.node, owner.revision,
-                                        c.s.options.cpu_share,
+                        heartbeat_reply{c.shard.number, c.s.options.node,
+                                        owner.revision,
                                         c.now - c.s.store.last_success}});
 }
 
-void received(context& c, heartbeat_reply const& message)
+void received(shard_context& c, heartbeat_reply const& message)
 {
     auto const found = c.s.members.find(message.node);
     if (found == c.s.members.end())
     {
         return;
     }
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     found->second.heard_at = c.now;
-    found->second.cpu_share = message.cpu_share;
     found->second.store_heard_at = c.now - message.store_age;
     if (!holds_shard(owner.role))
     {
@@ -447,20 +632,21 @@
     }
 }
 
-void received(context& c, owner_query const& message)
+void received(shard_context& c, owner_query const& message)
 {
-    auto const age = holds_shard(c.s.owner.role)
+    auto const age = holds_shard(c.shard.owner.role)
                          ? time_ms(0)
-                         : c.now - c.s.owner.heartbeat_at;
-    c.emit(
-        send_message{message.address, owner_sighting{c.s.options.node,
-                                                     c.s.owner.revision, age}});
+                         : c.now - c.shard.owner.heartbeat_at;
+    c.emit(send_message{message.address,
+                        owner_sighting{c.shard.number, c.s.options.node,
+                                       c.shard.owner.revision, age}});
 }
 
-void received(context& c, owner_sighting const& message)
+void received(shard_context& c, owner_sighting const& message)
 {
-    auto& owner = c.s.owner;
-    if (message.revision == owner.revision && message.age < suspect_after)
+    auto& owner = c.shard.owner;
+    if (message.revision == owner.revision
+        && message.age < suspect_after(owner))
     {
         owner.heard_at = c.now - message.age;
         owner.queried_at.reset();
@@ -468,10 +654,10 @@
     }
 }
 
-void received(context& c, yield_request const& message)
+void received(shard_context& c, yield_request const& message)
 {
-    if (c.s.owner.role == owner_role::follower && !c.s.stopping_since
-        && message.revision == c.s.owner.revision)
+    if (c.shard.owner.role == owner_role::follower && !c.s.stopping_since
+        && message.revision == c.shard.owner.revision)
     {
         claim(c, "asked by " + message.node);
     }
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -1,7 +1,7 @@
 #include <jaydrift/schedule/pacing.hpp>
 
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/interference.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -68,7 +68,8 @@
     double weight = 0.0;
 };
 
-std::vector<neighbour> neighbours_of(context const& c, worker_state& worker,
+std::vector<neighbour> neighbours_of(shard_context const& c,
+                                     worker_state& worker,
                                      run_state const& serving)
 {
     std::vector<neighbour> result;
@@ -77,15 +78,15 @@
         if (run.opportunistic && run.phase == run_phase::running
             && !run.pace_in_flight)
         {
-            result.push_back(
-                {id, &run,
-                 interference::weight(c.s, serving.image, run.image)});
+            result.push_back({id, &run,
+                              interference::weight(c.shard.interference,
+                                                   serving.image, run.image)});
         }
     }
     return result;
 }
 
-void set_pace(context& c, worker_state& worker, neighbour const& each,
+void set_pace(shard_context& c, worker_state& worker, neighbour const& each,
               double percent)
 {
     auto pace = static_cast<std::uint32_t>(
@@ -99,7 +100,8 @@
 
 /// Slows the neighbours that disturb most until the tail is expected to meet
 /// the aim. If the model blames nobody, all are halved.
-void slow_down(context& c, worker_state& worker, serving_task const& worst)
+void slow_down(shard_context& c, worker_state& worker,
+               serving_task const& worst)
 {
     auto around = neighbours_of(c, worker, *worst.run);
     std::sort(around.begin(), around.end(),
@@ -132,7 +134,7 @@
 }
 
 /// Speeds up the neighbours that disturb least, as far as the model allows.
-void speed_up(context& c, worker_state& worker, serving_task const& worst)
+void speed_up(shard_context& c, worker_state& worker, serving_task const& worst)
 {
     auto around = neighbours_of(c, worker, *worst.run);
     std::sort(around.begin(), around.end(),
@@ -161,7 +163,7 @@
 }
 
 /// Neighbours that had to stop work go on elsewhere.
-void move_stopped(context& c, worker_state& worker)
+void move_stopped(shard_context& c, worker_state& worker)
 {
     std::vector<run_id> moving;
     for (auto& [id, run] : worker.runs)
@@ -190,10 +192,10 @@
 
 } // namespace
 
-void reported(context& c, worker_state& worker)
+void reported(shard_context& c, worker_state& worker)
 {
     auto const worst = worst_served(worker);
-    if (c.s.owner.role != owner_role::owner || !worst.run
+    if (c.shard.owner.role != owner_role::owner || !worst.run
         || c.now - worker.paced_at < action_interval)
     {
         return;
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -1,16 +1,17 @@
 #include <jaydrift/schedule/placement_policy.hpp>
 
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/run_numbers.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -54,26 +55,38 @@
 /// A long-running task that has waited for so long takes any place that fits.
 constexpr time_ms reserve_patience{1000};
 
+/// After so long, a worker is kept free of new urgent tasks for it: they are
+/// small and would take each bit of room as it gets free.
+constexpr time_ms keep_patience{300};
+
+/// At most one worker in so many is kept for waiting tasks.
+constexpr std::size_t workers_per_kept = 8;
+
 /// One pass over the waiting tasks.
 struct pass
 {
-    context& c;
+    shard_context& c;
     bool unaccounted = false;
     bool full = false;
     std::size_t starts = 0;
 
+    /// Workers whose room is kept for a long-running task that waits.
+    std::set<std::string_view> kept;
+
     /// Smallest demand of opportunistic tasks that found no place, by image.
     std::map<std::string, std::int64_t, std::less<>> hopeless;
 };
 
-std::uint64_t next_run(context const& c, task_state const& task)
+std::uint64_t next_run(shard_context const& c, task_state const& task)
 {
-    return std::max({task.last_run, task.ended_run, run_number_base(c.s)}) + 1;
+    return std::max({task.last_run, task.ended_run,
+                     run_number_base(c.shard.owner.record)})
+           + 1;
 }
 
 /// How late a submission is: 0 if its objective may still be met, 1 if it is
 /// worth less, 2 if it has only to be finished.
-int lateness(context const& c, submission_state const& item)
+int lateness(shard_context const& c, submission_state const& item)
 {
     constexpr std::int64_t late_factor = 3;
     auto const left = item.objective - c.now;
@@ -85,11 +98,22 @@
                                                                          : 2;
 }
 
-/// Orders submissions by priority, then those that can still meet their
-/// objective first, by due time.
-auto rank(context const& c, submission_state const& item)
+bool has_long_running_steps(submission_state const& item)
 {
-    return std::make_tuple(item.priority, lateness(c, item), item.objective);
+    return std::any_of(item.work.steps.begin(), item.work.steps.end(),
+                       [](auto const& step) { return step.long_running; });
+}
+
+/// Orders submissions by priority. Long-running tasks come first, since each
+/// second that they do not serve is lost; then those submissions that can still
+/// meet their objective, by due time.
+auto rank(shard_context const& c, submission_state const& item)
+{
+    constexpr int before_all = -1;
+    return std::make_tuple(item.priority,
+                           has_long_running_steps(item) ? before_all
+                                                        : lateness(c, item),
+                           item.objective);
 }
 
 std::size_t neighbours_of_step(worker_state const& worker, task_id const& id)
@@ -158,7 +182,7 @@
 }
 
 /// Tasks that wait long are started where they disturb, and paced there.
-double tolerance_of(context const& c, submission_state const& item)
+double tolerance_of(shard_context const& c, submission_state const& item)
 {
     auto const late = c.now - item.objective;
     if (late <= time_ms(0))
@@ -173,7 +197,7 @@
 
 /// Returns how well the worker suits the task; higher is better, absent if the
 /// task must not run there.
-std::optional<double> score(context const& c, worker_state& worker,
+std::optional<double> score(shard_context const& c, worker_state& worker,
                             request const& wanted)
 {
     auto const& spec = wanted.spec;
@@ -204,8 +228,8 @@
         auto const left = leftover(worker);
         auto const demand_share =
             static_cast<double>(spec.demand.millicores) / size;
-        auto const tail =
-            interference::expected_tail(c.s, worker, spec.image, demand_share);
+        auto const tail = interference::expected_tail(
+            c.shard.interference, worker, spec.image, demand_share);
         if (left / size < least_leftover * demand_share
             || tail > wanted.tolerance)
         {
@@ -241,7 +265,7 @@
 
 /// Rack of the data or, for a step that runs fastest on one rack, the rack of
 /// its first task that has a place.
-std::string_view rack_for(context const& c, step_spec const& spec,
+std::string_view rack_for(shard_context const& c, step_spec const& spec,
                           step_state const& step)
 {
     if (!spec.data_rack.empty() || !spec.same_rack)
@@ -250,9 +274,11 @@
     }
     for (auto const& task : step.tasks)
     {
-        auto const worker = task.place ? c.s.workers.find(task.place->worker)
-                                       : c.s.workers.end();
-        if (worker != c.s.workers.end() && !worker->second.entry.labels.empty())
+        auto const worker = task.place
+                                ? c.shard.workers.find(task.place->worker)
+                                : c.shard.workers.end();
+        if (worker != c.shard.workers.end()
+            && !worker->second.entry.labels.empty())
         {
             return worker->second.entry.labels.back();
         }
@@ -260,12 +286,18 @@
     return {};
 }
 
-worker_state* choose(context& c, request const& wanted)
+worker_state* choose(pass& p, request const& wanted)
 {
+    auto& c = p.c;
     worker_state* best = nullptr;
     auto best_value = 0.0;
-    for (auto& [id, worker] : c.s.workers)
+    auto const urgent = !wanted.spec.opportunistic && !wanted.spec.long_running;
+    for (auto& [id, worker] : c.shard.workers)
     {
+        if (urgent && p.kept.contains(id))
+        {
+            continue;
+        }
         auto const value = score(c, worker, wanted);
         if (value && (!best || *value > best_value))
         {
@@ -276,7 +308,47 @@
     return best;
 }
 
-void reserve(context& c, submission_state& item, task_id const& id,
+/// Keeps the worker that is nearest to having room for the task.
+void keep_worker(pass& p, request const& wanted)
+{
+    auto& c = p.c;
+    if (!wanted.spec.long_running
+        || c.now - wanted.waiting_since < keep_patience
+        || p.kept.size() * workers_per_kept >= c.shard.workers.size())
+    {
+        return;
+    }
+    worker_state const* best = nullptr;
+    for (auto const& [id, worker] : c.shard.workers)
+    {
+        auto permanent = worker.used;
+        permanent.millicores = worker.long_running_millicores;
+        if (!workers::usable(c, worker) || p.kept.contains(id)
+            || worker.entry.service != wanted.service
+            || !fits(wanted.spec.demand, worker.entry.capacity - permanent)
+            || (!wanted.spec.required_label.empty()
+                && !has_label(worker.entry, wanted.spec.required_label))
+            || (wanted.spec.max_per_worker > 0
+                && neighbours_of_step(worker, wanted.id)
+                       >= wanted.spec.max_per_worker))
+        {
+            continue;
+        }
+        auto const free = [](worker_state const& each) {
+            return each.entry.capacity.millicores - each.used.millicores;
+        };
+        if (!best || free(worker) > free(*best))
+        {
+            best = &worker;
+        }
+    }
+    if (best)
+    {
+        p.kept.insert(best->entry.id);
+    }
+}
+
+void reserve(shard_context& c, submission_state& item, task_id const& id,
              worker_state& worker, std::uint64_t number)
 {
     auto& task = *submissions::find_task(item, id);
@@ -290,7 +362,7 @@
     workers::add_run(worker, {id, number}, std::move(run));
 }
 
-bool may_start(context const& c, task_state const& task, bool unaccounted)
+bool may_start(shard_context const& c, task_state const& task, bool unaccounted)
 {
     return !task.done && !task.place && c.now >= task.not_before
            && !(task.maybe_running && unaccounted);
@@ -317,7 +389,7 @@
     {
         task_id const id{item.id, k, s, i};
         auto* const worker =
-            choose(c, {id, spec, item.service, step.tasks[i].failed_on,
+            choose(p, {id, spec, item.service, step.tasks[i].failed_on,
                        step.tasks[i].waiting_since, rack_for(c, spec, step)});
         if (!worker)
         {
@@ -373,11 +445,17 @@
             continue;
         }
         task_id const id{item.id, k, s, i};
-        auto* const worker = choose(
-            c, {id, spec, item.service, task.failed_on, task.waiting_since,
-                rack_for(c, spec, step), tolerance_of(c, item)});
+        request const wanted{id,
+                             spec,
+                             item.service,
+                             task.failed_on,
+                             task.waiting_since,
+                             rack_for(c, spec, step),
+                             tolerance_of(c, item)};
+        auto* const worker = choose(p, wanted);
         if (!worker)
         {
+            keep_worker(p, wanted);
             if (spec.opportunistic)
             {
                 p.hopeless[spec.image] = spec.demand.millicores;
@@ -426,46 +504,50 @@
 
 } // namespace
 
-void tick(context& c)
+void tick(shard_context& c)
 {
-    auto const age = c.now - c.s.last_dispatch;
-    if (c.s.owner.role != owner_role::owner || !c.s.config
-        || age < (c.s.dispatch_due ? dispatch_interval : idle_interval))
+    auto const age = c.now - c.shard.last_dispatch;
+    if (c.shard.owner.role != owner_role::owner || !c.s.config
+        || age < (c.shard.dispatch_due ? dispatch_interval : idle_interval))
     {
         return;
     }
-    c.s.last_dispatch = c.now;
-    c.s.dispatch_due = false;
-    std::vector<submission_state*> waiting;
-    for (auto const& id : c.s.active)
+    c.shard.last_dispatch = c.now;
+    c.shard.dispatch_due = false;
+    using ranked =
+        std::pair<decltype(rank(c, std::declval<submission_state>())),
+                  submission_state*>;
+    std::vector<ranked> waiting;
+    for (auto const& id : c.shard.active)
     {
         auto* const item = submissions::find(c, id);
         if (item->waiting > 0 && item->record_stored)
         {
-            waiting.push_back(item);
+            waiting.emplace_back(rank(c, *item), item);
         }
     }
     std::sort(waiting.begin(), waiting.end(),
-              [&c](auto* a, auto* b) { return rank(c, *a) < rank(c, *b); });
+              [](auto const& a, auto const& b) { return a.first < b.first; });
     pass p{c,
            recovery::unaccounted(c),
-           c.now - c.s.last_full_dispatch >= full_interval,
+           c.now - c.shard.last_full_dispatch >= full_interval,
            0,
+           {},
            {}};
     if (p.full)
     {
-        c.s.last_full_dispatch = c.now;
+        c.shard.last_full_dispatch = c.now;
     }
     else
     {
         // Opportunistic tasks may still find a place in the next pass.
-        c.s.dispatch_due = true;
+        c.shard.dispatch_due = true;
     }
-    for (auto* const item : waiting)
+    for (auto const& [order, item] : waiting)
     {
         if (p.starts >= starts_per_pass)
         {
-            c.s.dispatch_due = true;
+            c.shard.dispatch_due = true;
             break;
         }
         start_tasks(p, *item);
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -1,9 +1,10 @@
 #include <jaydrift/schedule/record_log.hpp>
 
 #include <jaydrift/schedule/calls.hpp>
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/ownership.hpp>
+#include <jaydrift/schedule/relocation.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 
@@ -28,9 +29,11 @@
 constexpr time_ms longest_limit{1200};
 constexpr time_ms refused_pause{60};
 
-record_key const owner_key{record_kind::owner, {}};
-record_key const serial_key{record_kind::serial, {}};
-record_key const fleet_key{record_kind::fleet, {}};
+record_key key_of(shard_context const& c, record_kind kind,
+                  std::string name = {})
+{
+    return {kind, std::move(name), c.shard.number};
+}
 
 progress_record progress_of(submission_state const& item)
 {
@@ -56,17 +59,17 @@
     return record;
 }
 
-void append(commit& write, log_state& log, submission_state& item)
+void append(shard_context& c, commit& write, submission_state& item)
 {
     if (!item.record_stored)
     {
-        write.puts.emplace_back(record_key{record_kind::submission, item.id},
+        write.puts.emplace_back(key_of(c, record_kind::submission, item.id),
                                 submission_record{item.id, item.queue,
                                                   item.accepted_at, item.work});
     }
-    write.puts.emplace_back(record_key{record_kind::progress, item.id},
+    write.puts.emplace_back(key_of(c, record_kind::progress, item.id),
                             progress_of(item));
-    log.versions.emplace_back(item.id, item.version);
+    c.shard.log.versions.emplace_back(item.id, item.version);
 }
 
 std::size_t entries(commit const& write)
@@ -74,9 +77,9 @@
     return write.expected.size() + write.puts.size() + write.removals.size();
 }
 
-void send(context& c)
+void send(shard_context& c)
 {
-    auto& log = c.s.log;
+    auto& log = c.shard.log;
     auto limit = first_limit;
     for (std::uint32_t i = 0; i < log.attempts && limit < longest_limit; ++i)
     {
@@ -87,10 +90,10 @@
                            std::min(limit, longest_limit));
 }
 
-fleet_record present_fleet(context const& c)
+fleet_record present_fleet(shard_context const& c)
 {
     fleet_record result;
-    for (auto const& [id, worker] : c.s.workers)
+    for (auto const& [id, worker] : c.shard.workers)
     {
         if (!worker.entry.address.empty())
         {
@@ -100,19 +103,29 @@
     return result;
 }
 
-void flush(context& c)
+void flush(shard_context& c)
 {
-    auto& log = c.s.log;
+    auto& log = c.shard.log;
     commit write;
-    write.expected = {{owner_key, c.s.owner.revision},
-                      {serial_key, log.serial_revision}};
-    write.puts.emplace_back(serial_key, write_serial{log.serial + 1});
+    write.expected = {{key_of(c, record_kind::owner), c.shard.owner.revision},
+                      {key_of(c, record_kind::serial), log.serial_revision}};
+    write.puts.emplace_back(key_of(c, record_kind::serial),
+                            write_serial{log.serial + 1});
     log.versions.clear();
     log.removed.clear();
+    log.relocated.clear();
     log.next_fleet = present_fleet(c);
     if (log.next_fleet != log.fleet)
     {
-        write.puts.emplace_back(fleet_key, log.next_fleet);
+        write.puts.emplace_back(key_of(c, record_kind::fleet), log.next_fleet);
+    }
+    while (!log.new_relocations.empty() && entries(write) < max_entries)
+    {
+        auto id = std::move(log.new_relocations.front());
+        log.new_relocations.pop_front();
+        write.puts.emplace_back(key_of(c, record_kind::relocation, id),
+                                c.shard.relocations.at(id).record);
+        log.relocated.push_back(std::move(id));
     }
     while (!log.dirty.empty() && entries(write) + 2 <= max_entries)
     {
@@ -121,17 +134,23 @@
         if (auto* const item = submissions::find(c, id))
         {
             item->in_log = false;
-            append(write, log, *item);
+            append(c, write, *item);
         }
     }
     while (!log.expired.empty() && entries(write) + 2 <= max_entries)
     {
         auto const id = std::move(log.expired.front());
         log.expired.pop_front();
-        write.removals.push_back({record_kind::submission, id});
-        write.removals.push_back({record_kind::progress, id});
+        write.removals.push_back(key_of(c, record_kind::submission, id));
+        write.removals.push_back(key_of(c, record_kind::progress, id));
         log.removed.push_back(id);
     }
+    while (!log.expired_relocations.empty() && entries(write) < max_entries)
+    {
+        write.removals.push_back(key_of(c, record_kind::relocation,
+                                        log.expired_relocations.front()));
+        log.expired_relocations.pop_front();
+    }
     log.dirty_since = c.now;
     log.urgent = false;
     log.in_flight = std::move(write);
@@ -140,7 +159,8 @@
     send(c);
 }
 
-void note_stored(context& c, submission_state& item, std::uint64_t version)
+void note_stored(shard_context& c, submission_state& item,
+                 std::uint64_t version)
 {
     item.stored_version = version;
     item.record_stored = true;
@@ -154,9 +174,9 @@
     });
 }
 
-void release_ends(context& c)
+void release_ends(shard_context& c)
 {
-    for (auto& [id, worker] : c.s.workers)
+    for (auto& [id, worker] : c.shard.workers)
     {
         auto& ends = worker.pending_ends;
         while (!ends.empty())
@@ -173,9 +193,9 @@
     }
 }
 
-void succeeded(context& c, std::uint64_t revision)
+void succeeded(shard_context& c, std::uint64_t revision)
 {
-    auto& log = c.s.log;
+    auto& log = c.shard.log;
     c.observe("record_log_ms", c.now - log.first_sent);
     ++log.serial;
     log.serial_revision = revision;
@@ -192,18 +212,19 @@
     log.fleet = log.next_fleet;
     for (auto const& [id, address] : log.fleet.addresses)
     {
-        auto const worker = c.s.workers.find(id);
-        if (worker != c.s.workers.end() && !worker->second.recorded)
+        auto const worker = c.shard.workers.find(id);
+        if (worker != c.shard.workers.end() && !worker->second.recorded)
         {
             worker->second.recorded = true;
-            c.s.dispatch_due = true;
+            c.shard.dispatch_due = true;
         }
     }
     log.fleet_changed = false;
     auto const versions = std::move(log.versions);
+    auto const relocated = std::move(log.relocated);
     for (auto const& id : log.removed)
     {
-        c.s.submissions.erase(id);
+        c.shard.submissions.erase(id);
     }
     log.in_flight.reset();
     for (auto const& [id, version] : versions)
@@ -213,17 +234,28 @@
             note_stored(c, *item, version);
         }
     }
+    for (auto const& id : relocated)
+    {
+        relocation::stored(c, id);
+    }
     release_ends(c);
 }
 
+bool empty(log_state const& log)
+{
+    return log.dirty.empty() && log.expired.empty()
+           && log.new_relocations.empty() && log.expired_relocations.empty()
+           && !log.fleet_changed;
+}
+
 /// Returns the revision of the serial if the transaction in flight is in.
-std::optional<std::uint64_t> written_already(context const& c,
+std::optional<std::uint64_t> written_already(shard_context const& c,
                                              store_replied const& reply)
 {
     for (auto const& item : reply.items)
     {
         auto const* const serial = std::get_if<write_serial>(&item.record);
-        if (serial && serial->value == c.s.log.serial + 1)
+        if (serial && serial->value == c.shard.log.serial + 1)
         {
             return item.revision;
         }
@@ -231,20 +263,21 @@
     return std::nullopt;
 }
 
-bool owner_changed(context const& c, store_replied const& reply)
+bool owner_changed(shard_context const& c, store_replied const& reply)
 {
-    return std::any_of(
-        reply.items.begin(), reply.items.end(), [&c](store_item const& item) {
-            return item.key == owner_key && item.revision != c.s.owner.revision;
-        });
+    return std::any_of(reply.items.begin(), reply.items.end(),
+                       [&c](store_item const& item) {
+                           return item.key == key_of(c, record_kind::owner)
+                                  && item.revision != c.shard.owner.revision;
+                       });
 }
 
 } // namespace
 
-void changed(context& c, submission_state& item)
+void changed(shard_context& c, submission_state& item)
 {
     ++item.version;
-    auto& log = c.s.log;
+    auto& log = c.shard.log;
     if (!item.in_log)
     {
         if (log.dirty.empty())
@@ -256,19 +289,24 @@
     }
 }
 
-void changed_urgently(context& c, submission_state& item)
+void changed_urgently(shard_context& c, submission_state& item)
 {
     changed(c, item);
-    if (!c.s.log.urgent)
+    store_soon(c);
+}
+
+void store_soon(shard_context& c)
+{
+    if (!c.shard.log.urgent)
     {
-        c.s.log.urgent = true;
-        c.s.log.dirty_since = c.now;
+        c.shard.log.urgent = true;
+        c.shard.log.dirty_since = c.now;
     }
 }
 
-void replied(context& c, store_replied const& reply)
+void replied(shard_context& c, store_replied const& reply)
 {
-    auto& log = c.s.log;
+    auto& log = c.shard.log;
     if (!log.in_flight || log.call != reply.call)
     {
         return;
@@ -301,11 +339,11 @@
     ownership::step_down(c);
 }
 
-void tick(context& c)
+void tick(shard_context& c)
 {
-    auto& log = c.s.log;
-    if (!holds_shard(c.s.owner.role)
-        || c.s.owner.role == owner_role::recovering)
+    auto& log = c.shard.log;
+    if (!holds_shard(c.shard.owner.role)
+        || c.shard.owner.role == owner_role::recovering)
     {
         return;
     }
@@ -317,7 +355,7 @@
         }
         return;
     }
-    if (log.dirty.empty() && log.expired.empty() && !log.fleet_changed)
+    if (empty(log))
     {
         return;
     }
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -1,7 +1,8 @@
 #include <jaydrift/schedule/recovery.hpp>
 
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/layout.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/workers.hpp>
@@ -26,23 +27,23 @@
 /// silent.
 constexpr time_ms isolation_margin{1000};
 
-void read_submissions(context& c)
+void read_submissions(shard_context& c)
 {
     store::call(c, store_purpose::read_submissions,
-                read_area{store_area::submissions}, read_limit);
+                read_area{store_area::submissions, c.shard.number}, read_limit);
 }
 
-bool all_fenced(context const& c)
+bool all_fenced(shard_context const& c)
 {
     return std::all_of(
-        c.s.workers.begin(), c.s.workers.end(), [](auto const& item) {
+        c.shard.workers.begin(), c.shard.workers.end(), [](auto const& item) {
             return item.second.fenced || item.second.entry.address.empty();
         });
 }
 
-void mark_unplaced_tasks(context& c)
+void mark_unplaced_tasks(shard_context& c)
 {
-    for (auto const& id : c.s.active)
+    for (auto const& id : c.shard.active)
     {
         submissions::for_each_task(
             *submissions::find(c, id), [](task_id const&, task_state& task) {
@@ -52,11 +53,11 @@
 }
 
 /// Workers whose entries have lapsed are asked at their last address.
-void restore_fleet(context& c)
+void restore_fleet(shard_context& c)
 {
-    for (auto const& [id, address] : c.s.log.fleet.addresses)
+    for (auto const& [id, address] : c.shard.log.fleet.addresses)
     {
-        auto& worker = c.s.workers[id];
+        auto& worker = c.shard.workers[id];
         worker.recorded = true;
         if (worker.entry.id.empty())
         {
@@ -69,9 +70,9 @@
 }
 
 /// Reserves the places that the store knows of, until the workers tell more.
-void restore_runs(context& c)
+void restore_runs(shard_context& c)
 {
-    for (auto const& id : c.s.active)
+    for (auto const& id : c.shard.active)
     {
         auto const& item = *submissions::find(c, id);
         submissions::for_each_task(item, [&](task_id const& name,
@@ -80,7 +81,7 @@
             {
                 return;
             }
-            auto& worker = c.s.workers[task.place->worker];
+            auto& worker = c.shard.workers[task.place->worker];
             if (worker.entry.id.empty())
             {
                 worker.entry.id = task.place->worker;
@@ -97,60 +98,71 @@
     }
 }
 
-void finish(context& c)
+void finish(shard_context& c)
 {
-    auto const took = c.now - c.s.owner.role_since;
+    auto const took = c.now - c.shard.owner.role_since;
     std::size_t silent = 0;
-    for (auto& [id, worker] : c.s.workers)
+    for (auto& [id, worker] : c.shard.workers)
     {
         worker.unaccounted = !worker.fenced;
-        worker.gone_at = c.s.owner.unaccounted_until;
+        worker.gone_at = c.shard.owner.unaccounted_until;
         silent += worker.fenced ? 0 : 1;
     }
     if (silent > 0)
     {
         mark_unplaced_tasks(c);
     }
-    c.s.owner.role = owner_role::owner;
-    c.s.owner.role_since = c.now;
-    c.s.dispatch_due = true;
+    c.shard.owner.role = owner_role::owner;
+    c.shard.owner.role_since = c.now;
+    c.shard.dispatch_due = true;
     c.observe("recovery_ms", took);
     c.log(log_level::info, "ownership",
           "serving after " + std::to_string(took.count()) + " ms with "
-              + std::to_string(c.s.active.size()) + " submissions, "
-              + std::to_string(c.s.workers.size()) + " workers, "
+              + std::to_string(c.shard.active.size()) + " submissions, "
+              + std::to_string(c.shard.workers.size()) + " workers, "
               + std::to_string(silent) + " of them silent");
 }
 
 } // namespace
 
-void begin(context& c)
+void begin(shard_context& c)
 {
     forget(c);
-    c.s.owner.unaccounted_until =
+    c.shard.owner.unaccounted_until =
         c.now + workers::longest_lease_of(c.s) + isolation_margin;
     read_submissions(c);
     store::tick(c);
+    for (auto const& [id, entry] : c.s.worker_entries)
+    {
+        if (layout::shard_of(id, c.s.shards.size()) == c.shard.number)
+        {
+            workers::entry_changed(c, entry);
+        }
+    }
+    c.shard.owner.workers_read = c.s.store.workers.loaded;
 }
 
-void forget(context& c)
+void forget(shard_context& c)
 {
-    c.s.log = {};
-    c.s.log.fleet_changed = true;
-    c.s.workers.clear();
-    c.s.submissions.clear();
-    c.s.active.clear();
-    c.s.orders.clear();
-    c.s.interference = {};
-    c.s.store.workers = {};
-    c.s.owner.submissions_read = false;
-    c.s.owner.workers_read = false;
-    c.s.owner.fencing_since.reset();
+    c.shard.log = {};
+    c.shard.log.fleet_changed = true;
+    c.shard.workers.clear();
+    c.shard.submissions.clear();
+    c.shard.relocations.clear();
+    c.shard.active.clear();
+    std::erase_if(c.s.orders, [&c](auto const& each) {
+        return each.second.shard == c.shard.number;
+    });
+    c.shard.interference = {};
+    c.shard.owner.submissions_read = false;
+    c.shard.owner.workers_read = false;
+    c.shard.owner.fencing_since.reset();
 }
 
-void submissions_read(context& c, store_replied const& reply)
+void submissions_read(shard_context& c, store_replied const& reply)
 {
-    if (c.s.owner.role != owner_role::recovering || c.s.owner.submissions_read)
+    if (c.shard.owner.role != owner_role::recovering
+        || c.shard.owner.submissions_read)
     {
         return;
     }
@@ -173,13 +185,18 @@
         else if (auto const* const serial =
                      std::get_if<write_serial>(&item.record))
         {
-            c.s.log.serial = serial->value;
-            c.s.log.serial_revision = item.revision;
+            c.shard.log.serial = serial->value;
+            c.shard.log.serial_revision = item.revision;
         }
         else if (auto const* const fleet =
                      std::get_if<fleet_record>(&item.record))
         {
-            c.s.log.fleet = *fleet;
+            c.shard.log.fleet = *fleet;
+        }
+        else if (auto const* const moved =
+                     std::get_if<relocation_record>(&item.record))
+        {
+            c.shard.relocations[moved->id] = {*moved, true, {}};
         }
         else if (auto const* const bad =
                      std::get_if<unreadable_record>(&item.record))
@@ -197,12 +214,12 @@
             submissions::restore(c, *record);
         }
     }
-    c.s.owner.submissions_read = true;
+    c.shard.owner.submissions_read = true;
 }
 
-void tick(context& c)
+void tick(shard_context& c)
 {
-    auto& owner = c.s.owner;
+    auto& owner = c.shard.owner;
     if (owner.role != owner_role::recovering || !owner.submissions_read
         || !owner.workers_read)
     {
@@ -221,11 +238,11 @@
     }
 }
 
-bool unaccounted(context const& c)
+bool unaccounted(shard_context const& c)
 {
-    return c.now < c.s.owner.unaccounted_until
+    return c.now < c.shard.owner.unaccounted_until
            && std::any_of(
-               c.s.workers.begin(), c.s.workers.end(),
+               c.shard.workers.begin(), c.shard.workers.end(),
                [](auto const& item) { return item.second.unaccounted; });
 }
 
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -1,12 +1,14 @@
 #include <jaydrift/schedule/reduce.hpp>
 
 #include <jaydrift/schedule/calls.hpp>
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/placement_policy.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
+#include <jaydrift/schedule/relocation.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/state.hpp>
 #include <jaydrift/schedule/stopping.hpp>
 #include <jaydrift/schedule/store_session.hpp>
@@ -27,12 +29,17 @@
 void tick(context& c)
 {
     c.s.next_tick =
-        c.now + (holds_shard(c.s.owner.role) ? owner_tick : follower_tick);
+        c.now + (layout::holds_any(c.s) ? owner_tick : follower_tick);
     store::tick(c);
-    ownership::tick(c);
-    recovery::tick(c);
-    submissions::tick(c);
-    workers::tick(c);
+    for (auto& shard : c.s.shards)
+    {
+        shard_context part(c, shard);
+        ownership::tick(part);
+        recovery::tick(part);
+        submissions::tick(part);
+        workers::tick(part);
+        relocation::tick(part);
+    }
     calls::tick(c);
     stopping::tick(c);
 }
@@ -64,7 +71,13 @@
     void operator()(message_arrived const& input) const
     {
         std::visit(
-            [this](auto const& message) { ownership::received(c, message); },
+            [this](auto const& message) {
+                if (message.shard < c.s.shards.size())
+                {
+                    shard_context part(c, c.s.shards[message.shard]);
+                    ownership::received(part, message);
+                }
+            },
             input.message);
     }
     void operator()(settings_changed const& input) const
@@ -87,24 +100,31 @@
     s.options = std::move(options);
     s.last_step = now;
     s.next_tick = now;
-    s.owner.heard_at = now;
-    s.owner.role_since = now;
     return s;
 }
 
 effects reduce(state& s, event const& input, time_ms now)
 {
-    context c{s, now, {}};
-    ownership::check_gap(c);
+    effects out;
+    context c{s, now, out};
+    for (auto& shard : s.shards)
+    {
+        shard_context part(c, shard);
+        ownership::check_gap(part);
+    }
     std::visit(handler{c}, input);
     if (now >= s.next_tick)
     {
         tick(c);
     }
-    placement_policy::tick(c);
-    record_log::tick(c);
+    for (auto& shard : s.shards)
+    {
+        shard_context part(c, shard);
+        placement_policy::tick(part);
+        record_log::tick(part);
+    }
     s.last_step = now;
-    return std::move(c.out);
+    return out;
 }
 
 time_ms next_timer(state const& s) { return s.next_tick; }
--- /dev/null
+++ b/src/jaydrift/schedule/relocation.cpp
@@ -0,0 +1,232 @@
+#include <jaydrift/schedule/relocation.hpp>
+
+#include <jaydrift/schedule/calls.hpp>
+#include <jaydrift/schedule/layout.hpp>
+#include <jaydrift/schedule/record_log.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/workers.hpp>
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace jaydrift::schedule::relocation {
+
+namespace {
+
+constexpr std::int64_t whole = 1000;
+
+/// Long-running tasks stay for minutes, so that their shards are kept within
+/// half a percent of each other. A hop costs more than it gains for others
+/// unless the difference is clear.
+constexpr std::int64_t long_running_margin = 5;
+constexpr std::int64_t margin = 60;
+
+/// Callers repeat a submission within seconds; this many times the retention
+/// of ended submissions leaves ample room.
+constexpr std::int64_t kept_retentions = 5;
+constexpr time_ms expiry_interval{5000};
+
+/// Bounds the records of relocations that are looked at in one step.
+constexpr std::size_t most_expired = 1000;
+
+std::int64_t waiting_millicores(submission_state const& item,
+                                bool opportunistic)
+{
+    std::int64_t result = 0;
+    for (auto const& occurrence : item.occurrences)
+    {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
+        {
+            auto const& spec = item.work.steps[i];
+            if (occurrence.steps[i].ready
+                && spec.opportunistic == opportunistic)
+            {
+                result += occurrence.steps[i].waiting * spec.demand.millicores;
+            }
+        }
+    }
+    return result;
+}
+
+std::int64_t usable_millicores(shard_context const& c)
+{
+    std::int64_t result = 0;
+    for (auto const& [id, worker] : c.shard.workers)
+    {
+        if (worker.listed && worker.fenced && !worker.entry.draining
+            && !c.s.closed_zones.contains(worker.entry.zone))
+        {
+            result += worker.entry.capacity.millicores;
+        }
+    }
+    return result;
+}
+
+std::int64_t share_of(std::int64_t part, std::int64_t all)
+{
+    return all > 0 ? part * whole / all : no_room;
+}
+
+bool can_run(worker_entry const& worker, std::string_view service,
+             step_spec const& step)
+{
+    return worker.service == service && fits(step.demand, worker.capacity)
+           && (step.required_label.empty()
+               || std::find(worker.labels.begin(), worker.labels.end(),
+                            step.required_label)
+                      != worker.labels.end());
+}
+
+/// Tells whether each step has a worker that could run it.
+bool possible_here(shard_context const& c, std::string_view service,
+                   submission const& work)
+{
+    auto const& workers = c.shard.workers;
+    return std::all_of(
+        work.steps.begin(), work.steps.end(), [&](step_spec const& step) {
+            return std::any_of(
+                workers.begin(), workers.end(), [&](auto const& each) {
+                    return each.second.listed
+                           && can_run(each.second.entry, service, step);
+                });
+        });
+}
+
+/// Returns the steps that start first, as a share of the shard's workers.
+shard_load load_of(shard_context const& c, submission const& work)
+{
+    auto const size = usable_millicores(c);
+    shard_load result{0, 0};
+    for (auto const& step : work.steps)
+    {
+        if (step.after.empty())
+        {
+            auto& load =
+                step.opportunistic ? result.opportunistic : result.firm;
+            load += share_of(step.demand.millicores * step.count, size);
+        }
+    }
+    return result;
+}
+
+bool starts_opportunistic(submission const& work)
+{
+    return work.steps.front().opportunistic;
+}
+
+bool long_running(submission const& work)
+{
+    return std::any_of(work.steps.begin(), work.steps.end(),
+                       [](auto const& step) { return step.long_running; });
+}
+
+} // namespace
+
+shard_load measure(shard_context const& c)
+{
+    auto const size = usable_millicores(c);
+    std::int64_t firm = 0;
+    std::int64_t opportunistic = 0;
+    for (auto const& [id, worker] : c.shard.workers)
+    {
+        firm += worker.used.millicores;
+        opportunistic += worker.opportunistic_millicores;
+    }
+    for (auto const& id : c.shard.active)
+    {
+        auto const& item = c.shard.submissions.at(id);
+        if (item.waiting > 0)
+        {
+            firm += waiting_millicores(item, false);
+            opportunistic += waiting_millicores(item, true);
+        }
+    }
+    return {share_of(firm, size), share_of(opportunistic, size)};
+}
+
+bool wanted(shard_context const& c, std::string_view id,
+            std::string_view service, submission const& work)
+{
+    auto const second = layout::second_shard_of(id, c.s.shards.size());
+    auto const& other = c.s.shards[second];
+    if (second == c.shard.number
+        || layout::shard_of(id, c.s.shards.size()) != c.shard.number
+        || other.owner.revision == 0 || other.owner.queried_at)
+    {
+        return false;
+    }
+    if (!possible_here(c, service, work))
+    {
+        return true;
+    }
+    auto const here = measure(c);
+    auto const there = other.load;
+    auto const difference = starts_opportunistic(work)
+                                ? here.opportunistic - there.opportunistic
+                                : here.firm - there.firm;
+    return difference > (long_running(work) ? long_running_margin : margin);
+}
+
+void relocate(shard_context& c, std::uint64_t call, std::string_view id,
+              submission const& work)
+{
+    auto const second = layout::second_shard_of(id, c.s.shards.size());
+    auto const added = load_of(c, work);
+    auto& there = c.s.shards[second].load;
+    there.firm += added.firm;
+    there.opportunistic += added.opportunistic;
+    auto& item = c.shard.relocations[std::string(id)];
+    item.record = {std::string(id), second, c.wall()};
+    item.waiters.push_back(call);
+    c.shard.log.new_relocations.emplace_back(id);
+    record_log::store_soon(c);
+    c.count("submissions_relocated_total", "");
+    c.log(log_level::info, "call",
+          std::string(id) + " left to shard " + std::to_string(second)
+              + ", load there " + std::to_string(there.firm) + "/"
+              + std::to_string(there.opportunistic) + " per mille");
+}
+
+void stored(shard_context& c, std::string_view id)
+{
+    auto const found = c.shard.relocations.find(std::string(id));
+    if (found == c.shard.relocations.end())
+    {
+        return;
+    }
+    found->second.stored = true;
+    auto const to = found->second.record.to;
+    for (auto const call : std::exchange(found->second.waiters, {}))
+    {
+        calls::relocated(c, call, to);
+    }
+}
+
+void tick(shard_context& c)
+{
+    if (c.shard.owner.role != owner_role::owner
+        || c.now < c.shard.next_relocation_expiry)
+    {
+        return;
+    }
+    c.shard.next_relocation_expiry = c.now + expiry_interval;
+    auto const kept = c.s.options.retention * kept_retentions;
+    auto& expired = c.shard.log.expired_relocations;
+    for (auto const& [id, item] : c.shard.relocations)
+    {
+        if (item.stored && c.wall() - item.record.decided_at >= kept
+            && expired.size() < most_expired)
+        {
+            expired.push_back(id);
+        }
+    }
+    for (auto const& id : expired)
+    {
+        c.shard.relocations.erase(id);
+    }
+}
+
+} // namespace jaydrift::schedule::relocation
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -1,10 +1,10 @@
 #include <jaydrift/schedule/run_reports.hpp>
 
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/pacing.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -35,7 +35,7 @@
 constexpr time_ms first_quarantine{3000};
 constexpr time_ms longest_quarantine{12000};
 
-void put_aside(context& c, worker_state& worker, std::string_view reason)
+void put_aside(shard_context& c, worker_state& worker, std::string_view reason)
 {
     worker.quarantine = worker.quarantine == time_ms(0)
                             ? first_quarantine
@@ -50,7 +50,7 @@
               + " ms: " + std::string(reason));
 }
 
-void note_failure(context& c, worker_state& worker,
+void note_failure(shard_context& c, worker_state& worker,
                   std::string const& submission)
 {
     if (worker.last_failed == submission)
@@ -73,7 +73,7 @@
 }
 
 /// The task no longer holds the given run.
-void release(context& c, submission_state& item, run_id const& id)
+void release(shard_context& c, submission_state& item, run_id const& id)
 {
     auto* const task = submissions::find_task(item, id.task);
     if (task && task->place && task->place->run == id.number)
@@ -82,13 +82,13 @@
     }
 }
 
-void finish(context& c, submission_state& item, task_state& task,
+void finish(shard_context& c, submission_state& item, task_state& task,
             run_id const& id)
 {
     if (task.place && task.place->run != id.number)
     {
-        auto const other = c.s.workers.find(task.place->worker);
-        if (other != c.s.workers.end())
+        auto const other = c.shard.workers.find(task.place->worker);
+        if (other != c.shard.workers.end())
         {
             workers::stop(c, other->second, {id.task, task.place->run});
         }
@@ -97,7 +97,7 @@
 }
 
 /// Members of a gang end as done together; one end stands for all of them.
-void finish_gang(context& c, submission_state& item, run_id const& id)
+void finish_gang(shard_context& c, submission_state& item, run_id const& id)
 {
     auto const count = item.work.steps[id.task.step].count;
     for (std::uint32_t i = 0; i < count; ++i)
@@ -107,8 +107,8 @@
         auto& task = *submissions::find_task(item, member.task);
         if (task.place && task.place->run == id.number)
         {
-            auto const worker = c.s.workers.find(task.place->worker);
-            if (worker != c.s.workers.end())
+            auto const worker = c.shard.workers.find(task.place->worker);
+            if (worker != c.shard.workers.end())
             {
                 workers::remove_run(worker->second, member);
             }
@@ -118,8 +118,9 @@
     }
 }
 
-void count_failure(context& c, worker_state& worker, submission_state& item,
-                   task_state& task, step_spec const& spec, std::uint64_t run)
+void count_failure(shard_context& c, worker_state& worker,
+                   submission_state& item, task_state& task,
+                   step_spec const& spec, std::uint64_t run)
 {
     note_failure(c, worker, item.id);
     task.failed_on = worker.entry.id;
@@ -127,6 +128,9 @@
     c.count("runs_ended_total", "failed");
     if (spec.long_running)
     {
+        c.log(log_level::info, "worker",
+              "long-running run " + std::to_string(run) + " of " + item.id
+                  + " failed on " + worker.entry.id);
         return;
     }
     task.failed_runs.push_back(run);
@@ -141,10 +145,10 @@
     }
 }
 
-void handle_end(context& c, worker_state& worker, ended_task const& end)
+void handle_end(shard_context& c, worker_state& worker, ended_task const& end)
 {
     workers::remove_run(worker, end.run);
-    c.s.dispatch_due = true;
+    c.shard.dispatch_due = true;
     auto* const item = submissions::find(c, end.run.task.submission);
     auto* const task =
         item ? submissions::find_task(*item, end.run.task) : nullptr;
@@ -192,7 +196,7 @@
     worker.pending_ends.push_back({end.number, item->id, item->version});
 }
 
-void note_progress(context& c, run_state& run, running_task const& row,
+void note_progress(shard_context& c, run_state& run, running_task const& row,
                    task_state& task)
 {
     if (row.percent != run.percent)
@@ -218,7 +222,7 @@
 
 /// Takes over a run that this owner did not know of. Returns false if the run
 /// must not go on.
-bool adopt(context& c, worker_state& worker, submission_state& item,
+bool adopt(shard_context& c, worker_state& worker, submission_state& item,
            task_state& task, running_task const& row)
 {
     if (ended(item.phase) || task.done || row.run.number <= task.ended_run)
@@ -231,8 +235,8 @@
     }
     if (task.place)
     {
-        auto const other = c.s.workers.find(task.place->worker);
-        if (other != c.s.workers.end())
+        auto const other = c.shard.workers.find(task.place->worker);
+        if (other != c.shard.workers.end())
         {
             workers::remove_run(other->second, {row.run.task, task.place->run});
         }
@@ -252,8 +256,8 @@
     return true;
 }
 
-void reject(context& c, worker_state& worker, submission_state const* item,
-            running_task const& row)
+void reject(shard_context& c, worker_state& worker,
+            submission_state const* item, running_task const& row)
 {
     run_state run;
     if (item && row.run.task.step < item->work.steps.size())
@@ -270,7 +274,8 @@
               + ", it is not wanted");
 }
 
-void handle_running(context& c, worker_state& worker, running_task const& row)
+void handle_running(shard_context& c, worker_state& worker,
+                    running_task const& row)
 {
     auto* const item = submissions::find(c, row.run.task.submission);
     auto* const task =
@@ -306,7 +311,7 @@
     return run.confirmed_at && *run.confirmed_at < sent;
 }
 
-void drop_missing(context& c, worker_state& worker,
+void drop_missing(shard_context& c, worker_state& worker,
                   std::set<run_id> const& listed, time_ms sent)
 {
     std::vector<run_id> missing;
@@ -329,7 +334,7 @@
     }
 }
 
-bool hangs(context const& c, run_state const& run)
+bool hangs(shard_context const& c, run_state const& run)
 {
     if (run.phase != run_phase::running || run.pace < judged_pace)
     {
@@ -343,7 +348,7 @@
     return c.now - run.progress_at >= hang_limit;
 }
 
-void stop_hanging(context& c, worker_state& worker)
+void stop_hanging(shard_context& c, worker_state& worker)
 {
     std::vector<run_id> hanging;
     std::set<std::string> affected;
@@ -377,8 +382,8 @@
 
 } // namespace
 
-void received(context& c, worker_state& worker, worker_replied const& reply,
-              time_ms sent)
+void received(shard_context& c, worker_state& worker,
+              worker_replied const& reply, time_ms sent)
 {
     worker.serving_known = false;
     std::set<run_id> listed;
@@ -406,7 +411,7 @@
     }
 }
 
-void all_lost(context& c, worker_state& worker)
+void all_lost(shard_context& c, worker_state& worker)
 {
     while (!worker.runs.empty())
     {
--- a/src/jaydrift/schedule/stopping.cpp
+++ b/src/jaydrift/schedule/stopping.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/stopping.hpp>
 
 #include <jaydrift/schedule/context.hpp>
+#include <jaydrift/schedule/layout.hpp>
 
 namespace jaydrift::schedule::stopping {
 
@@ -15,7 +16,7 @@
 
 bool serves_nobody(context const& c)
 {
-    return c.s.calls.empty() && !holds_shard(c.s.owner.role);
+    return c.s.calls.empty() && !layout::holds_any(c.s);
 }
 
 } // namespace
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -1,11 +1,12 @@
 #include <jaydrift/schedule/store_session.hpp>
 
 #include <jaydrift/schedule/areas.hpp>
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 
 #include <span>
 #include <utility>
@@ -112,9 +113,9 @@
     }
     session.next_announcement = c.now + announce_limit + announce_pause;
     commit write;
-    write.puts.emplace_back(
-        record_key{record_kind::member, c.s.options.node},
-        member_record{c.s.options.node, c.s.options.address});
+    write.puts.emplace_back(record_key{record_kind::member, c.s.options.node},
+                            member_record{c.s.options.node, c.s.options.address,
+                                          c.s.options.cpu_share});
     call(c, store_purpose::announce, std::move(write), announce_limit);
 }
 
@@ -142,15 +143,46 @@
     }
 }
 
+std::uint64_t emit_call(context& c, pending_store_call pending, request what,
+                        time_ms time_limit)
+{
+    auto const number = c.s.store.next_call++;
+    c.s.store.calls.emplace(number, pending);
+    c.emit(store_call{number, std::move(what), time_limit});
+    return number;
+}
+
+/// Handles the end of a call that concerns one shard.
+void shard_replied(shard_context c, store_purpose purpose,
+                   store_replied const& reply)
+{
+    switch (purpose)
+    {
+    case store_purpose::read_submissions:
+        return recovery::submissions_read(c, reply);
+    case store_purpose::claim:
+        return ownership::claim_replied(c, reply);
+    case store_purpose::verify_owner:
+        return ownership::verify_replied(c, reply);
+    case store_purpose::append:
+        return record_log::replied(c, reply);
+    default:
+        return;
+    }
+}
+
 } // namespace
 
 std::uint64_t call(context& c, store_purpose purpose, request what,
                    time_ms time_limit)
 {
-    auto const number = c.s.store.next_call++;
-    c.s.store.calls.emplace(number, purpose);
-    c.emit(store_call{number, std::move(what), time_limit});
-    return number;
+    return emit_call(c, {purpose, 0}, std::move(what), time_limit);
+}
+
+std::uint64_t call(shard_context& c, store_purpose purpose, request what,
+                   time_ms time_limit)
+{
+    return emit_call(c, {purpose, c.shard.number}, std::move(what), time_limit);
 }
 
 void replied(context& c, store_replied const& reply)
@@ -160,7 +192,7 @@
     {
         return;
     }
-    auto const purpose = found->second;
+    auto const [purpose, shard] = found->second;
     c.s.store.calls.erase(found);
     note_health(c, reply);
     switch (purpose)
@@ -174,8 +206,8 @@
     case store_purpose::read_workers:
     case store_purpose::watch_workers:
         return area_replied(c, worker_entries, reply);
-    case store_purpose::read_submissions:
-        return recovery::submissions_read(c, reply);
+    case store_purpose::count_workers:
+        return layout::workers_counted(c, reply);
     case store_purpose::announce:
         if (reply.status == store_status::ok)
         {
@@ -183,13 +215,14 @@
         }
         return;
     case store_purpose::remove_member:
+    case store_purpose::write_layout:
+        // The watch of the coordination area tells what was written.
         return;
+    case store_purpose::read_submissions:
     case store_purpose::claim:
-        return ownership::claim_replied(c, reply);
     case store_purpose::verify_owner:
-        return ownership::verify_replied(c, reply);
     case store_purpose::append:
-        return record_log::replied(c, reply);
+        return shard_replied({c, c.s.shards[shard]}, purpose, reply);
     }
 }
 
@@ -197,10 +230,16 @@
 {
     follow(c, operators);
     follow(c, coordination);
-    if (holds_shard(c.s.owner.role))
+    if (layout::holds_any(c.s))
     {
         follow(c, worker_entries);
     }
+    else if (c.s.store.workers.loaded || c.s.store.workers.call)
+    {
+        c.s.store.workers = {};
+        c.s.worker_entries.clear();
+    }
+    layout::tick(c);
     announce(c);
 }
 
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -1,9 +1,9 @@
 #include <jaydrift/schedule/workers.hpp>
 
-#include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/run_reports.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 
 #include <algorithm>
@@ -51,7 +51,7 @@
 constexpr time_ms refused_start_pause{20};
 
 /// Returns an end of the lease on the worker's clock and remembers it.
-time_ms grant(context const& c, worker_state& worker)
+time_ms grant(shard_context const& c, worker_state& worker)
 {
     auto const clock = *worker.clock + (c.now - worker.clock_at);
     auto const until = clock + lease(c.s);
@@ -60,15 +60,16 @@
 }
 
 template<class Order>
-std::uint64_t send(context& c, worker_state const& worker, order_kind kind,
-                   run_id run, std::uint32_t percent, Order order,
-                   time_ms limit)
+std::uint64_t send(shard_context& c, worker_state const& worker,
+                   order_kind kind, run_id run, std::uint32_t percent,
+                   Order order, time_ms limit)
 {
     auto const number = c.s.next_order++;
-    c.s.orders.emplace(number, worker_purpose{kind, worker.entry.id,
-                                              std::move(run), percent, c.now});
+    c.s.orders.emplace(number,
+                       worker_purpose{kind, c.shard.number, worker.entry.id,
+                                      std::move(run), percent, c.now});
     c.emit(worker_call{number, worker.entry.id, worker.entry.address,
-                       c.s.owner.revision, std::move(order), limit});
+                       c.shard.owner.revision, std::move(order), limit});
     return number;
 }
 
@@ -84,7 +85,7 @@
     return serving && opportunistic;
 }
 
-void send_hold(context& c, worker_state& worker)
+void send_hold(shard_context& c, worker_state& worker)
 {
     hold_order order;
     // After a silence, another life of the worker may answer; the numbers of
@@ -105,7 +106,7 @@
                        order.wait + hold_margin);
 }
 
-void send_stop(context& c, worker_state& worker, run_id const& id,
+void send_stop(shard_context& c, worker_state& worker, run_id const& id,
                run_state& run)
 {
     if (worker.entry.address.empty())
@@ -139,7 +140,7 @@
     }
 }
 
-void note_silence(context& c, worker_state& worker, worker_status status)
+void note_silence(shard_context& c, worker_state& worker, worker_status status)
 {
     if (status == worker_status::lost || status == worker_status::not_sent)
     {
@@ -158,7 +159,8 @@
     }
 }
 
-void note_answer(context& c, worker_state& worker, worker_replied const& reply)
+void note_answer(shard_context& c, worker_state& worker,
+                 worker_replied const& reply)
 {
     if (!reply.clock)
     {
@@ -167,7 +169,7 @@
     if (worker.silent_calls > 0)
     {
         c.log(log_level::info, "worker", worker.entry.id + " regained");
-        c.s.dispatch_due = true;
+        c.shard.dispatch_due = true;
     }
     worker.silent_calls = 0;
     // Answers on different connections may overtake each other.
@@ -180,7 +182,7 @@
 
 /// The first hold of the new life tells which runs are gone; some may have been
 /// started there before this daemon heard of it.
-void reborn(context& c, worker_state& worker, time_ms born)
+void reborn(shard_context& c, worker_state& worker, time_ms born)
 {
     c.log(log_level::info, "worker",
           worker.entry.id + " started again, "
@@ -207,8 +209,8 @@
     worker.next_hold = c.now;
 }
 
-void hold_replied(context& c, worker_state& worker, worker_purpose const& sent,
-                  worker_replied const& reply)
+void hold_replied(shard_context& c, worker_state& worker,
+                  worker_purpose const& sent, worker_replied const& reply)
 {
     worker.hold.reset();
     worker.next_hold = c.now;
@@ -236,7 +238,7 @@
         worker.fenced = true;
         // An earlier owner may have granted the longest lease just before.
         worker.lease_until = *worker.clock + c.s.options.max_lease;
-        c.s.dispatch_due = true;
+        c.shard.dispatch_due = true;
     }
     run_reports::received(c, worker, reply, sent.sent_at);
     worker.unaccounted = false;
@@ -251,7 +253,8 @@
 }
 
 /// The worker has not started the run and will not.
-void withdraw(context& c, worker_state& worker, run_id const& id, time_ms pause)
+void withdraw(shard_context& c, worker_state& worker, run_id const& id,
+              time_ms pause)
 {
     remove_run(worker, id);
     auto* const item = submissions::find(c, id.task.submission);
@@ -263,7 +266,7 @@
     }
 }
 
-void start_replied(context& c, worker_state& worker, run_id const& id,
+void start_replied(shard_context& c, worker_state& worker, run_id const& id,
                    worker_replied const& reply)
 {
     auto const found = worker.runs.find(id);
@@ -311,7 +314,7 @@
     withdraw(c, worker, id, refused_start_pause);
 }
 
-void stop_replied(context& c, worker_state& worker, run_id const& id,
+void stop_replied(shard_context& c, worker_state& worker, run_id const& id,
                   worker_replied const& reply)
 {
     auto const found = worker.runs.find(id);
@@ -349,7 +352,7 @@
 /// A worker that has not answered this owner is gone when the leases of the
 /// earlier owner have passed. A missing entry says less: a worker that is cut
 /// off from the store loses its entry and works on.
-void check_unaccounted(context& c, worker_state& worker)
+void check_unaccounted(shard_context& c, worker_state& worker)
 {
     if (c.now >= worker.gone_at)
     {
@@ -358,7 +361,7 @@
     }
 }
 
-void check_lapse(context& c, worker_state& worker)
+void check_lapse(shard_context& c, worker_state& worker)
 {
     if (!worker.fenced)
     {
@@ -377,7 +380,7 @@
     }
 }
 
-void repeat_stops(context& c, worker_state& worker)
+void repeat_stops(shard_context& c, worker_state& worker)
 {
     for (auto& [id, run] : worker.runs)
     {
@@ -390,14 +393,14 @@
 }
 
 /// An unlisted worker may still come back, or run tasks of an earlier owner.
-bool forgettable(context const& c, worker_state const& worker)
+bool forgettable(shard_context const& c, worker_state const& worker)
 {
     return !worker.listed && worker.runs.empty() && !worker.hold
            && !worker.unaccounted && c.now - worker.unlisted_at >= return_time;
 }
 
 /// Long-running tasks leave a draining worker before it ends them.
-void move_away(context& c, worker_state& worker)
+void move_away(shard_context& c, worker_state& worker)
 {
     std::vector<run_id> moving;
     for (auto const& [id, run] : worker.runs)
@@ -418,14 +421,14 @@
 
 } // namespace
 
-void entry_changed(context& c, worker_entry const& entry)
+void entry_changed(shard_context& c, worker_entry const& entry)
 {
-    auto const [found, added] = c.s.workers.try_emplace(entry.id);
+    auto const [found, added] = c.shard.workers.try_emplace(entry.id);
     auto& worker = found->second;
     if (added)
     {
         worker.entry = entry;
-        c.s.log.fleet_changed = true;
+        c.shard.log.fleet_changed = true;
         c.log(log_level::info, "worker", entry.id + " listed");
     }
     if (entry.born < worker.entry.born)
@@ -440,17 +443,17 @@
     auto const drains = entry.draining && !worker.entry.draining;
     worker.entry = entry;
     worker.listed = true;
-    if (drains && c.s.owner.role == owner_role::owner)
+    if (drains && c.shard.owner.role == owner_role::owner)
     {
         move_away(c, worker);
     }
-    c.s.dispatch_due = true;
+    c.shard.dispatch_due = true;
 }
 
-void entry_removed(context& c, std::string_view id)
+void entry_removed(shard_context& c, std::string_view id)
 {
-    auto const found = c.s.workers.find(id);
-    if (found != c.s.workers.end() && found->second.listed)
+    auto const found = c.shard.workers.find(id);
+    if (found != c.shard.workers.end() && found->second.listed)
     {
         found->second.listed = false;
         found->second.unlisted_at = c.now;
@@ -493,7 +496,7 @@
     }
 }
 
-void start(context& c, worker_state& worker, run_id const& run)
+void start(shard_context& c, worker_state& worker, run_id const& run)
 {
     auto const& item = *submissions::find(c, run.task.submission);
     auto const& task = item.occurrences[run.task.occurrence]
@@ -504,7 +507,7 @@
          start_limit);
 }
 
-void stop(context& c, worker_state& worker, run_id const& run)
+void stop(shard_context& c, worker_state& worker, run_id const& run)
 {
     auto const found = worker.runs.find(run);
     if (found == worker.runs.end()
@@ -516,7 +519,7 @@
     send_stop(c, worker, run, found->second);
 }
 
-void pace(context& c, worker_state& worker, run_id const& run,
+void pace(shard_context& c, worker_state& worker, run_id const& run,
           std::uint32_t percent)
 {
     auto& known = worker.runs.at(run);
@@ -525,25 +528,26 @@
          pace_limit);
 }
 
-void replied(context& c, worker_replied const& reply)
+void replied(context& step, worker_replied const& reply)
 {
-    auto const found = c.s.orders.find(reply.call);
-    if (found == c.s.orders.end())
+    auto const found = step.s.orders.find(reply.call);
+    if (found == step.s.orders.end())
     {
         return;
     }
     auto const sent = std::move(found->second);
-    c.s.orders.erase(found);
+    step.s.orders.erase(found);
+    shard_context c(step, step.s.shards[sent.shard]);
     if (reply.status == worker_status::fenced)
     {
         c.log(log_level::warning, "ownership",
               sent.worker + " has seen a higher fencing token than "
-                  + std::to_string(c.s.owner.revision));
+                  + std::to_string(c.shard.owner.revision));
         ownership::step_down(c);
         return;
     }
-    auto const place = c.s.workers.find(sent.worker);
-    if (place == c.s.workers.end())
+    auto const place = c.shard.workers.find(sent.worker);
+    if (place == c.shard.workers.end())
     {
         return;
     }
@@ -570,15 +574,15 @@
     }
 }
 
-void tick(context& c)
+void tick(shard_context& c)
 {
-    auto const role = c.s.owner.role;
+    auto const role = c.shard.owner.role;
     if (!holds_shard(role) || role == owner_role::suspended
-        || (role == owner_role::recovering && !c.s.owner.fencing_since))
+        || (role == owner_role::recovering && !c.shard.owner.fencing_since))
     {
         return;
     }
-    for (auto& [id, worker] : c.s.workers)
+    for (auto& [id, worker] : c.shard.workers)
     {
         check_lapse(c, worker);
         if (!worker.hold && !worker.entry.address.empty()
@@ -593,11 +597,11 @@
         }
     }
     if (role == owner_role::owner
-        && std::erase_if(c.s.workers, [&c](auto const& item) {
+        && std::erase_if(c.shard.workers, [&c](auto const& item) {
                return forgettable(c, item.second);
            }) > 0)
     {
-        c.s.log.fleet_changed = true;
+        c.shard.log.fleet_changed = true;
     }
 }
 
@@ -612,7 +616,7 @@
         static_cast<double>(lease(s).count()) / slowest_clock));
 }
 
-bool usable(context const& c, worker_state const& worker)
+bool usable(shard_context const& c, worker_state const& worker)
 {
     return worker.listed && worker.fenced && worker.recorded
            && !worker.entry.draining && worker.silent_calls == 0
