Tell other owners of a load that grows fast

Change: an owner tells the other owners when its load has grown by a hundredth; watches of workers' entries are answered every 200 ms at most, since entries change all the time.

--- a/include/jaydrift/schedule/ownership.hpp
+++ b/include/jaydrift/schedule/ownership.hpp
@@ -24,6 +24,9 @@
 /// Ends this daemon's ownership; it was refused or succeeded.
 void step_down(shard_context& c);
 
+/// Tells the owners of other shards of the load, if it has grown much.
+void announce_load(shard_context& c);
+
 /// Handles the end of the swap of the owner record.
 void claim_replied(shard_context& c, store_replied const& reply);
 
--- a/include/jaydrift/schedule/relocation.hpp
+++ b/include/jaydrift/schedule/relocation.hpp
@@ -20,6 +20,9 @@
 bool wanted(shard_context const& c, std::string_view id,
             std::string_view service, submission const& work);
 
+/// Takes note of a submission that the shard has taken.
+void accepted(shard_context& c, submission const& work);
+
 /// Decides that the submission belongs to its second shard; the call goes on
 /// there once that is stored.
 void relocate(shard_context& c, std::uint64_t call, std::string_view id,
--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -28,6 +28,10 @@
     /// As the owner measured it last, and what was sent there since.
     shard_load load;
 
+    /// What the owners of other shards were told last.
+    shard_load announced_load;
+    time_ms load_announced_at;
+
     // Empty unless this daemon holds the shard.
     log_state log;
     std::map<std::string, worker_state, std::less<>> workers;
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -216,6 +216,7 @@
         return;
     }
     auto& item = submissions::add(c, {id, target.name, c.wall(), work});
+    relocation::accepted(c, work);
     record_log::changed_urgently(c, item);
     wait_for_log(c, call, item);
     c.log(log_level::info, "call",
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -27,6 +27,11 @@
 /// after the loss of a zone.
 constexpr std::size_t watching_candidates = 7;
 
+/// Growth of a shard's load, in thousandths, that other owners hear of at once:
+/// hundreds of submissions may arrive between two heartbeats.
+constexpr std::int64_t announced_growth = 10;
+constexpr time_ms announcement_pause{8};
+
 /// Heartbeats missed before an owner is suspected; datagrams are lost now and
 /// then.
 constexpr std::int64_t suspected_misses = 4;
@@ -279,6 +284,14 @@
     }
 }
 
+heartbeat make_heartbeat(shard_context const& c)
+{
+    auto const& owner = c.shard.owner;
+    return {c.shard.number, c.s.options.node,  c.s.options.address,
+            owner.revision, owner.record.term, heartbeat_interval,
+            c.shard.load};
+}
+
 void send_heartbeats(shard_context& c)
 {
     auto& owner = c.shard.owner;
@@ -290,6 +303,7 @@
     if (c.s.shards.size() > 1)
     {
         c.shard.load = relocation::measure(c);
+        c.shard.announced_load = c.shard.load;
     }
     auto const all = c.now >= owner.next_full_heartbeat
                      || c.now - c.s.store.last_success >= store_doubtful_after;
@@ -297,9 +311,7 @@
     {
         owner.next_full_heartbeat = c.now + slow_heartbeat_interval;
     }
-    heartbeat message{c.shard.number, c.s.options.node,  c.s.options.address,
-                      owner.revision, owner.record.term, heartbeat_interval,
-                      c.shard.load};
+    auto message = make_heartbeat(c);
     std::size_t rank = 0;
     for (auto const& each : candidates(c))
     {
@@ -479,6 +491,28 @@
     }
 }
 
+void announce_load(shard_context& c)
+{
+    auto const growth = std::max(
+        c.shard.load.firm - c.shard.announced_load.firm,
+        c.shard.load.opportunistic - c.shard.announced_load.opportunistic);
+    if (growth < announced_growth
+        || c.now - c.shard.load_announced_at < announcement_pause)
+    {
+        return;
+    }
+    c.shard.announced_load = c.shard.load;
+    c.shard.load_announced_at = c.now;
+    auto const message = make_heartbeat(c);
+    for (auto const& each : candidates(c))
+    {
+        if (each.member && each.others > 0)
+        {
+            c.emit(send_message{each.member->address, message});
+        }
+    }
+}
+
 void step_down(shard_context& c)
 {
     become_follower(c, "succeeded");
--- a/src/jaydrift/schedule/relocation.cpp
+++ b/src/jaydrift/schedule/relocation.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/schedule/calls.hpp>
 #include <jaydrift/schedule/layout.hpp>
+#include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -19,9 +20,9 @@
 constexpr std::int64_t whole = 1000;
 
 /// Long-running tasks stay for minutes, so that their shards are kept within
-/// half a percent of each other. A hop costs more than it gains for others
+/// a percent of each other. A hop costs more than it gains for others
 /// unless the difference is clear.
-constexpr std::int64_t long_running_margin = 5;
+constexpr std::int64_t long_running_margin = 10;
 constexpr std::int64_t margin = 60;
 
 /// Callers repeat a submission within seconds; this many times the retention
@@ -112,6 +113,12 @@
     return result;
 }
 
+void add(shard_load& load, shard_load const& more)
+{
+    load.firm += more.firm;
+    load.opportunistic += more.opportunistic;
+}
+
 bool starts_opportunistic(submission const& work)
 {
     return work.steps.front().opportunistic;
@@ -170,14 +177,22 @@
     return difference > (long_running(work) ? long_running_margin : margin);
 }
 
+void accepted(shard_context& c, submission const& work)
+{
+    if (c.s.shards.size() > 1)
+    {
+        add(c.shard.load, load_of(c, work));
+        ownership::announce_load(c);
+    }
+}
+
 void relocate(shard_context& c, std::uint64_t call, std::string_view id,
               submission const& work)
 {
     auto const second = layout::second_shard_of(id, c.s.shards.size());
     auto const added = load_of(c, work);
     auto& there = c.s.shards[second].load;
-    there.firm += added.firm;
-    there.opportunistic += added.opportunistic;
+    add(there, added);
     auto& item = c.shard.relocations[std::string(id)];
     item.record = {std::string(id), second, c.wall()};
     item.waiters.push_back(call);
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -18,6 +18,10 @@
 /// A silent connection of a watch is noticed after this and the margin.
 constexpr time_ms watch_wait{1000};
 constexpr time_ms watch_margin{700};
+
+/// Changes of workers' entries are gathered for so long. Many workers write
+/// all the time, and each answer of a watch is a call to the store.
+constexpr time_ms worker_watch_pause{200};
 constexpr time_ms read_limit{1500};
 constexpr time_ms retry_pause{150};
 constexpr time_ms announce_limit{1000};
@@ -36,20 +40,32 @@
     store_purpose change;
     void (*take_all)(context&, std::span<store_item const>);
     void (*take_one)(context&, store_item const&);
+
+    /// Time between an answer with changes and the next call.
+    time_ms pause;
 };
 
-constexpr area_rules operators{
-    &store_session_state::operators, store_area::operators,
-    store_purpose::read_operators,   store_purpose::watch_operators,
-    areas::operators_read,           areas::operators_changed};
-constexpr area_rules coordination{
-    &store_session_state::coordination, store_area::coordination,
-    store_purpose::read_coordination,   store_purpose::watch_coordination,
-    areas::coordination_read,           areas::coordination_changed};
-constexpr area_rules worker_entries{
-    &store_session_state::workers, store_area::workers,
-    store_purpose::read_workers,   store_purpose::watch_workers,
-    areas::workers_read,           areas::workers_changed};
+constexpr area_rules operators{&store_session_state::operators,
+                               store_area::operators,
+                               store_purpose::read_operators,
+                               store_purpose::watch_operators,
+                               areas::operators_read,
+                               areas::operators_changed,
+                               time_ms(0)};
+constexpr area_rules coordination{&store_session_state::coordination,
+                                  store_area::coordination,
+                                  store_purpose::read_coordination,
+                                  store_purpose::watch_coordination,
+                                  areas::coordination_read,
+                                  areas::coordination_changed,
+                                  time_ms(0)};
+constexpr area_rules worker_entries{&store_session_state::workers,
+                                    store_area::workers,
+                                    store_purpose::read_workers,
+                                    store_purpose::watch_workers,
+                                    areas::workers_read,
+                                    areas::workers_changed,
+                                    worker_watch_pause};
 
 void follow(context& c, area_rules const& rules)
 {
@@ -96,6 +112,10 @@
         {
             rules.take_one(c, item);
         }
+        if (!reply.items.empty())
+        {
+            watch.retry_at = c.now + rules.pause;
+        }
     }
     if (reply.status == store_status::ok)
     {
