--- a/include/jaydrift/schedule/calls.hpp
+++ b/include/jaydrift/schedule/calls.hpp
@@ -27,6 +27,9 @@
 /// stored.
 void log_abandoned(shard_context& c);
 
+/// Answers all calls, since the process is about to end.
+void answer_all(context& c);
+
 void tick(context& c);
 
 } // namespace calls
--- a/include/jaydrift/schedule/heartbeat_reply.hpp
+++ b/include/jaydrift/schedule/heartbeat_reply.hpp
@@ -19,6 +19,9 @@
 
     /// Time since the store last answered the daemon.
     time_ms store_age;
+
+    /// The daemon is about to end and will not succeed.
+    bool stopping = false;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/member_state.hpp
+++ b/include/jaydrift/schedule/member_state.hpp
@@ -16,6 +16,9 @@
     time_ms heard_at{-1000000};
     double cpu_share = 0.0;
 
+    /// It is about to end.
+    bool stopping = false;
+
     /// Last time the store answered it, as far as known.
     time_ms store_heard_at{-1000000};
 };
--- a/include/jaydrift/schedule/pending_store_call.hpp
+++ b/include/jaydrift/schedule/pending_store_call.hpp
@@ -1,6 +1,7 @@
 #ifndef JAYDRIFT_SCHEDULE_PENDING_STORE_CALL_HPP
 #define JAYDRIFT_SCHEDULE_PENDING_STORE_CALL_HPP
 
+#include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/store_purpose.hpp>
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 
     /// Shard that the answer concerns; 0 if it concerns none.
     std::uint32_t shard = 0;
+    time_ms sent_at;
 };
 
 } // namespace jaydrift::schedule
--- /dev/null
+++ b/include/jaydrift/soak/link_id.hpp
@@ -0,0 +1,22 @@
+#ifndef JAYDRIFT_SOAK_LINK_ID_HPP
+#define JAYDRIFT_SOAK_LINK_ID_HPP
+
+#include <compare>
+#include <cstddef>
+
+namespace jaydrift::soak {
+
+/// The link of a daemon to the store, or of all daemons to a worker.
+struct link_id
+{
+    bool to_worker = false;
+
+    /// Number of the daemon or of the worker.
+    std::size_t number = 0;
+
+    auto operator<=>(link_id const&) const = default;
+};
+
+} // namespace jaydrift::soak
+
+#endif // JAYDRIFT_SOAK_LINK_ID_HPP
--- /dev/null
+++ b/include/jaydrift/soak/link_mode.hpp
@@ -0,0 +1,24 @@
+#ifndef JAYDRIFT_SOAK_LINK_MODE_HPP
+#define JAYDRIFT_SOAK_LINK_MODE_HPP
+
+#include <cstdint>
+
+namespace jaydrift::soak {
+
+/// What a proxy does with the bytes of its connections.
+enum class link_mode : std::uint8_t
+{
+    pass,
+    delay,
+    reset,
+
+    /// Nothing arrives in either direction.
+    silent,
+
+    /// Requests arrive and answers do not.
+    one_way
+};
+
+} // namespace jaydrift::soak
+
+#endif // JAYDRIFT_SOAK_LINK_MODE_HPP
--- /dev/null
+++ b/include/jaydrift/soak/options.hpp
@@ -0,0 +1,34 @@
+#ifndef JAYDRIFT_SOAK_OPTIONS_HPP
+#define JAYDRIFT_SOAK_OPTIONS_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace jaydrift::soak {
+
+/// Size and length of a run.
+struct options
+{
+    std::uint64_t seed = 1;
+    std::size_t daemons = 6;
+    std::size_t workers = 8;
+
+    /// Shards that the store names; the daemons choose if it is 0.
+    std::uint32_t shards = 0;
+
+    /// Time during which faults begin.
+    time_ms length{12000};
+
+    /// Path of the daemon's program.
+    std::string program;
+
+    /// Folder for settings files and logs.
+    std::string folder;
+};
+
+} // namespace jaydrift::soak
+
+#endif // JAYDRIFT_SOAK_OPTIONS_HPP
--- /dev/null
+++ b/include/jaydrift/soak/task_name.hpp
@@ -0,0 +1,23 @@
+#ifndef JAYDRIFT_SOAK_TASK_NAME_HPP
+#define JAYDRIFT_SOAK_TASK_NAME_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jaydrift::soak {
+
+/// A task as the platform names it: submission, occurrence, step and index.
+struct task_name
+{
+    std::string submission;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+};
+
+/// @throws codec::codec_error if the text has another form.
+task_name parse_task(std::string_view text);
+
+} // namespace jaydrift::soak
+
+#endif // JAYDRIFT_SOAK_TASK_NAME_HPP
--- a/src/jaydrift/codec/peer_codec.cpp
+++ b/src/jaydrift/codec/peer_codec.cpp
@@ -31,6 +31,7 @@
 void write_fields(json_writer& out, heartbeat_reply const& message)
 {
     put_field(out, "store_age_ms", message.store_age.count());
+    put_flag(out, "stopping", message.stopping);
 }
 
 void write_fields(json_writer& out, owner_sighting const& message)
@@ -88,7 +89,8 @@
     if (type == "reply")
     {
         return heartbeat_reply{shard, std::move(node), revision,
-                               milliseconds(value, "store_age_ms")};
+                               milliseconds(value, "store_age_ms"),
+                               boolean(value, "stopping")};
     }
     if (type == "query")
     {
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -525,6 +525,24 @@
     }
 }
 
+void answer_all(context& c)
+{
+    std::vector<std::pair<std::uint64_t, bool>> open;
+    for (auto const& [number, call] : c.s.calls)
+    {
+        auto const maybe_done = std::any_of(
+            call.parts.begin(), call.parts.end(), [](call_part const& part) {
+                return part.maybe_done || part.with_log || part.with_peer;
+            });
+        open.emplace_back(number, maybe_done);
+    }
+    for (auto const& [number, maybe_done] : open)
+    {
+        finish(c, number,
+               maybe_done ? answer::code::unknown : answer::code::unavailable);
+    }
+}
+
 void tick(context& c)
 {
     std::vector<std::pair<std::uint64_t, std::uint32_t>> open;
--- a/src/jaydrift/schedule/deployment_test.cpp
+++ b/src/jaydrift/schedule/deployment_test.cpp
@@ -394,6 +394,26 @@
     }
 }
 
+// Soak seed 35 with two shards: an owner that stopped asked a daemon that
+// stopped as well to succeed it, again and again, and broke its calls off.
+TEST(deployment, a_stopping_owner_yields_to_a_daemon_that_stays)
+{
+    simulated_deployment world(4, 4, 14);
+    world.run_until(time_ms(4000));
+    auto const owner = world.owner();
+    ASSERT_TRUE(owner);
+    auto const staying = (*owner + 1) % 4;
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        if (i != staying)
+        {
+            world.stop(i);
+        }
+    }
+    world.run_until(time_ms(5500));
+    EXPECT_EQ(world.owner(), staying);
+}
+
 RC_GTEST_PROP(deployment, keeps_every_promise_with_two_shards,
               (std::uint64_t seed))
 {
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -326,14 +326,17 @@
 }
 
 /// Returns the first candidate that answered within `peer_fresh`, or none. The
-/// store must have answered it since the given time.
+/// store must have answered it since the given time. The one that was asked
+/// last and did not succeed is left out.
 std::optional<candidate> best_peer(shard_context const& c,
                                    time_ms store_heard_since)
 {
     auto const all = candidates(c);
     auto const found =
         std::find_if(all.begin(), all.end(), [&](candidate const& each) {
-            return each.member && c.now - each.member->heard_at < peer_fresh
+            return each.member && !each.member->stopping
+                   && each.member->address != c.shard.owner.successor
+                   && c.now - each.member->heard_at < peer_fresh
                    && each.member->store_heard_at >= store_heard_since;
         });
     return found == all.end() ? std::nullopt : std::optional(*found);
@@ -642,7 +645,8 @@
     c.emit(send_message{message.address,
                         heartbeat_reply{c.shard.number, c.s.options.node,
                                         owner.revision,
-                                        c.now - c.s.store.last_success}});
+                                        c.now - c.s.store.last_success,
+                                        c.s.stopping_since.has_value()}});
 }
 
 void received(shard_context& c, heartbeat_reply const& message)
@@ -654,6 +658,7 @@
     }
     auto& owner = c.shard.owner;
     found->second.heard_at = c.now;
+    found->second.stopping = message.stopping;
     found->second.store_heard_at = c.now - message.store_age;
     if (!holds_shard(owner.role))
     {
--- a/src/jaydrift/schedule/reduce_test.cpp
+++ b/src/jaydrift/schedule/reduce_test.cpp
@@ -129,4 +129,44 @@
     EXPECT_LT(exited, time_ms(5500));
 }
 
+// Guards against calls that are cut off by the exit.
+TEST(reduce, answers_open_calls_before_the_exit)
+{
+    auto s = initial_state(options_of(1), time_ms(0));
+    configuration config;
+    config.queues.push_back(
+        {"batch", "jobs.example", "/batch/", "svc", 0, 3, 2.0, time_ms(1000)});
+    s.config = config;
+    // A suspended owner keeps its calls waiting.
+    s.shards.resize(1);
+    s.shards[0].owner.role = owner_role::suspended;
+    s.shards[0].owner.revision = 5;
+    static_cast<void>(reduce(s, stop_requested{}, time_ms(0)));
+    std::optional<time_ms> answered;
+    std::optional<time_ms> exited;
+    for (auto now = time_ms(50); now < time_ms(6000); now += time_ms(50))
+    {
+        event input = timer_due{now};
+        if (now == time_ms(4900))
+        {
+            call_arrived call;
+            call.call = 1;
+            call.host = "jobs.example";
+            call.path = "/batch/00000000000000a1";
+            input = call;
+        }
+        auto const out = reduce(s, input, now);
+        if (!of_kind<answer_call>(out).empty())
+        {
+            answered = now;
+        }
+        if (!of_kind<exit_process>(out).empty())
+        {
+            exited = now;
+        }
+    }
+    ASSERT_TRUE(answered && exited);
+    EXPECT_LT(*answered, *exited);
+}
+
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -136,6 +136,16 @@
     after(time_ms(0), [this, daemon, life] { tick(daemon, life); });
 }
 
+void simulated_deployment::stop(std::size_t daemon)
+{
+    deliver(daemon, daemons_[daemon].life, stop_requested{}, time_ms(0));
+}
+
+void simulated_deployment::run(std::size_t daemon, exit_process const&)
+{
+    kill(daemon);
+}
+
 void simulated_deployment::kill(std::size_t daemon)
 {
     daemons_[daemon].up = false;
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -44,6 +44,9 @@
     void kill(std::size_t daemon);
     void start(std::size_t daemon);
 
+    /// Asks a daemon to stop, as SIGTERM does.
+    void stop(std::size_t daemon);
+
     /// Number of the daemon that owns the shard, if there is one.
     std::optional<std::size_t> owner(std::size_t shard = 0) const;
 
@@ -119,6 +122,7 @@
     void run(std::size_t daemon, send_message const& effect);
     void run(std::size_t daemon, answer_call const& effect);
     void run(std::size_t daemon, forward_call const& effect);
+    void run(std::size_t daemon, exit_process const& effect);
     template<class Other>
     void run(std::size_t, Other const&)
     {
--- a/src/jaydrift/schedule/stopping.cpp
+++ b/src/jaydrift/schedule/stopping.cpp
@@ -1,8 +1,11 @@
 #include <jaydrift/schedule/stopping.hpp>
 
+#include <jaydrift/schedule/calls.hpp>
 #include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/layout.hpp>
 
+#include <string>
+
 namespace jaydrift::schedule::stopping {
 
 namespace {
@@ -14,6 +17,9 @@
 /// Left between the exit and SIGKILL.
 constexpr time_ms exit_margin{700};
 
+/// Time to write the last answers before the exit.
+constexpr time_ms answer_time{200};
+
 bool serves_nobody(context const& c)
 {
     return c.s.calls.empty() && !layout::holds_any(c.s);
@@ -52,6 +58,13 @@
     }
     auto const limit = c.s.options.stop_grace - exit_margin;
     auto const linger = balancer_delay + time_ms(1000);
+    if (age >= limit - answer_time && !c.s.calls.empty())
+    {
+        c.log(log_level::warning, "process",
+              std::to_string(c.s.calls.size())
+                  + " calls are answered without a result before the exit");
+        calls::answer_all(c);
+    }
     if (!c.s.exiting && ((age >= linger && serves_nobody(c)) || age >= limit))
     {
         c.s.exiting = true;
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -19,9 +19,10 @@
 constexpr time_ms watch_wait{1000};
 constexpr time_ms watch_margin{700};
 
-/// Changes of workers' entries are gathered for so long. Many workers write
-/// all the time, and each answer of a watch is a call to the store.
-constexpr time_ms worker_watch_pause{200};
+/// Changes are gathered for so long, since each answer of a watch is a call to
+/// the store: workers write all the time, and hundreds of daemons announce
+/// themselves at once. Heartbeats tell of a new owner without delay.
+constexpr time_ms watch_pause{200};
 constexpr time_ms read_limit{1500};
 constexpr time_ms retry_pause{150};
 constexpr time_ms announce_limit{1000};
@@ -58,14 +59,14 @@
                                   store_purpose::watch_coordination,
                                   areas::coordination_read,
                                   areas::coordination_changed,
-                                  time_ms(0)};
+                                  watch_pause};
 constexpr area_rules worker_entries{&store_session_state::workers,
                                     store_area::workers,
                                     store_purpose::read_workers,
                                     store_purpose::watch_workers,
                                     areas::workers_read,
                                     areas::workers_changed,
-                                    worker_watch_pause};
+                                    watch_pause};
 
 void follow(context& c, area_rules const& rules)
 {
@@ -139,13 +140,15 @@
     call(c, store_purpose::announce, std::move(write), announce_limit);
 }
 
-void note_health(context& c, store_replied const& reply)
+/// A call that is lost on a connection that has gone silent tells nothing of
+/// the store if that has answered another one since.
+void note_health(context& c, store_replied const& reply, time_ms sent_at)
 {
     auto& session = c.s.store;
     if (reply.status == store_status::lost
         || reply.status == store_status::refused)
     {
-        if (!session.failing_since)
+        if (!session.failing_since && sent_at >= session.last_success)
         {
             session.failing_since = c.now;
             c.log(log_level::warning, "store", "lost: a call got no answer");
@@ -196,13 +199,14 @@
 std::uint64_t call(context& c, store_purpose purpose, request what,
                    time_ms time_limit)
 {
-    return emit_call(c, {purpose, 0}, std::move(what), time_limit);
+    return emit_call(c, {purpose, 0, c.now}, std::move(what), time_limit);
 }
 
 std::uint64_t call(shard_context& c, store_purpose purpose, request what,
                    time_ms time_limit)
 {
-    return emit_call(c, {purpose, c.shard.number}, std::move(what), time_limit);
+    return emit_call(c, {purpose, c.shard.number, c.now}, std::move(what),
+                     time_limit);
 }
 
 void replied(context& c, store_replied const& reply)
@@ -212,9 +216,9 @@
     {
         return;
     }
-    auto const [purpose, shard] = found->second;
+    auto const [purpose, shard, sent_at] = found->second;
     c.s.store.calls.erase(found);
-    note_health(c, reply);
+    note_health(c, reply, sent_at);
     switch (purpose)
     {
     case store_purpose::read_operators:
--- /dev/null
+++ b/src/jaydrift/soak/callers.cpp
@@ -0,0 +1,300 @@
+#include "callers.hpp"
+
+#include <jaydrift/codec/codec_error.hpp>
+#include <jaydrift/codec/json.hpp>
+#include <jaydrift/soak/call_ended.hpp>
+#include <jaydrift/soak/state.hpp>
+
+#include <string>
+#include <utility>
+
+namespace jaydrift::soak::callers {
+
+namespace {
+
+constexpr time_ms call_limit{3000};
+constexpr std::uint32_t max_tries = 8;
+constexpr std::uint64_t arrival_spread_ms = 160;
+constexpr time_ms shortest_arrival{40};
+
+/// A queue that was removed is gone everywhere after this.
+constexpr time_ms config_limit{2500};
+
+std::string new_id(state& s)
+{
+    auto text = std::to_string(s.next_submission++);
+    return std::string(16 - text.size(), '0') + text;
+}
+
+std::string body_of(task_plan const& plan)
+{
+    rapidjson::StringBuffer buffer;
+    codec::json_writer out(buffer);
+    out.StartObject();
+    codec::put_field(out, "spec", plan.payload);
+    codec::put_key(out, "steps");
+    out.StartArray();
+    for (auto const& step : plan.steps)
+    {
+        out.StartObject();
+        codec::put_field(out, "count", step.count);
+        codec::put_field(out, "cpu", step.demand.millicores);
+        codec::put_field(out, "memMb", step.demand.memory_mb);
+        codec::put_field(out, "estimateMs", step.run_time.count());
+        if (!step.after.empty())
+        {
+            codec::put_key(out, "after");
+            out.StartArray();
+            for (auto const earlier : step.after)
+            {
+                out.Uint(earlier);
+            }
+            out.EndArray();
+        }
+        codec::put_flag(out, "longRunning", step.long_running);
+        out.EndObject();
+    }
+    out.EndArray();
+    out.EndObject();
+    return codec::text_of(buffer);
+}
+
+task_plan random_plan(state& s, std::string const& id)
+{
+    auto const below = [&s](std::uint64_t bound) {
+        return static_cast<std::uint32_t>(s.random.below(bound));
+    };
+    task_plan plan;
+    plan.payload = "payload of " + id;
+    auto const long_running = below(10) == 0;
+    auto const steps = long_running ? 1U : 1U + below(3);
+    for (std::uint32_t i = 0; i < steps; ++i)
+    {
+        step_plan step;
+        step.count = 1 + below(5);
+        step.demand = {500 + 500 * static_cast<std::int64_t>(below(3)), 500, 0};
+        step.run_time = time_ms(100 + below(900));
+        step.long_running = long_running;
+        if (i > 0)
+        {
+            step.after = {i - 1};
+        }
+        plan.steps.push_back(step);
+    }
+    return plan;
+}
+
+void send(state& s, open_attempt attempt, time_ms now, effects& out)
+{
+    using kind = open_attempt::kind;
+    attempt.daemon = s.random.below(s.daemons.size());
+    attempt.sent_at = now;
+    ++attempt.tries;
+    http::request message;
+    message.host = "jobs.example";
+    message.headers = {{"Content-Type", "application/json"},
+                       {"Request-Timeout", std::to_string(call_limit.count())}};
+    message.target = "/batch/" + attempt.id;
+    switch (attempt.what)
+    {
+    case kind::submit:
+        message.method = "POST";
+        message.body = body_of(*s.checks.plan(attempt.id));
+        break;
+    case kind::cancel:
+        message.method = "DELETE";
+        s.checks.cancel_sent(attempt.id);
+        break;
+    case kind::probe_dropped_queue:
+        message.target = "/extra/";
+        break;
+    case kind::show:
+        break;
+    }
+    auto const number = s.next_call++;
+    out.push_back(
+        send_call{number, attempt.daemon, std::move(message), call_limit});
+    s.attempts.emplace(number, std::move(attempt));
+}
+
+void send_new(state& s, open_attempt::kind what, std::string const& id,
+              time_ms now, effects& out)
+{
+    open_attempt attempt;
+    attempt.what = what;
+    attempt.id = id;
+    send(s, std::move(attempt), now, out);
+}
+
+std::string random_submission(state& s)
+{
+    auto text = std::to_string(1 + s.random.below(s.next_submission - 1));
+    return std::string(16 - text.size(), '0') + text;
+}
+
+/// A daemon that stops on request must answer what it has read.
+void check_stop(state& s, open_attempt const& attempt, time_ms now)
+{
+    auto const& daemon = s.daemons[attempt.daemon];
+    if (daemon.stopping && !daemon.disturbed
+        && now - attempt.sent_at < call_limit)
+    {
+        s.checks.violated("a stopping daemon broke off a call for "
+                          + attempt.id);
+    }
+}
+
+void repeat(state& s, open_attempt attempt, time_ms now, effects& out)
+{
+    if (attempt.tries < max_tries)
+    {
+        send(s, std::move(attempt), now, out);
+    }
+}
+
+void submitted(state& s, open_attempt attempt, unsigned status, time_ms now,
+               effects& out)
+{
+    constexpr std::uint64_t repeats = 10;
+    switch (status)
+    {
+    case 200:
+        s.checks.accepted(attempt.id);
+        if (attempt.tries == 1 && s.random.below(repeats) == 0)
+        {
+            // A repeated packet of the network.
+            send(s, std::move(attempt), now, out);
+        }
+        return;
+    case 429:
+    case 503:
+        if (!attempt.maybe_done)
+        {
+            s.checks.refused(attempt.id);
+        }
+        return;
+    case 404:
+        s.checks.violated(attempt.id + " was refused, its queue exists");
+        return;
+    default:
+        attempt.maybe_done = true;
+        repeat(s, std::move(attempt), now, out);
+    }
+}
+
+void shown(state& s, open_attempt const& attempt, http::response const& reply)
+{
+    if (reply.status == 410 && s.stage == state::phase::calm
+        && s.checks.is_accepted(attempt.id))
+    {
+        s.checks.violated(attempt.id + " was accepted and is not known");
+    }
+    if (reply.status != 200)
+    {
+        return;
+    }
+    try
+    {
+        s.checks.shown(attempt.id,
+                       codec::text(codec::parse_object(reply.body), "state"));
+    }
+    catch (codec::codec_error const& fault)
+    {
+        s.checks.violated("the state of " + attempt.id
+                          + " cannot be read: " + fault.what());
+    }
+}
+
+} // namespace
+
+void tick(state& s, time_ms now, effects& out)
+{
+    using kind = open_attempt::kind;
+    if (now < s.next_arrival)
+    {
+        return;
+    }
+    auto const pause =
+        static_cast<std::int64_t>(s.random.below(arrival_spread_ms));
+    s.next_arrival = now + shortest_arrival + time_ms(pause);
+    auto const id = new_id(s);
+    s.checks.planned(id, random_plan(s, id));
+    send_new(s, kind::submit, id, now, out);
+    send_new(s, kind::show, random_submission(s), now, out);
+    constexpr std::uint64_t cancelled_share = 20;
+    if (s.random.below(cancelled_share) == 0)
+    {
+        send_new(s, kind::cancel, random_submission(s), now, out);
+    }
+    if (s.config_version % 2 == 1
+        && now - std::max(s.dropped_queue_at, s.disturbed_at) > config_limit)
+    {
+        send_new(s, kind::probe_dropped_queue, {}, now, out);
+    }
+}
+
+void ask_for_all(state& s, time_ms now, effects& out)
+{
+    for (auto const& id : s.checks.unfinished())
+    {
+        send_new(s, open_attempt::kind::show, id, now, out);
+    }
+}
+
+void cancel_all(state& s, time_ms now, effects& out)
+{
+    for (auto const& id : s.checks.long_running())
+    {
+        send_new(s, open_attempt::kind::cancel, id, now, out);
+    }
+}
+
+void ended(state& s, call_ended const& input, time_ms now, effects& out)
+{
+    using kind = open_attempt::kind;
+    using outcome = http::call_result::outcome;
+    auto const found = s.attempts.find(input.number);
+    if (found == s.attempts.end())
+    {
+        return;
+    }
+    auto attempt = std::move(found->second);
+    s.attempts.erase(found);
+    if (input.result.ended != outcome::answered)
+    {
+        if (input.result.ended == outcome::lost)
+        {
+            check_stop(s, attempt, now);
+            attempt.maybe_done = true;
+        }
+        if (attempt.what == kind::submit || attempt.what == kind::cancel)
+        {
+            repeat(s, std::move(attempt), now, out);
+        }
+        return;
+    }
+    auto const& reply = input.result.reply;
+    switch (attempt.what)
+    {
+    case kind::submit:
+        return submitted(s, std::move(attempt), reply.status, now, out);
+    case kind::show:
+        return shown(s, attempt, reply);
+    case kind::cancel:
+        if (reply.status == 200)
+        {
+            s.checks.cancelled(attempt.id, now);
+        }
+        return;
+    case kind::probe_dropped_queue:
+        if (reply.status == 200 && s.config_version % 2 == 1
+            && attempt.sent_at - std::max(s.dropped_queue_at, s.disturbed_at)
+                   > config_limit)
+        {
+            s.checks.violated("a removed queue is served");
+        }
+        return;
+    }
+}
+
+} // namespace jaydrift::soak::callers
--- /dev/null
+++ b/src/jaydrift/soak/oracle.cpp
@@ -0,0 +1,261 @@
+#include <jaydrift/soak/oracle.hpp>
+
+#include <jaydrift/codec/codec_error.hpp>
+#include <jaydrift/soak/task_name.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace jaydrift::soak {
+
+namespace {
+
+/// Tasks of a cancelled submission are gone, and none starts, after this.
+constexpr time_ms cancel_limit{3900};
+
+std::string task_text(std::string const& id, std::uint32_t step,
+                      std::uint32_t index)
+{
+    return id + ".0." + std::to_string(step) + "." + std::to_string(index);
+}
+
+} // namespace
+
+task_name parse_task(std::string_view text)
+{
+    std::uint32_t parts[3] = {};
+    auto rest = text;
+    for (auto i = 3; i-- > 0;)
+    {
+        auto const dot = rest.rfind('.');
+        if (dot == std::string_view::npos)
+        {
+            throw codec::codec_error("task '" + std::string(text)
+                                     + "' has another form");
+        }
+        std::from_chars(rest.data() + dot + 1, rest.data() + rest.size(),
+                        parts[i]);
+        rest.remove_suffix(rest.size() - dot);
+    }
+    return {std::string(rest), parts[1], parts[2]};
+}
+
+void oracle::planned(std::string const& id, task_plan plan)
+{
+    submissions_[id].plan = std::move(plan);
+}
+
+void oracle::accepted(std::string const& id)
+{
+    submissions_.at(id).accepted = true;
+}
+
+void oracle::refused(std::string const& id)
+{
+    auto& item = submissions_.at(id);
+    if (item.accepted)
+    {
+        // A repeated packet reached a daemon that could not take it.
+        return;
+    }
+    item.refused = true;
+    if (item.started)
+    {
+        violated(id + " was refused and has started");
+    }
+}
+
+void oracle::cancel_sent(std::string const& id)
+{
+    submissions_.at(id).cancel_sent = true;
+}
+
+void oracle::cancelled(std::string const& id, time_ms now)
+{
+    auto& item = submissions_.at(id);
+    item.ended = true;
+    if (!item.cancelled_at)
+    {
+        item.cancelled_at = now;
+    }
+}
+
+task_plan const* oracle::plan(std::string const& id) const
+{
+    auto const found = submissions_.find(id);
+    return found == submissions_.end() ? nullptr : &found->second.plan;
+}
+
+bool oracle::step_done(submission_record const& item, std::string const& id,
+                       std::uint32_t step) const
+{
+    for (std::uint32_t i = 0; i < item.plan.steps[step].count; ++i)
+    {
+        auto const found = item.tasks.find(task_text(id, step, i));
+        if (found == item.tasks.end() || !found->second.done)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void oracle::started(std::string const& task, std::uint64_t run,
+                     std::string const& worker, std::string const& payload,
+                     time_ms now)
+{
+    ++starts_;
+    auto const name = parse_task(task);
+    auto const found = submissions_.find(name.submission);
+    if (found == submissions_.end()
+        || name.step >= found->second.plan.steps.size()
+        || name.index >= found->second.plan.steps[name.step].count
+        || payload != found->second.plan.payload)
+    {
+        violated(task + " was never handed in like this");
+        return;
+    }
+    auto& item = found->second;
+    auto const& step = item.plan.steps[name.step];
+    auto& record = item.tasks[task];
+    item.started = true;
+    if (item.refused)
+    {
+        violated(task + " started after its submission was refused");
+    }
+    if (item.cancelled_at && now - *item.cancelled_at > cancel_limit)
+    {
+        violated(task + " started after its submission was cancelled");
+    }
+    if (!record.running.empty())
+    {
+        violated(task + " runs twice, on " + worker + " and "
+                 + record.running.begin()->second);
+    }
+    if (record.done && record.acknowledged && !step.long_running)
+    {
+        violated(task + " started again after its end was taken note of");
+    }
+    for (auto const earlier : step.after)
+    {
+        if (!step_done(item, name.submission, earlier))
+        {
+            violated(task + " started before step " + std::to_string(earlier)
+                     + " was done");
+        }
+    }
+    record.running[run] = worker;
+}
+
+void oracle::ended(std::string const& task, std::uint64_t run, bool done)
+{
+    auto const found = submissions_.find(parse_task(task).submission);
+    if (found != submissions_.end())
+    {
+        auto& record = found->second.tasks[task];
+        record.running.erase(run);
+        record.done = record.done || done;
+    }
+}
+
+void oracle::acknowledged(std::string const& task, bool done)
+{
+    auto const found = submissions_.find(parse_task(task).submission);
+    if (done && found != submissions_.end())
+    {
+        found->second.tasks[task].acknowledged = true;
+    }
+}
+
+void oracle::shown(std::string const& id, std::string const& state)
+{
+    auto& item = submissions_.at(id);
+    if (state == "completed")
+    {
+        for (std::uint32_t i = 0; i < item.plan.steps.size(); ++i)
+        {
+            if (!step_done(item, id, i))
+            {
+                violated(id + " is shown as completed and is not");
+            }
+        }
+    }
+    if (state == "cancelled" && !item.cancel_sent)
+    {
+        violated(id + " is shown as cancelled, and nobody did that");
+    }
+    item.ended = item.ended || state == "completed" || state == "failed"
+                 || state == "cancelled";
+}
+
+std::vector<std::string> oracle::unfinished() const
+{
+    std::vector<std::string> result;
+    for (auto const& [id, item] : submissions_)
+    {
+        if (item.accepted && !item.ended && !item.plan.steps[0].long_running)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::vector<std::string> oracle::long_running() const
+{
+    std::vector<std::string> result;
+    for (auto const& [id, item] : submissions_)
+    {
+        if (item.accepted && !item.ended && item.plan.steps[0].long_running)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::vector<std::string> oracle::cancelled() const
+{
+    std::vector<std::string> result;
+    for (auto const& [id, item] : submissions_)
+    {
+        if (item.cancelled_at)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+bool oracle::is_accepted(std::string const& id) const
+{
+    auto const found = submissions_.find(id);
+    return found != submissions_.end() && found->second.accepted;
+}
+
+std::size_t oracle::running_tasks(std::string const& id) const
+{
+    auto const& tasks = submissions_.at(id).tasks;
+    return static_cast<std::size_t>(
+        std::count_if(tasks.begin(), tasks.end(), [](auto const& each) {
+            return !each.second.running.empty();
+        }));
+}
+
+std::size_t oracle::accepted_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(submissions_.begin(), submissions_.end(),
+                      [](auto const& each) { return each.second.accepted; }));
+}
+
+void oracle::violated(std::string const& text)
+{
+    if (known_violations_.insert(text).second)
+    {
+        violations_.push_back(text);
+    }
+}
+
+} // namespace jaydrift::soak
--- /dev/null
+++ b/src/jaydrift/soak/proxy.cpp
@@ -0,0 +1,213 @@
+#include "proxy.hpp"
+
+#include <array>
+#include <chrono>
+#include <list>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace jaydrift::soak {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t chunk_bytes = 16384;
+constexpr std::chrono::milliseconds added_delay{300};
+
+} // namespace
+
+class proxy::state : public std::enable_shared_from_this<proxy::state>
+{
+public:
+    state(boost::asio::io_context& context, unsigned short target)
+        : context_(context),
+          acceptor_(context,
+                    tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+          target_(boost::asio::ip::address_v4::loopback(), target)
+    {
+    }
+
+    unsigned short port() const { return acceptor_.local_endpoint().port(); }
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [self = shared_from_this()](error_code const& fault,
+                                        tcp::socket socket) {
+                if (fault)
+                {
+                    return;
+                }
+                self->open(std::move(socket));
+                self->accept();
+            });
+    }
+
+    void set(link_mode mode)
+    {
+        mode_ = mode;
+        for (auto const& each : links_)
+        {
+            if (auto const open = each.lock())
+            {
+                open->harm(mode);
+            }
+        }
+    }
+
+    void close()
+    {
+        error_code ignored;
+        acceptor_.close(ignored);
+        set(link_mode::reset);
+    }
+
+private:
+    /// One connection and its twin behind the proxy.
+    class link : public std::enable_shared_from_this<link>
+    {
+    public:
+        link(tcp::socket front, boost::asio::io_context& context)
+            : front_(std::move(front)), back_(context), up_timer_(context),
+              down_timer_(context)
+        {
+        }
+
+        void start(tcp::endpoint const& target, link_mode mode)
+        {
+            mode_ = mode;
+            back_.async_connect(
+                target, [self = shared_from_this()](error_code const& fault) {
+                    if (fault)
+                    {
+                        self->close();
+                        return;
+                    }
+                    self->pump(self->front_, self->back_, self->up_,
+                               self->up_timer_, true);
+                    self->pump(self->back_, self->front_, self->down_,
+                               self->down_timer_, false);
+                });
+        }
+
+        void harm(link_mode mode)
+        {
+            if (mode == link_mode::reset)
+            {
+                reset();
+            }
+            silent_ = silent_ || mode == link_mode::silent;
+            deaf_ = deaf_ || mode == link_mode::one_way;
+            mode_ = mode;
+        }
+
+    private:
+        using buffer = std::array<char, chunk_bytes>;
+
+        void pump(tcp::socket& from, tcp::socket& to, buffer& bytes,
+                  boost::asio::steady_timer& timer, bool upwards)
+        {
+            from.async_read_some(
+                boost::asio::buffer(bytes),
+                [self = shared_from_this(), &from, &to, &bytes, &timer,
+                 upwards](error_code const& fault, std::size_t size) {
+                    if (fault)
+                    {
+                        self->close();
+                        return;
+                    }
+                    if (self->silent_ || (self->deaf_ && !upwards))
+                    {
+                        // What arrives is lost, and the connection stays open.
+                        self->pump(from, to, bytes, timer, upwards);
+                        return;
+                    }
+                    timer.expires_after(self->mode_ == link_mode::delay
+                                            ? added_delay
+                                            : std::chrono::milliseconds(0));
+                    timer.async_wait([self, &from, &to, &bytes, &timer, upwards,
+                                      size](error_code const&) {
+                        self->pass(from, to, bytes, timer, upwards, size);
+                    });
+                });
+        }
+
+        void pass(tcp::socket& from, tcp::socket& to, buffer& bytes,
+                  boost::asio::steady_timer& timer, bool upwards,
+                  std::size_t size)
+        {
+            boost::asio::async_write(
+                to, boost::asio::buffer(bytes.data(), size),
+                [self = shared_from_this(), &from, &to, &bytes, &timer,
+                 upwards](error_code const& fault, std::size_t) {
+                    if (fault)
+                    {
+                        self->close();
+                        return;
+                    }
+                    self->pump(from, to, bytes, timer, upwards);
+                });
+        }
+
+        void close()
+        {
+            error_code ignored;
+            front_.close(ignored);
+            back_.close(ignored);
+        }
+
+        void reset()
+        {
+            error_code ignored;
+            front_.set_option(boost::asio::socket_base::linger(true, 0),
+                              ignored);
+            close();
+        }
+
+        tcp::socket front_;
+        tcp::socket back_;
+        boost::asio::steady_timer up_timer_;
+        boost::asio::steady_timer down_timer_;
+        buffer up_{};
+        buffer down_{};
+        link_mode mode_ = link_mode::pass;
+        bool silent_ = false;
+        bool deaf_ = false;
+    };
+
+    void open(tcp::socket socket)
+    {
+        std::erase_if(links_, [](auto const& each) { return each.expired(); });
+        auto const added = std::make_shared<link>(std::move(socket), context_);
+        links_.push_back(added);
+        added->start(target_, mode_);
+        added->harm(mode_);
+    }
+
+    boost::asio::io_context& context_;
+    tcp::acceptor acceptor_;
+    tcp::endpoint target_;
+    link_mode mode_ = link_mode::pass;
+    std::list<std::weak_ptr<link>> links_;
+};
+
+proxy::proxy(boost::asio::io_context& context, unsigned short target)
+    : state_(std::make_shared<state>(context, target))
+{
+    state_->accept();
+}
+
+proxy::~proxy() { state_->close(); }
+
+unsigned short proxy::port() const { return state_->port(); }
+
+void proxy::set(link_mode mode) { state_->set(mode); }
+
+} // namespace jaydrift::soak
--- /dev/null
+++ b/src/jaydrift/soak/stand_ins.cpp
@@ -0,0 +1,268 @@
+#include "stand_ins.hpp"
+
+#include <jaydrift/codec/base64.hpp>
+#include <jaydrift/codec/codec_error.hpp>
+#include <jaydrift/codec/json.hpp>
+#include <jaydrift/soak/request_arrived.hpp>
+#include <jaydrift/soak/state.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace jaydrift::soak::stand_ins {
+
+namespace {
+
+constexpr time_ms longest_watch{30000};
+constexpr time_ms earliest_late{2000};
+constexpr std::uint64_t late_spread_ms = 3000;
+
+/// A closed zone gets nothing new after this, once the daemons can know.
+constexpr time_ms evacuation_limit{5000};
+
+std::uint64_t wait_of(std::string_view target)
+{
+    auto const place = target.find("waitMs=");
+    std::uint64_t value = 0;
+    if (place != std::string_view::npos)
+    {
+        auto const text =
+            target.substr(place + std::string_view("waitMs=").size());
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    }
+    return value;
+}
+
+time_ms late_time(state& s, time_ms now)
+{
+    return now + earliest_late
+           + time_ms(static_cast<std::int64_t>(s.random.below(late_spread_ms)));
+}
+
+void store_arrived(state& s, request_arrived const& input, time_ms now,
+                   effects& out)
+{
+    auto const& message = input.message;
+    if (s.store_out_until)
+    {
+        out.push_back(respond{input.number, {503, {}, {}}});
+        return;
+    }
+    auto const writes = message.method == "POST";
+    if (writes && s.random.below(100) < s.lost_percent)
+    {
+        // Half of them are carried out late, if their condition still holds.
+        auto const due = s.random.below(2) == 0 ? now : late_time(s, now);
+        s.requests.push_back({0, {}, message, due, true});
+        return;
+    }
+    if (auto reply = s.store.handle(message))
+    {
+        out.push_back(respond{input.number, std::move(*reply)});
+        return;
+    }
+    auto const wait =
+        std::min(longest_watch,
+                 time_ms(static_cast<std::int64_t>(wait_of(message.target))));
+    s.requests.push_back({input.number, {}, message, now + wait, false});
+}
+
+http::response carry_out(state& s, std::size_t worker,
+                         http::request const& order, time_ms now)
+{
+    try
+    {
+        auto const starts = s.checks.start_count();
+        auto reply = s.workers[worker].handle(order, s.checks, now);
+        if (s.checks.start_count() > starts && s.closed_zone
+            && s.workers[worker].zone() == *s.closed_zone
+            && now - std::max(s.zone_closed_at, s.disturbed_at)
+                   > evacuation_limit)
+        {
+            s.checks.violated("a task started in the closed zone");
+        }
+        return reply;
+    }
+    catch (codec::codec_error const& fault)
+    {
+        s.checks.violated(std::string("an order cannot be read: ")
+                          + fault.what());
+        return {400, {}, {}};
+    }
+}
+
+void worker_arrived(state& s, request_arrived const& input, time_ms now,
+                    effects& out)
+{
+    auto const number = *input.worker;
+    if (!s.workers[number].up())
+    {
+        return;
+    }
+    auto const& order = input.message;
+    auto const holds = order.target == "/api/hold";
+    if (!holds && s.random.below(100) < s.late_percent)
+    {
+        s.requests.push_back({0, number, order, late_time(s, now), true});
+        return;
+    }
+    auto reply = carry_out(s, number, order, now);
+    if (holds && reply.status == 200 && !s.workers[number].has_ends())
+    {
+        std::uint64_t wait = 0;
+        try
+        {
+            wait = static_cast<std::uint64_t>(
+                codec::integer(codec::parse_object(order.body), "waitMs"));
+        }
+        catch (codec::codec_error const&)
+        {
+            wait = 0;
+        }
+        if (wait > 0)
+        {
+            s.requests.push_back(
+                {input.number, number, order,
+                 now + time_ms(static_cast<std::int64_t>(wait)), false});
+            return;
+        }
+    }
+    out.push_back(respond{input.number, std::move(reply)});
+}
+
+/// Answers a waiting request if it is time. Returns false if it still waits.
+bool answer(state& s, open_request const& waiting, time_ms now, effects& out)
+{
+    if (waiting.worker)
+    {
+        auto& worker = s.workers[*waiting.worker];
+        if (now < waiting.due && (waiting.unanswered || !worker.has_ends()))
+        {
+            return false;
+        }
+        auto reply = carry_out(s, *waiting.worker, waiting.message, now);
+        if (!waiting.unanswered)
+        {
+            out.push_back(respond{waiting.number, std::move(reply)});
+        }
+        return true;
+    }
+    if (waiting.unanswered)
+    {
+        if (now < waiting.due)
+        {
+            return false;
+        }
+        static_cast<void>(s.store.handle(waiting.message));
+        return true;
+    }
+    auto reply = s.store.handle(waiting.message);
+    if (!reply && now < waiting.due)
+    {
+        return false;
+    }
+    if (!reply)
+    {
+        // Nothing has changed up to the present revision.
+        reply = http::response{200,
+                               {{"Content-Type", "application/json"}},
+                               "{\"events\":[],\"atRev\":"
+                                   + std::to_string(s.store.revision()) + "}"};
+    }
+    out.push_back(respond{waiting.number, std::move(*reply)});
+    return true;
+}
+
+void write_queue(codec::json_writer& out, std::string_view name,
+                 std::string_view prefix, std::int64_t priority)
+{
+    out.StartObject();
+    codec::put_field(out, "name", name);
+    codec::put_field(out, "host", "jobs.example");
+    codec::put_field(out, "prefix", prefix);
+    codec::put_field(out, "service", "batch");
+    codec::put_field(out, "priority", priority);
+    codec::put_field(out, "attempts", 4);
+    codec::put_field(out, "targetLatencyMs", 1000);
+    out.EndObject();
+}
+
+} // namespace
+
+void arrived(state& s, request_arrived const& input, time_ms now, effects& out)
+{
+    if (input.worker)
+    {
+        worker_arrived(s, input, now, out);
+    }
+    else
+    {
+        store_arrived(s, input, now, out);
+    }
+}
+
+void tick(state& s, time_ms now, effects& out)
+{
+    for (auto& worker : s.workers)
+    {
+        if (worker.up())
+        {
+            worker.advance(s.checks, now);
+        }
+    }
+    // Requests that arrive while others are answered come after them.
+    auto const waiting = std::exchange(s.requests, {});
+    for (auto const& each : waiting)
+    {
+        if (!answer(s, each, now, out))
+        {
+            s.requests.push_back(each);
+        }
+    }
+}
+
+void crash_worker(state& s, std::size_t worker, time_ms until)
+{
+    if (!s.workers[worker].up())
+    {
+        return;
+    }
+    s.workers[worker].crash(s.checks);
+    // Orders that were on their way end with the process.
+    std::erase_if(s.requests, [worker](open_request const& each) {
+        return each.worker == worker;
+    });
+    s.restarts[worker] = until;
+}
+
+void list_worker(state& s, std::size_t worker)
+{
+    s.store.put("servers/" + s.workers[worker].id(),
+                codec::encode_base64(s.workers[worker].report()));
+}
+
+void write_configuration(state& s)
+{
+    rapidjson::StringBuffer buffer;
+    codec::json_writer out(buffer);
+    out.StartObject();
+    codec::put_key(out, "version");
+    out.Uint64(s.config_version);
+    codec::put_key(out, "routes");
+    out.StartArray();
+    write_queue(out, "urgent", "/urgent/", 0);
+    write_queue(out, "batch", "/batch/", 2);
+    // Every second version has one queue more.
+    if (s.config_version % 2 == 0)
+    {
+        write_queue(out, "extra", "/extra/", 1);
+    }
+    out.EndArray();
+    out.EndObject();
+    s.store.put("op/config", codec::encode_base64(codec::text_of(buffer)));
+}
+
+} // namespace jaydrift::soak::stand_ins
--- /dev/null
+++ b/src/jaydrift/soak/task_worker.cpp
@@ -0,0 +1,274 @@
+#include <jaydrift/soak/task_worker.hpp>
+
+#include <jaydrift/codec/json.hpp>
+#include <jaydrift/soak/task_name.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jaydrift::soak {
+
+namespace {
+
+using codec::json_writer;
+
+constexpr time_ms longest_lease{6000};
+constexpr std::size_t listed_ends = 500;
+
+} // namespace
+
+task_worker::task_worker(std::string id, std::string address, std::string zone,
+                         std::uint64_t seed)
+    : id_(std::move(id)), address_(std::move(address)), zone_(std::move(zone)),
+      random_(seed), born_(time_ms(1))
+{
+}
+
+http::response task_worker::reply(unsigned status, std::string_view reason,
+                                  time_ms now) const
+{
+    rapidjson::StringBuffer buffer;
+    json_writer out(buffer);
+    out.StartObject();
+    codec::put_key(out, "clockMs");
+    out.Int64(clock(now).count());
+    codec::put_field(out, "reason", reason);
+    out.EndObject();
+    return {
+        status, {{"Content-Type", "application/json"}}, codec::text_of(buffer)};
+}
+
+resources task_worker::used() const
+{
+    resources sum;
+    for (auto const& [task, each] : runs_)
+    {
+        sum += each.demand;
+    }
+    return sum;
+}
+
+http::response task_worker::handle(http::request const& order, oracle& checks,
+                                   time_ms now)
+{
+    advance(checks, now);
+    if (order.header("Expected-Instance") != id_)
+    {
+        return reply(421, {}, now);
+    }
+    auto const body = codec::parse_object(order.body);
+    auto const token =
+        static_cast<std::uint64_t>(codec::integer(body, "fenceToken"));
+    if (token < token_)
+    {
+        return reply(409, "fence", now);
+    }
+    token_ = token;
+    auto const lease = codec::milliseconds(body, "deadlineMs");
+    lease_until_ =
+        std::max(lease_until_, std::min(lease, clock(now) + longest_lease));
+    if (order.target == "/api/run-start")
+    {
+        return start(order, checks, now);
+    }
+    if (order.target == "/api/run-stop")
+    {
+        auto const task = codec::text(body, "task");
+        auto const number =
+            static_cast<std::uint64_t>(codec::integer(body, "runId"));
+        auto& refused = refused_runs_[task];
+        refused = std::max(refused, number);
+        auto const found = runs_.find(task);
+        if (found != runs_.end() && found->second.number <= number)
+        {
+            finish(task, "stopped", checks);
+        }
+        return reply(200, {}, now);
+    }
+    if (order.target == "/api/hold")
+    {
+        acknowledge(
+            static_cast<std::uint64_t>(codec::integer(body, "lastSeen")),
+            checks);
+        return lists(now);
+    }
+    return reply(200, {}, now);
+}
+
+http::response task_worker::start(http::request const& order, oracle& checks,
+                                  time_ms now)
+{
+    auto const body = codec::parse_object(order.body);
+    auto const task = codec::text(body, "task");
+    auto const number =
+        static_cast<std::uint64_t>(codec::integer(body, "runId"));
+    auto const name = parse_task(task);
+    auto const* const plan = checks.plan(name.submission);
+    if (codec::milliseconds(body, "deadlineMs") < clock(now))
+    {
+        return reply(409, "late", now);
+    }
+    auto const present = runs_.find(task);
+    if (present != runs_.end() && present->second.number == number)
+    {
+        return reply(200, {}, now);
+    }
+    if (number <= refused_runs_[task])
+    {
+        return reply(409, "old", now);
+    }
+    run added;
+    added.number = number;
+    if (plan && name.step < plan->steps.size())
+    {
+        auto const& step = plan->steps[name.step];
+        added.demand = step.demand;
+        added.long_running = step.long_running;
+        added.done_at = now + step.run_time;
+    }
+    added.fails = random_.below(100) < failing_percent;
+    if (!fits(added.demand, capacity_ - used()))
+    {
+        return reply(409, "room", now);
+    }
+    runs_[task] = added;
+    checks.started(task, number, id_, codec::text(body, "spec"), now);
+    return reply(200, {}, now);
+}
+
+http::response task_worker::lists(time_ms now) const
+{
+    rapidjson::StringBuffer buffer;
+    json_writer out(buffer);
+    out.StartObject();
+    codec::put_key(out, "clockMs");
+    out.Int64(clock(now).count());
+    codec::put_key(out, "born");
+    out.Int64(born_.count());
+    codec::put_key(out, "running");
+    out.StartArray();
+    for (auto const& [task, each] : runs_)
+    {
+        constexpr std::int64_t at_work = 100;
+        auto const left = (each.done_at - now).count();
+        out.StartArray();
+        codec::put(out, task);
+        out.Uint64(each.number);
+        codec::put(out, "");
+        out.Int64(each.long_running
+                      ? at_work
+                      : at_work - 1
+                            - std::clamp<std::int64_t>(left / 10, 0, 98));
+        out.Int64(each.demand.millicores);
+        out.EndArray();
+    }
+    out.EndArray();
+    codec::put_key(out, "finished");
+    out.StartArray();
+    for (std::size_t i = 0; i < std::min(listed_ends, ended_.size()); ++i)
+    {
+        auto const& each = ended_[i];
+        out.StartArray();
+        out.Uint64(each.number);
+        codec::put(out, each.task);
+        out.Uint64(each.run);
+        codec::put(out, each.how);
+        codec::put(out, "");
+        out.EndArray();
+    }
+    out.EndArray();
+    out.EndObject();
+    return {
+        200, {{"Content-Type", "application/json"}}, codec::text_of(buffer)};
+}
+
+void task_worker::finish(std::string const& task, std::string_view how,
+                         oracle& checks)
+{
+    auto const found = runs_.find(task);
+    auto const number = found->second.number;
+    runs_.erase(found);
+    auto& refused = refused_runs_[task];
+    refused = std::max(refused, number);
+    ended_.push_back({++last_end_, task, number, std::string(how)});
+    checks.ended(task, number, how == "done");
+}
+
+void task_worker::acknowledge(std::uint64_t number, oracle& checks)
+{
+    std::erase_if(ended_, [&](end const& each) {
+        if (each.number <= number)
+        {
+            checks.acknowledged(each.task, each.how == "done");
+        }
+        return each.number <= number;
+    });
+}
+
+void task_worker::advance(oracle& checks, time_ms now)
+{
+    std::vector<std::pair<std::string, std::string_view>> over;
+    for (auto const& [task, each] : runs_)
+    {
+        if (!each.long_running && each.done_at <= now)
+        {
+            over.emplace_back(task, each.fails ? "failed" : "done");
+        }
+        else if (lease_until_ < clock(now))
+        {
+            over.emplace_back(task, "lapsed");
+        }
+    }
+    for (auto const& [task, how] : over)
+    {
+        finish(task, how, checks);
+    }
+}
+
+void task_worker::crash(oracle& checks)
+{
+    up_ = false;
+    for (auto const& [task, each] : runs_)
+    {
+        checks.ended(task, each.number, false);
+    }
+    runs_.clear();
+    refused_runs_.clear();
+    ended_.clear();
+    last_end_ = 0;
+    token_ = 0;
+    lease_until_ = {};
+}
+
+void task_worker::restart(time_ms now)
+{
+    up_ = true;
+    born_ = now;
+}
+
+std::string task_worker::report() const
+{
+    rapidjson::StringBuffer buffer;
+    json_writer out(buffer);
+    out.StartObject();
+    codec::put_field(out, "service", "batch");
+    codec::put_field(out, "address", address_);
+    codec::put_field(out, "zone", zone_);
+    codec::put_field(out, "state", draining ? "draining" : "ready");
+    codec::put_key(out, "capacity");
+    out.StartObject();
+    codec::put_field(out, "cpu", capacity_.millicores);
+    codec::put_field(out, "memMb", capacity_.memory_mb);
+    out.EndObject();
+    codec::put_key(out, "labels");
+    out.StartArray();
+    codec::put(out, "a");
+    codec::put(out, "rack-1");
+    out.EndArray();
+    codec::put_key(out, "born");
+    out.Int64(born_.count());
+    out.EndObject();
+    return codec::text_of(buffer);
+}
+
+} // namespace jaydrift::soak
--- /dev/null
+++ b/src/jaydrift/soak/traffic.cpp
@@ -0,0 +1,223 @@
+#include <jaydrift/soak/traffic.hpp>
+
+#include "daemon_processes.hpp"
+#include "proxy.hpp"
+
+#include <jaydrift/http/client.hpp>
+#include <jaydrift/http/server.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <unistd.h>
+
+namespace jaydrift::soak {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr char const* any_port = "127.0.0.1:0";
+constexpr std::size_t caller_connections = 16;
+
+/// Ports below those that the kernel gives to outgoing connections, in a range
+/// that depends on this process, so that runs beside each other do not meet.
+constexpr unsigned first_port = 10000;
+constexpr unsigned port_ranges = 64;
+
+bool is_free(boost::asio::io_context& context, unsigned short port)
+{
+    tcp::acceptor probe(context);
+    boost::system::error_code fault;
+    probe.open(tcp::v4(), fault);
+    probe.bind({boost::asio::ip::address_v4::loopback(), port}, fault);
+    return !fault;
+}
+
+std::vector<unsigned short> free_ports(boost::asio::io_context& context,
+                                       std::size_t count)
+{
+    auto const range = static_cast<unsigned>(::getpid()) % port_ranges;
+    auto port = first_port + range * static_cast<unsigned>(count);
+    std::vector<unsigned short> result;
+    for (; result.size() < count; ++port)
+    {
+        if (is_free(context, static_cast<unsigned short>(port)))
+        {
+            result.push_back(static_cast<unsigned short>(port));
+        }
+    }
+    return result;
+}
+
+std::string loopback(unsigned short port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+class traffic::impl
+{
+public:
+    impl(options const& settings, process::event_queue<event>& events)
+        : events_(events), client_(context_), children_(context_, SIGCHLD)
+    {
+        store_.emplace(context_, any_port, server_for(std::nullopt));
+        for (std::size_t i = 0; i < settings.workers; ++i)
+        {
+            workers_.push_back(std::make_unique<http::server>(
+                context_, any_port, server_for(i)));
+            add_proxy({true, i}, workers_.back()->port());
+        }
+        std::vector<daemon_addresses> addresses;
+        constexpr std::size_t ports_of_daemon = 3;
+        auto const ports =
+            free_ports(context_, settings.daemons * ports_of_daemon);
+        for (std::size_t i = 0; i < settings.daemons; ++i)
+        {
+            add_proxy({false, i}, store_->port());
+            auto const* const first = &ports[i * ports_of_daemon];
+            addresses.push_back({first[0], first[1], first[2],
+                                 proxies_.at({false, i})->port()});
+        }
+        processes_.emplace(settings, std::move(addresses));
+        wait_for_children();
+        thread_ = std::thread([this] {
+            auto const guard = boost::asio::make_work_guard(context_);
+            context_.run();
+        });
+    }
+
+    ~impl()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    void post(effect output)
+    {
+        boost::asio::post(context_, [this, output = std::move(output)] {
+            std::visit([this](auto const& each) { run(each); }, output);
+        });
+    }
+
+    std::size_t worker_count() const { return workers_.size(); }
+
+    unsigned short worker_port(std::size_t worker) const
+    {
+        return proxies_.at({true, worker})->port();
+    }
+
+private:
+    void add_proxy(link_id id, unsigned short target)
+    {
+        proxies_.emplace(id, std::make_unique<proxy>(context_, target));
+    }
+
+    http::server::handler server_for(std::optional<std::size_t> worker)
+    {
+        return [this, worker](http::request message,
+                              http::server::responder respond) {
+            auto const number = next_request_++;
+            responders_.emplace(number, std::move(respond));
+            events_.deliver(
+                request_arrived{number, worker, std::move(message)});
+        };
+    }
+
+    void wait_for_children()
+    {
+        children_.async_wait(
+            [this](boost::system::error_code const& fault, int) {
+                if (fault)
+                {
+                    return;
+                }
+                processes_->reap([this](std::size_t daemon, bool clean) {
+                    events_.deliver(process_exited{daemon, clean});
+                });
+                wait_for_children();
+            });
+    }
+
+    void run(respond const& output)
+    {
+        auto const found = responders_.find(output.number);
+        if (found != responders_.end())
+        {
+            found->second(output.message);
+            responders_.erase(found);
+        }
+    }
+
+    void run(send_call const& output)
+    {
+        client_.call(loopback(processes_->addresses(output.daemon).callers),
+                     "caller", caller_connections, output.message,
+                     output.time_limit,
+                     [this, number = output.number](http::call_result result) {
+                         events_.deliver(call_ended{number, std::move(result)});
+                     });
+    }
+
+    void run(signal_process const& output)
+    {
+        processes_->signal(output.daemon, output.signal);
+    }
+
+    void run(start_process const& output) { processes_->start(output.daemon); }
+
+    void run(set_link const& output)
+    {
+        proxies_.at(output.link)->set(output.mode);
+    }
+
+    void run(note const& output) { std::cout << output.text << '\n'; }
+
+    void run(finish const&) { events_.finish(); }
+
+    process::event_queue<event>& events_;
+    boost::asio::io_context context_;
+    http::client client_;
+    boost::asio::signal_set children_;
+    std::optional<http::server> store_;
+    std::vector<std::unique_ptr<http::server>> workers_;
+    std::map<link_id, std::unique_ptr<proxy>> proxies_;
+    std::optional<daemon_processes> processes_;
+    std::uint64_t next_request_ = 1;
+    std::map<std::uint64_t, http::server::responder> responders_;
+    std::thread thread_;
+};
+
+traffic::traffic(options const& settings, process::event_queue<event>& events)
+    : impl_(std::make_unique<impl>(settings, events))
+{
+}
+
+traffic::~traffic() = default;
+
+std::vector<std::string> traffic::worker_addresses() const
+{
+    std::vector<std::string> result;
+    for (std::size_t i = 0; i < impl_->worker_count(); ++i)
+    {
+        result.push_back(loopback(impl_->worker_port(i)));
+    }
+    return result;
+}
+
+void traffic::execute(effect output) { impl_->post(std::move(output)); }
+
+} // namespace jaydrift::soak
