Keep one owner up to 400 workers

Change: one shard up to 400 workers if the daemons are large enough, 120 workers a shard beyond; the soak holds its range of ports with a guard socket, since two runs had met on one range.

--- a/src/jaydrift/schedule/layout.cpp
+++ b/src/jaydrift/schedule/layout.cpp
@@ -6,17 +6,27 @@
 #include <jaydrift/schedule/store_session.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace jaydrift::schedule::layout {
 
 namespace {
 
-/// An owner of so many workers needs about 3.6 % of a core, the budget of a
-/// daemon (docs/CAPACITY.md). Smaller shards pack less well.
-constexpr std::size_t workers_per_shard = 140;
+/// One owner packs best, and serves this many workers with two fifths of its
+/// core (docs/CAPACITY.md): per core, and at most.
+constexpr double workers_per_core = 800.0;
+constexpr std::size_t workers_of_one_owner = 400;
+
+/// With more workers, each owner has so many: about 3.6 % of a core, the budget
+/// of a daemon.
+constexpr std::size_t workers_per_shard = 120;
+
+/// The daemons that are expected to live at any time count from this rank.
+constexpr std::size_t reliable_rank = 3;
 
 /// Bounds what each daemon keeps and hears of other shards.
 constexpr std::size_t max_shards = 64;
@@ -39,11 +49,30 @@
 
 record_key const layout_key{record_kind::layout, {}};
 
-std::uint32_t shards_for(std::size_t workers)
+/// Returns the share of a core of the daemons that are likely to be owners.
+double owner_share(state const& s)
 {
-    auto const wanted = (workers + workers_per_shard / 2) / workers_per_shard;
+    std::vector<double> shares{s.options.cpu_share};
+    for (auto const& [node, member] : s.members)
+    {
+        shares.push_back(member.cpu_share);
+    }
+    std::sort(shares.begin(), shares.end(), std::greater<>());
+    return shares[std::min(reliable_rank, shares.size()) - 1];
+}
+
+std::uint32_t shards_for(std::size_t workers, double share)
+{
+    auto const limit =
+        std::clamp(static_cast<std::size_t>(share * workers_per_core),
+                   std::size_t{1}, workers_of_one_owner);
+    if (workers <= limit)
+    {
+        return 1;
+    }
+    auto const each = std::min(limit, workers_per_shard);
     return static_cast<std::uint32_t>(
-        std::clamp<std::size_t>(wanted, 1, max_shards));
+        std::clamp<std::size_t>((workers + each / 2) / each, 2, max_shards));
 }
 
 } // namespace
@@ -128,7 +157,8 @@
     }
     commit write;
     write.expected.emplace_back(layout_key, 0);
-    write.puts.emplace_back(layout_key, layout_record{shards_for(workers)});
+    write.puts.emplace_back(
+        layout_key, layout_record{shards_for(workers, owner_share(c.s))});
     store::call(c, store_purpose::write_layout, std::move(write), write_limit);
 }
 
--- a/src/jaydrift/schedule/shards_test.cpp
+++ b/src/jaydrift/schedule/shards_test.cpp
@@ -80,7 +80,7 @@
 TEST(shards, their_number_follows_the_workers)
 {
     for (auto const& [workers, shards] :
-         {std::pair(48U, 1U), std::pair(300U, 2U)})
+         {std::pair(48U, 1U), std::pair(350U, 1U), std::pair(700U, 6U)})
     {
         simulated_deployment world(3, workers, 2);
         world.run_until(time_ms(9000));
--- a/src/jaydrift/soak/traffic.cpp
+++ b/src/jaydrift/soak/traffic.cpp
@@ -9,8 +9,8 @@
 #include <csignal>
 #include <iostream>
 #include <map>
-#include <mutex>
 #include <optional>
+#include <stdexcept>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -20,7 +20,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <unistd.h>
 
 namespace jaydrift::soak {
 
@@ -30,36 +29,47 @@
 
 constexpr char const* any_port = "127.0.0.1:0";
 constexpr std::size_t caller_connections = 16;
+constexpr std::size_t ports_of_daemon = 3;
 
-/// Ports below those that the kernel gives to outgoing connections, in a range
-/// that depends on this process, so that runs beside each other do not meet.
+/// Ports below those that the kernel gives to outgoing connections.
 constexpr unsigned first_port = 10000;
-constexpr unsigned port_ranges = 64;
+constexpr unsigned last_port = 32000;
 
-bool is_free(boost::asio::io_context& context, unsigned short port)
+/// A range of ports. The first one is kept open as long as the object lives, so
+/// that runs beside each other take different ranges.
+class port_range
 {
-    tcp::acceptor probe(context);
-    boost::system::error_code fault;
-    probe.open(tcp::v4(), fault);
-    probe.bind({boost::asio::ip::address_v4::loopback(), port}, fault);
-    return !fault;
-}
-
-std::vector<unsigned short> free_ports(boost::asio::io_context& context,
-                                       std::size_t count)
-{
-    auto const range = static_cast<unsigned>(::getpid()) % port_ranges;
-    auto port = first_port + range * static_cast<unsigned>(count);
-    std::vector<unsigned short> result;
-    for (; result.size() < count; ++port)
+public:
+    port_range(boost::asio::io_context& context, std::size_t count)
+        : guard_(context)
     {
-        if (is_free(context, static_cast<unsigned short>(port)))
+        guard_.open(tcp::v4());
+        auto const size = static_cast<unsigned>(count) + 1;
+        for (auto port = first_port; port + size < last_port; port += size)
         {
-            result.push_back(static_cast<unsigned short>(port));
+            boost::system::error_code fault;
+            first_ = static_cast<unsigned short>(port + 1);
+            guard_.bind({boost::asio::ip::address_v4::loopback(),
+                         static_cast<unsigned short>(port)},
+                        fault);
+            if (!fault)
+            {
+                guard_.listen();
+                return;
+            }
         }
+        throw std::runtime_error("no free range of ports");
     }
-    return result;
-}
+
+    unsigned short operator[](std::size_t index) const
+    {
+        return static_cast<unsigned short>(first_ + index);
+    }
+
+private:
+    tcp::acceptor guard_;
+    unsigned short first_ = 0;
+};
 
 std::string loopback(unsigned short port)
 {
@@ -72,7 +82,8 @@
 {
 public:
     impl(options const& settings, process::event_queue<event>& events)
-        : events_(events), client_(context_), children_(context_, SIGCHLD)
+        : events_(events), client_(context_), children_(context_, SIGCHLD),
+          ports_(context_, settings.daemons * ports_of_daemon)
     {
         store_.emplace(context_, any_port, server_for(std::nullopt));
         for (std::size_t i = 0; i < settings.workers; ++i)
@@ -82,14 +93,12 @@
             add_proxy({true, i}, workers_.back()->port());
         }
         std::vector<daemon_addresses> addresses;
-        constexpr std::size_t ports_of_daemon = 3;
-        auto const ports =
-            free_ports(context_, settings.daemons * ports_of_daemon);
         for (std::size_t i = 0; i < settings.daemons; ++i)
         {
             add_proxy({false, i}, store_->port());
-            auto const* const first = &ports[i * ports_of_daemon];
-            addresses.push_back({first[0], first[1], first[2],
+            auto const first = i * ports_of_daemon;
+            addresses.push_back({ports_[first], ports_[first + 1],
+                                 ports_[first + 2],
                                  proxies_.at({false, i})->port()});
         }
         processes_.emplace(settings, std::move(addresses));
@@ -192,6 +201,7 @@
     boost::asio::io_context context_;
     http::client client_;
     boost::asio::signal_set children_;
+    port_range ports_;
     std::optional<http::server> store_;
     std::vector<std::unique_ptr<http::server>> workers_;
     std::map<link_id, std::unique_ptr<proxy>> proxies_;
