Let only daemons of a roster succeed; recover more calmly

A removed daemon stayed a member for 30 s, so the owner took the next outage of the store for a cut and stopped all starts for 3.2 s. A configuration of about 500 KB for each daemon then filled the link between the regions; heartbeats came late, and the other region succeeded an owner that lived just before the store went out, which stopped everything for 5 s. The new owner asked for the submissions 40 times a second. Ruled out: forgetting members after 4 s; the simulation ran a task twice, since a forgotten daemon could still succeed. Change: the owner writes a roster of daemons that may succeed and removes silent ones after 4 s; a claim expects the roster unchanged. Daemons of another region claim 600 ms later. A new configuration is matched with active submissions by name.

--- a/include/jaydrift/schedule/member_record.hpp
+++ b/include/jaydrift/schedule/member_record.hpp
@@ -13,6 +13,7 @@
 
     /// Share of a core that the daemon has; large ones own shards first.
     double cpu_share = 0.0;
+    std::string region;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/member_state.hpp
+++ b/include/jaydrift/schedule/member_state.hpp
@@ -15,6 +15,7 @@
     /// Last time it answered a heartbeat.
     time_ms heard_at{-1000000};
     double cpu_share = 0.0;
+    std::string region;
 
     /// It is about to end.
     bool stopping = false;
--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/owner_record.hpp>
 #include <jaydrift/schedule/owner_role.hpp>
+#include <jaydrift/schedule/roster_record.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,13 @@
     owner_record record;
     std::uint64_t revision = 0;
 
+    /// Daemons that may succeed; revision 0 if the store holds no record.
+    roster_record roster;
+    std::uint64_t roster_revision = 0;
+
+    /// As the owner is about to write it.
+    std::optional<roster_record> next_roster;
+
     /// Last sign of the owner: a heartbeat, a peer's sighting or its record.
     time_ms heard_at;
 
@@ -51,6 +59,7 @@
 
     // Progress of a recovery.
     bool submissions_read = false;
+    std::optional<time_ms> read_again_at;
     bool workers_read = false;
     std::optional<time_ms> fencing_since;
 
--- a/include/jaydrift/schedule/record_kind.hpp
+++ b/include/jaydrift/schedule/record_kind.hpp
@@ -13,6 +13,7 @@
     worker,
     layout,
     owner,
+    roster,
     member,
     serial,
     fleet,
--- a/include/jaydrift/schedule/settings.hpp
+++ b/include/jaydrift/schedule/settings.hpp
@@ -16,6 +16,8 @@
     /// Address of this daemon's peer port.
     std::string address;
 
+    std::string region;
+
     /// Random number of this life of the process.
     std::uint64_t incarnation = 0;
 
--- a/include/jaydrift/schedule/store_purpose.hpp
+++ b/include/jaydrift/schedule/store_purpose.hpp
@@ -21,6 +21,7 @@
     remove_member,
     claim,
     verify_owner,
+    write_roster,
     append
 };
 
--- a/include/jaydrift/schedule/store_record.hpp
+++ b/include/jaydrift/schedule/store_record.hpp
@@ -8,6 +8,7 @@
 #include <jaydrift/schedule/owner_record.hpp>
 #include <jaydrift/schedule/progress_record.hpp>
 #include <jaydrift/schedule/relocation_record.hpp>
+#include <jaydrift/schedule/roster_record.hpp>
 #include <jaydrift/schedule/submission_record.hpp>
 #include <jaydrift/schedule/unreadable_record.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
@@ -21,8 +22,8 @@
 /// Content of a record in the store.
 using store_record =
     std::variant<unreadable_record, configuration, zone_closure, worker_entry,
-                 layout_record, owner_record, member_record, write_serial,
-                 fleet_record, submission_record, progress_record,
+                 layout_record, owner_record, roster_record, member_record,
+                 write_serial, fleet_record, submission_record, progress_record,
                  relocation_record>;
 
 } // namespace jaydrift::schedule
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -4,6 +4,7 @@
 #include <jaydrift/codec/json.hpp>
 
 #include <cstdint>
+#include <utility>
 #include <variant>
 
 namespace jaydrift::codec {
@@ -244,6 +245,7 @@
     put_field(out, "address", record.address);
     put_key(out, "cpu_share");
     out.Double(record.cpu_share);
+    put_field(out, "region", record.region);
 }
 
 void write_fields(json_writer& out, layout_record const& record)
@@ -258,6 +260,27 @@
     put_field(out, "decided_ms", record.decided_at.count());
 }
 
+void write_fields(json_writer& out, roster_record const& record)
+{
+    put_key(out, "nodes");
+    out.StartArray();
+    for (auto const& node : record.nodes)
+    {
+        put(out, node);
+    }
+    out.EndArray();
+}
+
+roster_record read_roster(json const& value)
+{
+    roster_record record;
+    for (auto& node : texts(value, "nodes"))
+    {
+        record.nodes.insert(std::move(node));
+    }
+    return record;
+}
+
 void write_fields(json_writer& out, write_serial const& record)
 {
     put_field(out, "value", static_cast<std::int64_t>(record.value));
@@ -321,9 +344,11 @@
             static_cast<std::uint64_t>(integer(value, "incarnation"))};
     case record_kind::member:
         return member_record{text(value, "node"), text(value, "address"),
-                             number(value, "cpu_share")};
+                             number(value, "cpu_share"), text(value, "region")};
     case record_kind::layout:
         return layout_record{unsigned_field(value, "shards")};
+    case record_kind::roster:
+        return read_roster(value);
     case record_kind::serial:
         return write_serial{
             static_cast<std::uint64_t>(integer(value, "value"))};
--- a/src/jaydrift/codec/record_codec_test.cpp
+++ b/src/jaydrift/codec/record_codec_test.cpp
@@ -78,9 +78,14 @@
     EXPECT_EQ(layout.shards, 5U);
     auto const member = std::get<member_record>(decode_record(
         record_kind::member,
-        encode_record(member_record{"d1", "10.0.0.1:7000", 0.25})));
+        encode_record(member_record{"d1", "10.0.0.1:7000", 0.25, "north"})));
     EXPECT_EQ(member.address, "10.0.0.1:7000");
     EXPECT_EQ(member.cpu_share, 0.25);
+    EXPECT_EQ(member.region, "north");
+    roster_record const roster{{"d1", "d2"}};
+    EXPECT_EQ(std::get<roster_record>(
+                  decode_record(record_kind::roster, encode_record(roster))),
+              roster);
     auto const moved = std::get<relocation_record>(
         decode_record(record_kind::relocation,
                       encode_record(relocation_record{"a1", 4, time_ms(99)})));
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -90,6 +90,7 @@
             member.address = record->address;
         }
         member.cpu_share = record->cpu_share;
+        member.region = record->region;
     }
 }
 
@@ -147,6 +148,13 @@
         shard_context shard(c, c.s.shards[item.key.shard]);
         ownership::observe_record(shard, *owner, item.revision);
     }
+    else if (auto const* const roster =
+                 std::get_if<roster_record>(&item.record);
+             roster && item.key.shard < c.s.shards.size())
+    {
+        shard_context shard(c, c.s.shards[item.key.shard]);
+        ownership::observe_roster(shard, *roster, item.revision);
+    }
 }
 
 void coordination_read(context& c, std::span<store_item const> items)
--- a/src/jaydrift/schedule/deployment_test.cpp
+++ b/src/jaydrift/schedule/deployment_test.cpp
@@ -378,7 +378,7 @@
 {
     for (std::uint64_t const seed :
          {121UL, 901UL, 14346444UL, 417902725UL, 3215139302UL, 24995771136025UL,
-          82765208511678501UL})
+          82765208511678501UL, 13325796936597428UL})
     {
         EXPECT_EQ(break_things(seed), "") << seed;
     }
@@ -414,6 +414,51 @@
     EXPECT_EQ(world.owner(), staying);
 }
 
+// frsa-drift-grown trouble-3: a daemon that was removed for good was a member
+// for 30 s more, so that the owner took the next outage of the store for a cut
+// and stopped all starts.
+TEST(deployment, an_outage_after_a_daemon_has_gone_does_not_stop_the_owner)
+{
+    simulated_deployment world(4, 4, 15);
+    world.run_until(time_ms(4000));
+    auto const owner = world.owner();
+    ASSERT_TRUE(owner);
+    world.kill((*owner + 1) % 4);
+    world.run_until(time_ms(10000));
+    world.store_up = false;
+    for (auto now = time_ms(10000); now < time_ms(16000); now += time_ms(100))
+    {
+        world.run_until(now);
+        EXPECT_EQ(world.owner(), owner) << now.count();
+    }
+}
+
+// The same day: a configuration of 500 KB for each daemon filled the link
+// between the regions, heartbeats came late, and the other region succeeded an
+// owner that lived, just before the store went out.
+TEST(deployment, daemons_of_the_owners_region_succeed_first)
+{
+    simulated_deployment world(4, 4, 16);
+    world.run_until(time_ms(4000));
+    auto const owner = world.owner();
+    ASSERT_TRUE(owner);
+    auto const near = (*owner + 2) % 4;
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        if (i != *owner && i != near)
+        {
+            world.kill(i);
+            world.regions[i] = "south";
+            world.start(i);
+        }
+    }
+    world.run_until(time_ms(6000));
+    ASSERT_EQ(world.owner(), owner);
+    world.kill(*owner);
+    world.run_until(time_ms(8000));
+    EXPECT_EQ(world.owner(), near);
+}
+
 RC_GTEST_PROP(deployment, keeps_every_promise_with_two_shards,
               (std::uint64_t seed))
 {
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -46,6 +46,10 @@
 constexpr std::size_t last_claim_rank = 10;
 constexpr std::uint64_t claim_jitter_ms = 15;
 
+/// Daemons of another region wait longer: a full link between the regions
+/// delays heartbeats, and those in the owner's region know better.
+constexpr time_ms other_region_delay{600};
+
 /// The owner ticks every 20 ms; a longer gap means that it was frozen.
 constexpr time_ms frozen_after{500};
 
@@ -80,6 +84,16 @@
 /// Members that have not answered for so long are removed.
 constexpr time_ms member_retention{30000};
 
+/// Members that have not answered for so long may no longer succeed. An owner
+/// without the store stops if one that may succeed is silent, so a dead daemon
+/// must not stay among them for long.
+constexpr time_ms roster_retention{4000};
+constexpr time_ms roster_limit{800};
+
+/// A daemon that may not succeed does so all the same if the owner has been
+/// silent for so long: all that may are gone.
+constexpr time_ms stranger_wait{12000};
+
 void enter(shard_context& c, owner_role role, std::string_view reason)
 {
     auto& owner = c.shard.owner;
@@ -97,6 +111,11 @@
     return {record_kind::owner, {}, c.shard.number};
 }
 
+record_key roster_key(shard_context const& c)
+{
+    return {record_kind::roster, {}, c.shard.number};
+}
+
 time_ms suspect_after(ownership_state const& owner)
 {
     return owner.heartbeat_interval * suspected_misses;
@@ -125,6 +144,7 @@
     /// Other shards that it owns.
     std::uint32_t others = 0;
     std::uint64_t order = 0;
+    std::string_view node;
     member_state const* member = nullptr;
 };
 
@@ -182,6 +202,7 @@
         if (node != c.shard.owner.record.node)
         {
             result.push_back(make_candidate(c, owned, node, cpu_share));
+            result.back().node = node;
             result.back().member = member;
         }
     };
@@ -217,6 +238,7 @@
     commit swap;
     auto const key = owner_key(c);
     swap.expected.emplace_back(key, owner.revision);
+    swap.expected.emplace_back(roster_key(c), owner.roster_revision);
     swap.puts.emplace_back(key, next);
     store::call(c, store_purpose::claim, std::move(swap), claim_limit);
 }
@@ -245,13 +267,17 @@
         // An earlier life of this daemon owned the shard.
         return {};
     }
+    auto const owner = c.s.members.find(c.shard.owner.record.node);
+    auto const far = owner != c.s.members.end()
+                     && owner->second.region != c.s.options.region;
     auto const all = candidates(c);
     auto const self =
         std::find_if(all.begin(), all.end(),
                      [](candidate const& each) { return !each.member; });
     auto const rank =
         std::min(last_claim_rank, static_cast<std::size_t>(self - all.begin()));
-    return claim_rank_delay * static_cast<std::int64_t>(rank);
+    return claim_rank_delay * static_cast<std::int64_t>(rank)
+           + (far ? other_region_delay : time_ms(0));
 }
 
 void watch_owner(shard_context& c)
@@ -261,6 +287,12 @@
     {
         return;
     }
+    auto const stranger = owner.roster_revision != 0
+                          && !owner.roster.nodes.contains(c.s.options.node);
+    if (stranger && c.now - owner.heard_at < stranger_wait)
+    {
+        return;
+    }
     auto const absent = owner.revision == 0;
     auto const silent = c.now - owner.heard_at >= suspect_after(owner);
     if (!absent && !silent)
@@ -331,10 +363,12 @@
 std::optional<candidate> best_peer(shard_context const& c,
                                    time_ms store_heard_since)
 {
+    auto const& roster = c.shard.owner.roster.nodes;
     auto const all = candidates(c);
     auto const found =
         std::find_if(all.begin(), all.end(), [&](candidate const& each) {
-            return each.member && !each.member->stopping
+            return each.member && roster.contains(each.node)
+                   && !each.member->stopping
                    && each.member->address != c.shard.owner.successor
                    && c.now - each.member->heard_at < peer_fresh
                    && each.member->store_heard_at >= store_heard_since;
@@ -349,18 +383,68 @@
     enter(c, owner_role::yielding, reason);
 }
 
+/// Time since a daemon has answered this owner, or since the owner began to
+/// ask.
+time_ms silence_of(shard_context const& c, std::string_view node)
+{
+    auto const member = c.s.members.find(node);
+    auto const since = c.shard.owner.role_since;
+    return c.now
+           - (member == c.s.members.end()
+                  ? since
+                  : std::max(member->second.heard_at, since));
+}
+
+bool any_silent(shard_context const& c, roster_record const& roster)
+{
+    return std::any_of(roster.nodes.begin(), roster.nodes.end(),
+                       [&c](std::string const& node) {
+                           return node != c.s.options.node
+                                  && silence_of(c, node) >= isolated_after;
+                       });
+}
+
 /// Tells whether the owner may be on the wrong side of a cut: it has not heard
-/// of the store, and a member is silent. That one may have the store and have
-/// succeeded.
+/// of the store, and a daemon that may succeed is silent. That one may have the
+/// store and have done so.
 bool cut_off(shard_context const& c)
 {
+    auto const& owner = c.shard.owner;
     return c.now - c.s.store.last_success >= isolated_after
-           && std::any_of(
-               c.s.members.begin(), c.s.members.end(), [&c](auto const& item) {
-                   auto const since =
-                       std::max(item.second.heard_at, c.shard.owner.role_since);
-                   return c.now - since >= isolated_after;
-               });
+           && (any_silent(c, owner.roster)
+               || (owner.next_roster && any_silent(c, *owner.next_roster)));
+}
+
+/// Admits members that answer to the roster, and removes silent ones.
+void update_roster(shard_context& c)
+{
+    auto& owner = c.shard.owner;
+    if (owner.next_roster || c.s.store.failing_since)
+    {
+        return;
+    }
+    roster_record next;
+    next.nodes.insert(c.s.options.node);
+    for (auto const& [node, member] : c.s.members)
+    {
+        auto const known = owner.roster.nodes.contains(node);
+        auto const heard = member.heard_at >= owner.role_since
+                           && c.now - member.heard_at < roster_retention;
+        if (heard || (known && silence_of(c, node) < roster_retention))
+        {
+            next.nodes.insert(node);
+        }
+    }
+    if (next == owner.roster && owner.roster_revision != 0)
+    {
+        return;
+    }
+    owner.next_roster = next;
+    commit write;
+    write.expected.emplace_back(owner_key(c), owner.revision);
+    write.expected.emplace_back(roster_key(c), owner.roster_revision);
+    write.puts.emplace_back(roster_key(c), std::move(next));
+    store::call(c, store_purpose::write_roster, std::move(write), roster_limit);
 }
 
 void suspend(shard_context& c, std::string_view reason)
@@ -450,7 +534,8 @@
             >= member_retention)
         {
             c.log(log_level::info, "membership",
-                  "removed " + node + ", silent for 30 s");
+                  "removed " + node + ", silent for "
+                      + std::to_string(member_retention.count()) + " ms");
             commit removal;
             removal.removals.push_back({record_kind::member, node});
             store::call(c, store_purpose::remove_member, std::move(removal),
@@ -461,6 +546,23 @@
     }
 }
 
+/// Takes the records that refused a transaction.
+void take_conflict(shard_context& c, store_replied const& reply)
+{
+    for (auto const& item : reply.items)
+    {
+        if (auto const* const record = std::get_if<owner_record>(&item.record))
+        {
+            observe_record(c, *record, item.revision);
+        }
+        else if (auto const* const roster =
+                     std::get_if<roster_record>(&item.record))
+        {
+            observe_roster(c, *roster, item.revision);
+        }
+    }
+}
+
 } // namespace
 
 void observe_record(shard_context& c, owner_record const& record,
@@ -519,11 +621,44 @@
 void step_down(shard_context& c)
 {
     become_follower(c, "succeeded");
+    c.shard.owner.next_roster.reset();
     c.shard.owner.heard_at = c.now;
     calls::log_abandoned(c);
     recovery::forget(c);
 }
 
+void observe_roster(shard_context& c, roster_record const& roster,
+                    std::uint64_t revision)
+{
+    if (revision > c.shard.owner.roster_revision)
+    {
+        c.shard.owner.roster = roster;
+        c.shard.owner.roster_revision = revision;
+    }
+}
+
+void roster_replied(shard_context& c, store_replied const& reply)
+{
+    auto& owner = c.shard.owner;
+    if (!owner.next_roster)
+    {
+        return;
+    }
+    auto const written = std::move(*owner.next_roster);
+    owner.next_roster.reset();
+    if (reply.status == store_status::ok)
+    {
+        observe_roster(c, written, reply.revision);
+        return;
+    }
+    take_conflict(c, reply);
+    if (reply.status == store_status::lost)
+    {
+        // It may be in the store now or later; whom it admits has to be heard.
+        owner.roster.nodes.insert(written.nodes.begin(), written.nodes.end());
+    }
+}
+
 void claim_replied(shard_context& c, store_replied const& reply)
 {
     auto& owner = c.shard.owner;
@@ -542,13 +677,7 @@
     become_follower(c, reply.status == store_status::conflict
                            ? "another daemon was first"
                            : "no answer to the claim");
-    for (auto const& item : reply.items)
-    {
-        if (auto const* const record = std::get_if<owner_record>(&item.record))
-        {
-            observe_record(c, *record, item.revision);
-        }
-    }
+    take_conflict(c, reply);
     if (reply.status == store_status::lost)
     {
         verify(c);
@@ -607,6 +736,10 @@
         {
             rebalance(c);
         }
+        if (c.shard.owner.role == owner_role::owner)
+        {
+            update_roster(c);
+        }
         if (c.shard.number == 0)
         {
             remove_dead_members(c);
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -156,6 +156,7 @@
     c.shard.interference = {};
     c.shard.owner.submissions_read = false;
     c.shard.owner.workers_read = false;
+    c.shard.owner.read_again_at.reset();
     c.shard.owner.fencing_since.reset();
 }
 
@@ -170,7 +171,7 @@
     {
         c.log(log_level::warning, "ownership",
               "the submissions could not be read, reading again");
-        read_submissions(c);
+        c.shard.owner.read_again_at = c.now + read_pause;
         return;
     }
     for (auto const& item : reply.items)
@@ -220,6 +221,12 @@
 void tick(shard_context& c)
 {
     auto& owner = c.shard.owner;
+    if (owner.role == owner_role::recovering && owner.read_again_at
+        && c.now >= *owner.read_again_at)
+    {
+        owner.read_again_at.reset();
+        read_submissions(c);
+    }
     if (owner.role != owner_role::recovering || !owner.submissions_read
         || !owner.workers_read)
     {
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -128,6 +128,8 @@
     settings options;
     options.node = "d" + std::to_string(daemon);
     options.address = address_of(daemon);
+    auto const region = regions.find(daemon);
+    options.region = region == regions.end() ? "north" : region->second;
     options.incarnation = random_.next();
     auto& process = daemons_[daemon];
     process.s = std::make_unique<schedule::state>(initial_state(options, now_));
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -70,6 +70,9 @@
     std::set<std::size_t> cut_daemons;
     std::set<std::size_t> cut_workers;
 
+    /// Regions of daemons that start from now on; "north" if absent.
+    std::map<std::size_t, std::string> regions;
+
     /// Daemons that the store does not answer.
     std::set<std::size_t> shut_out;
 
--- a/src/jaydrift/schedule/simulated_store_test.cpp
+++ b/src/jaydrift/schedule/simulated_store_test.cpp
@@ -15,6 +15,7 @@
         return store_area::workers;
     case record_kind::layout:
     case record_kind::owner:
+    case record_kind::roster:
     case record_kind::member:
         return store_area::coordination;
     default:
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -136,7 +136,8 @@
     commit write;
     write.puts.emplace_back(record_key{record_kind::member, c.s.options.node},
                             member_record{c.s.options.node, c.s.options.address,
-                                          c.s.options.cpu_share});
+                                          c.s.options.cpu_share,
+                                          c.s.options.region});
     call(c, store_purpose::announce, std::move(write), announce_limit);
 }
 
@@ -187,6 +188,8 @@
         return ownership::claim_replied(c, reply);
     case store_purpose::verify_owner:
         return ownership::verify_replied(c, reply);
+    case store_purpose::write_roster:
+        return ownership::roster_replied(c, reply);
     case store_purpose::append:
         return record_log::replied(c, reply);
     default:
@@ -245,6 +248,7 @@
     case store_purpose::read_submissions:
     case store_purpose::claim:
     case store_purpose::verify_owner:
+    case store_purpose::write_roster:
     case store_purpose::append:
         return shard_replied({c, c.s.shards[shard]}, purpose, reply);
     }
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace jaydrift::schedule::submissions {
@@ -182,11 +184,19 @@
 
 void configuration_changed(shard_context& c)
 {
-    for (auto& [id, item] : c.shard.submissions)
+    // A configuration may hold thousands of queues.
+    std::unordered_map<std::string_view, queue const*> queues;
+    for (auto const& each : c.s.config->queues)
     {
-        if (auto const* const settings = queue_of(c, item.queue))
+        queues.emplace(each.name, &each);
+    }
+    for (auto const& id : c.shard.active)
+    {
+        auto& item = *find(c, id);
+        auto const found = queues.find(item.queue);
+        if (found != queues.end())
         {
-            apply(item, *settings);
+            apply(item, *found->second);
         }
     }
 }
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -235,7 +235,13 @@
 
 void ask_for_all(state& s, time_ms now, effects& out)
 {
-    for (auto const& id : s.checks.unfinished())
+    auto open = s.checks.unfinished();
+    for (auto& id : s.checks.long_running())
+    {
+        // A cancel without an answer may have been carried out.
+        open.push_back(std::move(id));
+    }
+    for (auto const& id : open)
     {
         send_new(s, open_attempt::kind::show, id, now, out);
     }
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -78,6 +78,7 @@
                           + " long-running tasks do not run");
     }
     enter(s, state::phase::cancelling, now);
+    callers::cancel_all(s, now, out);
 }
 
 void check_cancelled(state& s, time_ms now, effects& out)
