--- /dev/null
+++ b/src/jaydrift/soak/stand_ins_test.cpp
@@ -0,0 +1,138 @@
+#include <jaydrift/soak/key_value_store.hpp>
+#include <jaydrift/soak/reduce.hpp>
+
+#include <jaydrift/codec/json.hpp>
+
+#include <gtest/gtest.h>
+
+namespace jaydrift::soak {
+
+namespace {
+
+http::request get(std::string target)
+{
+    http::request message;
+    message.target = std::move(target);
+    return message;
+}
+
+http::request transaction(std::string body)
+{
+    http::request message;
+    message.method = "POST";
+    message.target = "/api/kv-txn";
+    message.body = std::move(body);
+    return message;
+}
+
+http::request order(std::string target, std::string body)
+{
+    http::request message;
+    message.method = "POST";
+    message.target = std::move(target);
+    message.headers = {{"Expected-Instance", "i-0"}};
+    message.body = std::move(body);
+    return message;
+}
+
+options small()
+{
+    options settings;
+    settings.daemons = 2;
+    settings.workers = 1;
+    return settings;
+}
+
+} // namespace
+
+TEST(key_value_store, a_transaction_needs_all_that_it_expects)
+{
+    key_value_store store;
+    auto const body =
+        R"({"expected":[{"key":"a","revision":0}],"puts":[{"key":"a","value":"eA=="}]})";
+    EXPECT_EQ(store.handle(transaction(body))->status, 200U);
+    EXPECT_EQ(store.handle(transaction(body))->status, 412U);
+    EXPECT_EQ(store.handle(get("/api/kv-key?key=a"))->status, 200U);
+    EXPECT_EQ(store.handle(get("/api/kv-key?key=b"))->status, 404U);
+}
+
+TEST(key_value_store, a_watch_waits_for_changes_of_its_prefix)
+{
+    key_value_store store;
+    auto const after = std::to_string(store.revision());
+    auto const watch = get("/api/kv-watch?prefix=a/&after=" + after);
+    store.put("b/1", "");
+    EXPECT_FALSE(store.handle(watch));
+    store.put("a/1", "");
+    ASSERT_TRUE(store.handle(watch));
+    store.compact();
+    EXPECT_EQ(store.handle(watch)->status, 410U);
+}
+
+TEST(key_value_store, a_range_comes_in_pages)
+{
+    key_value_store store;
+    for (auto i = 1000; i < 1300; ++i)
+    {
+        store.put("a/" + std::to_string(i), "");
+    }
+    auto const first = store.handle(get("/api/kv-range?prefix=a/"));
+    auto const page = codec::parse_object(first->body);
+    EXPECT_TRUE(codec::boolean(page, "hasMore"));
+    auto const last = codec::text(
+        (*codec::array(page, "items"))[codec::array(page, "items")->Size() - 1],
+        "key");
+    auto const second =
+        store.handle(get("/api/kv-range?prefix=a/&after=" + last));
+    EXPECT_FALSE(codec::boolean(codec::parse_object(second->body), "hasMore"));
+}
+
+TEST(task_worker, refuses_lower_fencing_tokens_and_old_runs)
+{
+    oracle checks;
+    task_plan plan;
+    plan.steps.resize(1);
+    checks.planned("0000000000000001", plan);
+    task_worker worker("i-0", "127.0.0.1:1", "a", 1);
+    auto const start = [&](int run, int token) {
+        return worker
+            .handle(order("/api/run-start",
+                          R"({"task":"0000000000000001.0.0.0","runId":)"
+                              + std::to_string(run) + R"(,"fenceToken":)"
+                              + std::to_string(token)
+                              + R"(,"deadlineMs":9000})"),
+                    checks, time_ms(1000))
+            .status;
+    };
+    EXPECT_EQ(start(3, 7), 200U);
+    EXPECT_EQ(start(4, 6), 409U);
+    worker.handle(order("/api/run-stop",
+                        R"({"task":"0000000000000001.0.0.0","runId":3,
+                            "fenceToken":7})"),
+                  checks, time_ms(1000));
+    EXPECT_EQ(start(3, 7), 409U);
+    EXPECT_EQ(start(4, 7), 200U);
+    EXPECT_TRUE(checks.violations().empty());
+}
+
+// Guards the replay of a seed: equal events give equal faults and callers.
+TEST(soak, equal_events_give_equal_effects)
+{
+    auto first = initial_state(small(), {"127.0.0.1:1"}, time_ms(0));
+    auto second = initial_state(small(), {"127.0.0.1:1"}, time_ms(0));
+    std::size_t effects_seen = 0;
+    for (auto now = time_ms(0); now < time_ms(15000); now += time_ms(10))
+    {
+        auto const a = reduce(first, tick_due{}, now);
+        auto const b = reduce(second, tick_due{}, now);
+        ASSERT_EQ(a.size(), b.size());
+        for (std::size_t i = 0; i < a.size(); ++i)
+        {
+            EXPECT_EQ(a[i].index(), b[i].index());
+        }
+        effects_seen += a.size();
+    }
+    EXPECT_GT(effects_seen, 50U);
+}
+
+} // namespace jaydrift::soak
