--- a/include/jaydrift/schedule/interference.hpp
+++ b/include/jaydrift/schedule/interference.hpp
@@ -6,6 +6,7 @@
 namespace jaydrift::schedule {
 
 struct interference_model;
+struct interference_record;
 struct shard_context;
 struct run_state;
 struct worker_state;
@@ -18,6 +19,12 @@
 /// slowly, so that changes between two reports tell of its neighbours.
 void learn(shard_context& c, worker_state& worker);
 
+/// Returns what has been learned, for a successor.
+interference_record learned(interference_model const& model);
+
+/// Takes over what an earlier owner has learned.
+void inherit(interference_model& model, interference_record const& record);
+
 /// Growth of the logarithm of a serving task's tail per worker that the
 /// neighbour uses.
 double weight(interference_model const& model, std::string_view serving,
--- /dev/null
+++ b/include/jaydrift/schedule/interference_record.hpp
@@ -0,0 +1,23 @@
+#ifndef JAYDRIFT_SCHEDULE_INTERFERENCE_RECORD_HPP
+#define JAYDRIFT_SCHEDULE_INTERFERENCE_RECORD_HPP
+
+#include <jaydrift/schedule/learned_weight.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace jaydrift::schedule {
+
+/// What an owner has learned of the disturbance between images, for its
+/// successor: weights by serving image and by image of the neighbour.
+struct interference_record
+{
+    using weights = std::map<std::string, learned_weight, std::less<>>;
+
+    std::map<std::string, weights, std::less<>> by_serving_image;
+};
+
+} // namespace jaydrift::schedule
+
+#endif // JAYDRIFT_SCHEDULE_INTERFERENCE_RECORD_HPP
--- a/include/jaydrift/schedule/linear_model.hpp
+++ b/include/jaydrift/schedule/linear_model.hpp
@@ -1,6 +1,8 @@
 #ifndef JAYDRIFT_SCHEDULE_LINEAR_MODEL_HPP
 #define JAYDRIFT_SCHEDULE_LINEAR_MODEL_HPP
 
+#include <jaydrift/schedule/learned_weight.hpp>
+
 #include <cstddef>
 #include <map>
 #include <string>
@@ -23,6 +25,12 @@
     /// Weighs all samples so far down by a factor and computes the weights.
     void refresh(double kept);
 
+    /// Takes over what another model has learned.
+    void inherit(std::string const& name, learned_weight const& known);
+
+    /// Returns all weights with the evidence for them.
+    std::map<std::string, learned_weight, std::less<>> learned() const;
+
     /// Weight of an input, at least 0.
     double weight(std::string_view name) const;
 
@@ -36,6 +44,9 @@
     std::vector<std::vector<double>> squares_;
     std::vector<double> products_;
     std::vector<double> weights_;
+
+    /// Weights that were taken over, with what is left of their evidence.
+    std::vector<learned_weight> inherited_;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/log_state.hpp
+++ b/include/jaydrift/schedule/log_state.hpp
@@ -43,6 +43,9 @@
     fleet_record next_fleet;
     bool fleet_changed = false;
 
+    /// Time at which the learned interference is stored again.
+    time_ms next_interference;
+
     /// Relocations to store, and those to remove.
     std::deque<std::string> new_relocations;
     std::deque<std::string> expired_relocations;
--- a/include/jaydrift/schedule/ownership.hpp
+++ b/include/jaydrift/schedule/ownership.hpp
@@ -11,7 +11,6 @@
 struct owner_query;
 struct owner_record;
 struct owner_sighting;
-struct roster_record;
 struct store_replied;
 struct yield_request;
 
@@ -25,15 +24,8 @@
 /// Ends this daemon's ownership; it was refused or succeeded.
 void step_down(shard_context& c);
 
-/// Takes note of a roster that the store holds.
-void observe_roster(shard_context& c, roster_record const& roster,
-                    std::uint64_t revision);
-
-/// Handles the end of a change of the roster.
-void roster_replied(shard_context& c, store_replied const& reply);
-
-/// Tells the owners of other shards of the load, if it has grown much.
-void announce_load(shard_context& c);
+/// Takes the records that refused a transaction.
+void take_conflict(shard_context& c, store_replied const& reply);
 
 /// Handles the end of the swap of the owner record.
 void claim_replied(shard_context& c, store_replied const& reply);
--- a/include/jaydrift/schedule/record_kind.hpp
+++ b/include/jaydrift/schedule/record_kind.hpp
@@ -20,6 +20,7 @@
     submission,
     progress,
     relocation,
+    interference,
     other
 };
 
--- a/include/jaydrift/schedule/store_record.hpp
+++ b/include/jaydrift/schedule/store_record.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/schedule/configuration.hpp>
 #include <jaydrift/schedule/fleet_record.hpp>
+#include <jaydrift/schedule/interference_record.hpp>
 #include <jaydrift/schedule/layout_record.hpp>
 #include <jaydrift/schedule/member_record.hpp>
 #include <jaydrift/schedule/owner_record.hpp>
@@ -24,7 +25,7 @@
     std::variant<unreadable_record, configuration, zone_closure, worker_entry,
                  layout_record, owner_record, roster_record, member_record,
                  write_serial, fleet_record, submission_record, progress_record,
-                 relocation_record>;
+                 relocation_record, interference_record>;
 
 } // namespace jaydrift::schedule
 
--- a/include/jaydrift/soak/oracle.hpp
+++ b/include/jaydrift/soak/oracle.hpp
@@ -19,7 +19,7 @@
 {
 public:
     void planned(std::string const& id, task_plan plan);
-    void accepted(std::string const& id);
+    void accepted(std::string const& id, time_ms now);
 
     /// No attempt to hand it in may have been carried out.
     void refused(std::string const& id);
@@ -29,7 +29,9 @@
     void cancelled(std::string const& id, time_ms now);
 
     task_plan const* plan(std::string const& id) const;
-    bool is_accepted(std::string const& id) const;
+
+    /// Returns when it was accepted, if it was.
+    std::optional<time_ms> accepted_at(std::string const& id) const;
 
     void started(std::string const& task, std::uint64_t run,
                  std::string const& worker, std::string const& payload,
@@ -65,7 +67,7 @@
     struct submission_record
     {
         task_plan plan;
-        bool accepted = false;
+        std::optional<time_ms> accepted_at;
         bool refused = false;
         bool ended = false;
         bool started = false;
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -260,6 +260,62 @@
     put_field(out, "decided_ms", record.decided_at.count());
 }
 
+/// A weight is an array of the weight and its evidence.
+void write_fields(json_writer& out, interference_record const& record)
+{
+    put_key(out, "weights");
+    out.StartObject();
+    for (auto const& [serving, weights] : record.by_serving_image)
+    {
+        put_key(out, serving);
+        out.StartObject();
+        for (auto const& [neighbour, known] : weights)
+        {
+            put_key(out, neighbour);
+            out.StartArray();
+            out.Double(known.weight);
+            out.Double(known.evidence);
+            out.EndArray();
+        }
+        out.EndObject();
+    }
+    out.EndObject();
+}
+
+learned_weight read_weight(json const& value)
+{
+    if (!value.IsArray() || value.Size() != 2 || !value[0].IsNumber()
+        || !value[1].IsNumber())
+    {
+        throw codec_error("a weight has another shape");
+    }
+    return {value[0].GetDouble(), value[1].GetDouble()};
+}
+
+interference_record read_interference(json const& value)
+{
+    interference_record record;
+    auto const* const weights = find(value, "weights");
+    if (!weights || !weights->IsObject())
+    {
+        throw codec_error("field 'weights' is not an object");
+    }
+    for (auto const& serving : weights->GetObject())
+    {
+        if (!serving.value.IsObject())
+        {
+            throw codec_error("the weights of an image are not an object");
+        }
+        auto& known = record.by_serving_image[as_text(serving.name)];
+        for (auto const& neighbour : serving.value.GetObject())
+        {
+            known.emplace(as_text(neighbour.name),
+                          read_weight(neighbour.value));
+        }
+    }
+    return record;
+}
+
 void write_fields(json_writer& out, roster_record const& record)
 {
     put_key(out, "nodes");
@@ -347,6 +403,8 @@
                              number(value, "cpu_share"), text(value, "region")};
     case record_kind::layout:
         return layout_record{unsigned_field(value, "shards")};
+    case record_kind::interference:
+        return read_interference(value);
     case record_kind::roster:
         return read_roster(value);
     case record_kind::serial:
--- a/src/jaydrift/codec/record_codec_test.cpp
+++ b/src/jaydrift/codec/record_codec_test.cpp
@@ -82,6 +82,15 @@
     EXPECT_EQ(member.address, "10.0.0.1:7000");
     EXPECT_EQ(member.cpu_share, 0.25);
     EXPECT_EQ(member.region, "north");
+    interference_record learned;
+    learned.by_serving_image["serving"]["other"] = {1.5, 0.25};
+    auto const read = std::get<interference_record>(
+        decode_record(record_kind::interference, encode_record(learned)));
+    EXPECT_EQ(read.by_serving_image.at("serving").at("other").weight, 1.5);
+    EXPECT_EQ(read.by_serving_image.at("serving").at("other").evidence, 0.25);
+    EXPECT_THROW(decode_record(record_kind::interference,
+                               "{\"weights\":{\"a\":{\"b\":[1]}}}"),
+                 codec_error);
     roster_record const roster{{"d1", "d2"}};
     EXPECT_EQ(std::get<roster_record>(
                   decode_record(record_kind::roster, encode_record(roster))),
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
+#include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/workers.hpp>
@@ -148,12 +149,12 @@
         shard_context shard(c, c.s.shards[item.key.shard]);
         ownership::observe_record(shard, *owner, item.revision);
     }
-    else if (auto const* const roster =
+    else if (auto const* const admitted =
                  std::get_if<roster_record>(&item.record);
-             roster && item.key.shard < c.s.shards.size())
+             admitted && item.key.shard < c.s.shards.size())
     {
         shard_context shard(c, c.s.shards[item.key.shard]);
-        ownership::observe_roster(shard, *roster, item.revision);
+        roster::observe(shard, *admitted, item.revision);
     }
 }
 
--- /dev/null
+++ b/src/jaydrift/schedule/candidates.cpp
@@ -0,0 +1,134 @@
+#include <jaydrift/schedule/candidates.hpp>
+
+#include <jaydrift/core/hash.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+namespace jaydrift::schedule::candidates {
+
+namespace {
+
+constexpr time_ms peer_fresh{500};
+
+/// Each candidate leaves the one before it this time for its claim.
+constexpr time_ms claim_rank_delay{30};
+
+constexpr std::size_t last_claim_rank = 10;
+
+/// Daemons of another region wait longer: a full link between the regions
+/// delays heartbeats, and those in the owner's region know better.
+constexpr time_ms other_region_delay{600};
+
+using owned_shards = std::map<std::string_view, std::uint32_t>;
+
+/// Counts the other shards of each daemon.
+owned_shards count_owned(shard_context const& c)
+{
+    owned_shards result;
+    for (auto const& each : c.s.shards)
+    {
+        if (each.number == c.shard.number)
+        {
+            continue;
+        }
+        if (each.owner.role == owner_role::claiming)
+        {
+            ++result[c.s.options.node];
+        }
+        else if (each.owner.revision != 0)
+        {
+            ++result[each.owner.record.node];
+        }
+    }
+    return result;
+}
+
+candidate make_candidate(shard_context const& c, owned_shards const& owned,
+                         std::string_view node, double cpu_share)
+{
+    constexpr double smallest_share = 0.01;
+    auto const found = owned.find(node);
+    candidate result;
+    result.others = found == owned.end() ? 0U : found->second;
+    result.load = (result.others + 1.0) / std::max(smallest_share, cpu_share);
+    result.order = rendezvous_score(std::to_string(c.shard.number), node);
+    return result;
+}
+
+} // namespace
+
+double own_load(shard_context const& c)
+{
+    return make_candidate(c, count_owned(c), c.s.options.node,
+                          c.s.options.cpu_share)
+        .load;
+}
+
+std::vector<candidate> ranked(shard_context const& c)
+{
+    auto const owned = count_owned(c);
+    std::vector<candidate> result;
+    auto const add = [&](std::string_view node, double cpu_share,
+                         member_state const* member) {
+        if (node != c.shard.owner.record.node)
+        {
+            result.push_back(make_candidate(c, owned, node, cpu_share));
+            result.back().node = node;
+            result.back().member = member;
+        }
+    };
+    add(c.s.options.node, c.s.options.cpu_share, nullptr);
+    for (auto const& [node, member] : c.s.members)
+    {
+        add(node, member.cpu_share, &member);
+    }
+    std::sort(result.begin(), result.end(),
+              [](candidate const& a, candidate const& b) {
+                  return std::tie(a.load, a.order) < std::tie(b.load, b.order);
+              });
+    return result;
+}
+
+std::optional<candidate> best_peer(shard_context const& c,
+                                   time_ms store_heard_since)
+{
+    auto const& roster = c.shard.owner.roster.nodes;
+    auto const all = ranked(c);
+    auto const found =
+        std::find_if(all.begin(), all.end(), [&](candidate const& each) {
+            return each.member && roster.contains(each.node)
+                   && !each.member->stopping
+                   && each.member->address != c.shard.owner.successor
+                   && c.now - each.member->heard_at < peer_fresh
+                   && each.member->store_heard_at >= store_heard_since;
+        });
+    return found == all.end() ? std::nullopt : std::optional(*found);
+}
+
+time_ms claim_delay(shard_context const& c)
+{
+    if (c.shard.owner.record.node == c.s.options.node)
+    {
+        // An earlier life of this daemon owned the shard.
+        return {};
+    }
+    auto const owner = c.s.members.find(c.shard.owner.record.node);
+    auto const far = owner != c.s.members.end()
+                     && owner->second.region != c.s.options.region;
+    auto const all = ranked(c);
+    auto const self =
+        std::find_if(all.begin(), all.end(),
+                     [](candidate const& each) { return !each.member; });
+    auto const rank =
+        std::min(last_claim_rank, static_cast<std::size_t>(self - all.begin()));
+    return claim_rank_delay * static_cast<std::int64_t>(rank)
+           + (far ? other_region_delay : time_ms(0));
+}
+
+} // namespace jaydrift::schedule::candidates
--- a/src/jaydrift/schedule/interference.cpp
+++ b/src/jaydrift/schedule/interference.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/interference.hpp>
 
+#include <jaydrift/schedule/interference_record.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 
 #include <algorithm>
@@ -147,6 +148,33 @@
     }
 }
 
+interference_record learned(interference_model const& model)
+{
+    interference_record result;
+    for (auto const& [image, each] : model.by_serving_image)
+    {
+        result.by_serving_image.emplace(image, each.learned());
+    }
+    return result;
+}
+
+void inherit(interference_model& model, interference_record const& record)
+{
+    for (auto const& [image, weights] : record.by_serving_image)
+    {
+        if (model.by_serving_image.size() >= max_images)
+        {
+            return;
+        }
+        auto& each = model.by_serving_image.try_emplace(image, unknown_weight)
+                         .first->second;
+        for (auto const& [neighbour, known] : weights)
+        {
+            each.inherit(neighbour, known);
+        }
+    }
+}
+
 double weight(interference_model const& model, std::string_view serving,
               std::string_view neighbour)
 {
--- a/src/jaydrift/schedule/linear_model.cpp
+++ b/src/jaydrift/schedule/linear_model.cpp
@@ -55,6 +55,7 @@
         squares_.emplace_back(names_.size(), 0.0);
         products_.push_back(0.0);
         weights_.push_back(prior_);
+        inherited_.emplace_back();
     }
     return found->second;
 }
@@ -84,6 +85,7 @@
     for (std::size_t i = 0; i < products_.size(); ++i)
     {
         products_[i] *= kept;
+        inherited_[i].evidence *= kept;
         for (auto& value : squares_[i])
         {
             value *= kept;
@@ -93,12 +95,36 @@
     auto b = products_;
     for (std::size_t i = 0; i < b.size(); ++i)
     {
-        a[i][i] += prior_strength;
-        b[i] += prior_strength * prior_;
+        auto const& inherited = inherited_[i];
+        a[i][i] += prior_strength + inherited.evidence;
+        b[i] += prior_strength * prior_ + inherited.evidence * inherited.weight;
     }
     weights_ = solve(std::move(a), std::move(b));
 }
 
+void linear_model::inherit(std::string const& name, learned_weight const& known)
+{
+    if (names_.size() >= max_inputs && !names_.contains(name))
+    {
+        return;
+    }
+    auto const index = index_of(name);
+    inherited_[index] = known;
+    weights_[index] = known.weight;
+}
+
+std::map<std::string, learned_weight, std::less<>> linear_model::learned() const
+{
+    std::map<std::string, learned_weight, std::less<>> result;
+    for (auto const& [name, index] : names_)
+    {
+        result.emplace(name, learned_weight{weights_[index],
+                                            squares_[index][index]
+                                                + inherited_[index].evidence});
+    }
+    return result;
+}
+
 double linear_model::weight(std::string_view name) const
 {
     auto const found = names_.find(name);
--- a/src/jaydrift/schedule/linear_model_test.cpp
+++ b/src/jaydrift/schedule/linear_model_test.cpp
@@ -37,4 +37,31 @@
     EXPECT_NEAR(model.weight("seen"), 2.0, 1e-9);
 }
 
+// Guards what a successor takes over: it holds until new samples outweigh it.
+TEST(linear_model, inherits_what_another_has_learned)
+{
+    linear_model first(2.0);
+    for (auto i = 0; i < 200; ++i)
+    {
+        first.add({{"harmful", 0.1}}, 0.5);
+        first.add({{"harmless", 0.1}}, 0.0);
+    }
+    first.refresh(1.0);
+    linear_model second(2.0);
+    for (auto const& [name, known] : first.learned())
+    {
+        second.inherit(name, known);
+    }
+    EXPECT_NEAR(second.weight("harmful"), first.weight("harmful"), 1e-9);
+    second.refresh(1.0);
+    EXPECT_NEAR(second.weight("harmful"), 5.0, 0.1);
+    EXPECT_NEAR(second.weight("harmless"), 0.0, 0.1);
+    for (auto i = 0; i < 2000; ++i)
+    {
+        second.add({{"harmful", 0.1}}, 0.1);
+    }
+    second.refresh(1.0);
+    EXPECT_LT(second.weight("harmful"), 2.0);
+}
+
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -2,9 +2,10 @@
 
 #include <jaydrift/schedule/calls.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/relocation.hpp>
-#include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/shard_key.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 
@@ -29,11 +30,8 @@
 constexpr time_ms longest_limit{1200};
 constexpr time_ms refused_pause{60};
 
-record_key key_of(shard_context const& c, record_kind kind,
-                  std::string name = {})
-{
-    return {kind, std::move(name), c.shard.number};
-}
+/// A successor learns this much anew; the record has a few KB.
+constexpr time_ms interference_interval{3000};
 
 progress_record progress_of(submission_state const& item)
 {
@@ -63,11 +61,11 @@
 {
     if (!item.record_stored)
     {
-        write.puts.emplace_back(key_of(c, record_kind::submission, item.id),
+        write.puts.emplace_back(shard_key(c, record_kind::submission, item.id),
                                 submission_record{item.id, item.queue,
                                                   item.accepted_at, item.work});
     }
-    write.puts.emplace_back(key_of(c, record_kind::progress, item.id),
+    write.puts.emplace_back(shard_key(c, record_kind::progress, item.id),
                             progress_of(item));
     c.shard.log.versions.emplace_back(item.id, item.version);
 }
@@ -107,9 +105,10 @@
 {
     auto& log = c.shard.log;
     commit write;
-    write.expected = {{key_of(c, record_kind::owner), c.shard.owner.revision},
-                      {key_of(c, record_kind::serial), log.serial_revision}};
-    write.puts.emplace_back(key_of(c, record_kind::serial),
+    write.expected = {
+        {shard_key(c, record_kind::owner), c.shard.owner.revision},
+        {shard_key(c, record_kind::serial), log.serial_revision}};
+    write.puts.emplace_back(shard_key(c, record_kind::serial),
                             write_serial{log.serial + 1});
     log.versions.clear();
     log.removed.clear();
@@ -117,13 +116,21 @@
     log.next_fleet = present_fleet(c);
     if (log.next_fleet != log.fleet)
     {
-        write.puts.emplace_back(key_of(c, record_kind::fleet), log.next_fleet);
+        write.puts.emplace_back(shard_key(c, record_kind::fleet),
+                                log.next_fleet);
+    }
+    if (c.now >= log.next_interference
+        && !c.shard.interference.by_serving_image.empty())
+    {
+        log.next_interference = c.now + interference_interval;
+        write.puts.emplace_back(shard_key(c, record_kind::interference),
+                                interference::learned(c.shard.interference));
     }
     while (!log.new_relocations.empty() && entries(write) < max_entries)
     {
         auto id = std::move(log.new_relocations.front());
         log.new_relocations.pop_front();
-        write.puts.emplace_back(key_of(c, record_kind::relocation, id),
+        write.puts.emplace_back(shard_key(c, record_kind::relocation, id),
                                 c.shard.relocations.at(id).record);
         log.relocated.push_back(std::move(id));
     }
@@ -141,14 +148,14 @@
     {
         auto const id = std::move(log.expired.front());
         log.expired.pop_front();
-        write.removals.push_back(key_of(c, record_kind::submission, id));
-        write.removals.push_back(key_of(c, record_kind::progress, id));
+        write.removals.push_back(shard_key(c, record_kind::submission, id));
+        write.removals.push_back(shard_key(c, record_kind::progress, id));
         log.removed.push_back(id);
     }
     while (!log.expired_relocations.empty() && entries(write) < max_entries)
     {
-        write.removals.push_back(key_of(c, record_kind::relocation,
-                                        log.expired_relocations.front()));
+        write.removals.push_back(shard_key(c, record_kind::relocation,
+                                           log.expired_relocations.front()));
         log.expired_relocations.pop_front();
     }
     log.dirty_since = c.now;
@@ -267,7 +274,7 @@
 {
     return std::any_of(reply.items.begin(), reply.items.end(),
                        [&c](store_item const& item) {
-                           return item.key == key_of(c, record_kind::owner)
+                           return item.key == shard_key(c, record_kind::owner)
                                   && item.revision != c.shard.owner.revision;
                        });
 }
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/recovery.hpp>
 
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/store_session.hpp>
@@ -199,6 +200,11 @@
         {
             c.shard.relocations[moved->id] = {*moved, true, {}};
         }
+        else if (auto const* const learned =
+                     std::get_if<interference_record>(&item.record))
+        {
+            interference::inherit(c.shard.interference, *learned);
+        }
         else if (auto const* const bad =
                      std::get_if<unreadable_record>(&item.record))
         {
--- a/src/jaydrift/schedule/relocation.cpp
+++ b/src/jaydrift/schedule/relocation.cpp
@@ -1,8 +1,8 @@
 #include <jaydrift/schedule/relocation.hpp>
 
 #include <jaydrift/schedule/calls.hpp>
+#include <jaydrift/schedule/heartbeats.hpp>
 #include <jaydrift/schedule/layout.hpp>
-#include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -182,7 +182,7 @@
     if (c.s.shards.size() > 1)
     {
         add(c.shard.load, load_of(c, work));
-        ownership::announce_load(c);
+        heartbeats::announce_load(c);
     }
 }
 
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
+#include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 
 #include <span>
@@ -189,7 +190,7 @@
     case store_purpose::verify_owner:
         return ownership::verify_replied(c, reply);
     case store_purpose::write_roster:
-        return ownership::roster_replied(c, reply);
+        return roster::replied(c, reply);
     case store_purpose::append:
         return record_log::replied(c, reply);
     default:
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint64_t arrival_spread_ms = 160;
 constexpr time_ms shortest_arrival{40};
 
+/// An accepted submission is known to every daemon after this.
+constexpr time_ms visible_limit{3000};
+
 /// A queue that was removed is gone everywhere after this.
 constexpr time_ms config_limit{2500};
 
@@ -159,7 +162,7 @@
     switch (status)
     {
     case 200:
-        s.checks.accepted(attempt.id);
+        s.checks.accepted(attempt.id, now);
         if (attempt.tries == 1 && s.random.below(repeats) == 0)
         {
             // A repeated packet of the network.
@@ -184,8 +187,9 @@
 
 void shown(state& s, open_attempt const& attempt, http::response const& reply)
 {
-    if (reply.status == 410 && s.stage == state::phase::calm
-        && s.checks.is_accepted(attempt.id))
+    auto const accepted = s.checks.accepted_at(attempt.id);
+    if (reply.status == 410 && s.stage == state::phase::calm && accepted
+        && attempt.sent_at - *accepted > visible_limit)
     {
         s.checks.violated(attempt.id + " was accepted and is not known");
     }
