Start submissions with little work left before large ones

Cause: with more work than there is room for, order by due time made most submissions of load-recalc and menu-plan late, large and small alike. Change: work that is left counts like a later objective, a millisecond for 40 core-milliseconds, so that large submissions still come before much later ones. The new test fails before.

--- a/src/jaydrift/schedule/deployment_test.cpp
+++ b/src/jaydrift/schedule/deployment_test.cpp
@@ -394,6 +394,28 @@
     }
 }
 
+// Guards work that can end soon against a larger submission that came first.
+TEST(deployment, little_opportunistic_work_comes_before_much)
+{
+    simulated_deployment world(1, 1, 17);
+    world.run_until(time_ms(3000));
+    auto const opportunistic = [](std::uint32_t count) {
+        auto work = chain_of({count});
+        work.steps[0].opportunistic = true;
+        return work;
+    };
+    world.submit(0, first_id, opportunistic(12));
+    world.run_until(time_ms(3100));
+    world.submit(0, id_of(1), opportunistic(60));
+    world.run_until(time_ms(3300));
+    world.submit(0, id_of(2), opportunistic(1));
+    world.run_until(time_ms(4600));
+    auto const& submissions = world.daemon(0).shards[0].submissions;
+    EXPECT_TRUE(submissions.at(id_of(2)).started);
+    EXPECT_GT(submissions.at(id_of(1)).waiting, 40U);
+    expect_no_violation(world);
+}
+
 // Soak seed 35 with two shards: an owner that stopped asked a daemon that
 // stopped as well to succeed it, again and again, and broke its calls off.
 TEST(deployment, a_stopping_owner_yields_to_a_daemon_that_stays)
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -62,6 +62,10 @@
 /// At most one worker in so many is kept for waiting tasks.
 constexpr std::size_t workers_per_kept = 8;
 
+/// So much work that is left postpones a submission by a millisecond. A mean
+/// submission of 190 core-seconds comes 5 s later than a tiny one.
+constexpr std::int64_t core_ms_per_delay_ms = 40;
+
 /// One pass over the waiting tasks.
 struct pass
 {
@@ -104,16 +108,43 @@
                        [](auto const& step) { return step.long_running; });
 }
 
+/// Work of opportunistic steps that is left, in milliseconds of one core.
+std::int64_t opportunistic_work_left(submission_state const& item)
+{
+    constexpr std::int64_t millicores_per_core = 1000;
+    std::int64_t result = 0;
+    for (auto const& occurrence : item.occurrences)
+    {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
+        {
+            auto const& step = occurrence.steps[i];
+            auto const& spec = item.work.steps[i];
+            if (spec.opportunistic)
+            {
+                result +=
+                    static_cast<std::int64_t>(step.tasks.size() - step.done)
+                    * spec.demand.millicores * spec.estimate.count()
+                    / millicores_per_core;
+            }
+        }
+    }
+    return result;
+}
+
 /// Orders submissions by priority. Long-running tasks come first, since each
 /// second that they do not serve is lost; then those submissions that can still
-/// meet their objective, by due time.
+/// meet their objective. Among them, little work that is left counts like an
+/// earlier objective, so that more of them end in time when there is too much;
+/// a large one still comes before those that arrive much later.
 auto rank(shard_context const& c, submission_state const& item)
 {
     constexpr int before_all = -1;
+    auto const delay =
+        time_ms(opportunistic_work_left(item) / core_ms_per_delay_ms);
     return std::make_tuple(item.priority,
                            has_long_running_steps(item) ? before_all
                                                         : lateness(c, item),
-                           item.objective);
+                           item.objective + delay);
 }
 
 std::size_t neighbours_of_step(worker_state const& worker, task_id const& id)
