Give calls to the store more time after each failure

Change: limits of watches, reads of areas and of submissions double up to four times with each failure; a new owner no longer logs each worker, which had crowded out its line 'serving'.

--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -60,6 +60,7 @@
     // Progress of a recovery.
     bool submissions_read = false;
     std::optional<time_ms> read_again_at;
+    std::uint32_t failed_reads = 0;
     bool workers_read = false;
     std::optional<time_ms> fencing_since;
 
--- a/include/jaydrift/schedule/watch_state.hpp
+++ b/include/jaydrift/schedule/watch_state.hpp
@@ -16,6 +16,9 @@
     std::uint64_t revision = 0;
     std::optional<std::uint64_t> call;
     time_ms retry_at;
+
+    /// Calls without an answer in a row.
+    std::uint32_t failures = 0;
 };
 
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -21,6 +21,9 @@
 constexpr time_ms read_limit{2000};
 constexpr time_ms read_pause{150};
 
+/// The limit doubles with each failed read, so many times at most.
+constexpr std::uint32_t most_doublings = 2;
+
 /// Workers that have not answered by then are looked at later.
 constexpr time_ms fence_wait{400};
 
@@ -31,7 +34,10 @@
 void read_submissions(shard_context& c)
 {
     store::call(c, store_purpose::read_submissions,
-                read_area{store_area::submissions, c.shard.number}, read_limit);
+                read_area{store_area::submissions, c.shard.number},
+                read_limit
+                    * (std::int64_t{1} << std::min(c.shard.owner.failed_reads,
+                                                   most_doublings)));
 }
 
 bool all_fenced(shard_context const& c)
@@ -158,6 +164,7 @@
     c.shard.owner.submissions_read = false;
     c.shard.owner.workers_read = false;
     c.shard.owner.read_again_at.reset();
+    c.shard.owner.failed_reads = 0;
     c.shard.owner.fencing_since.reset();
 }
 
@@ -173,6 +180,7 @@
         c.log(log_level::warning, "ownership",
               "the submissions could not be read, reading again");
         c.shard.owner.read_again_at = c.now + read_pause;
+        ++c.shard.owner.failed_reads;
         return;
     }
     for (auto const& item : reply.items)
--- a/src/jaydrift/schedule/reduce_test.cpp
+++ b/src/jaydrift/schedule/reduce_test.cpp
@@ -108,6 +108,39 @@
     EXPECT_EQ(s.config->version, 9U);
 }
 
+// kallaloo-ops-grown trouble-1: a configuration of 480 KB for each daemon took
+// longer than the limit of the watch; each new attempt filled the link again.
+TEST(reduce, a_watch_without_an_answer_gets_more_time)
+{
+    auto s = initial_state(options_of(1), time_ms(0));
+    auto const read_of = [](effects const& out) {
+        std::optional<store_call> found;
+        for (auto const& call : of_kind<store_call>(out))
+        {
+            auto const* const area = std::get_if<read_area>(&call.request);
+            if (area && area->area == store_area::operators)
+            {
+                found = call;
+            }
+        }
+        return found;
+    };
+    auto now = time_ms(0);
+    auto call = read_of(reduce(s, timer_due{}, now));
+    ASSERT_TRUE(call);
+    auto const first = call->time_limit;
+    for (auto const factor : {2, 4, 4})
+    {
+        store_replied lost;
+        lost.call = call->call;
+        static_cast<void>(reduce(s, lost, now));
+        now += time_ms(200);
+        call = read_of(reduce(s, timer_due{now}, now));
+        ASSERT_TRUE(call);
+        EXPECT_EQ(call->time_limit, first * factor);
+    }
+}
+
 // Guards the planned stop: not ready at once, connections closed later, exit
 // before SIGKILL.
 TEST(reduce, stops_gracefully)
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -9,6 +9,7 @@
 #include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 
+#include <algorithm>
 #include <span>
 #include <utility>
 
@@ -33,6 +34,11 @@
 /// watch is answered once in `watch_wait`.
 constexpr time_ms reachable_for{1800};
 
+/// A large configuration on a full link may take longer than the usual limit.
+/// Asking again at once would only fill the link more, so the limit doubles
+/// with each failure, so many times at most.
+constexpr std::uint32_t most_doublings = 2;
+
 /// Takes a whole area or one change of it.
 struct area_rules
 {
@@ -76,11 +82,14 @@
     {
         return;
     }
-    watch.call = watch.loaded
-                     ? call(c, rules.change,
-                            watch_area{rules.area, watch.revision, watch_wait},
-                            watch_wait + watch_margin)
-                     : call(c, rules.read, read_area{rules.area}, read_limit);
+    auto const stretch = std::int64_t{1}
+                         << std::min(watch.failures, most_doublings);
+    watch.call =
+        watch.loaded
+            ? call(c, rules.change,
+                   watch_area{rules.area, watch.revision, watch_wait},
+                   (watch_wait + watch_margin) * stretch)
+            : call(c, rules.read, read_area{rules.area}, read_limit * stretch);
 }
 
 void area_replied(context& c, area_rules const& rules,
@@ -100,6 +109,7 @@
     else if (reply.status != store_status::ok)
     {
         watch.retry_at = c.now + retry_pause;
+        ++watch.failures;
     }
     else if (!watch.loaded)
     {
@@ -121,6 +131,7 @@
     }
     if (reply.status == store_status::ok)
     {
+        watch.failures = 0;
         follow(c, rules);
     }
 }
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -429,7 +429,11 @@
     {
         worker.entry = entry;
         c.shard.log.fleet_changed = true;
-        c.log(log_level::info, "worker", entry.id + " listed");
+        if (c.shard.owner.role == owner_role::owner)
+        {
+            // A new owner tells their number instead.
+            c.log(log_level::info, "worker", entry.id + " listed");
+        }
     }
     if (entry.born < worker.entry.born)
     {
