Move a loaded owner's shard also while a transaction is in flight

Change: the condition is dropped; what is in flight is resolved by the successor as after any change of owner.

--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -218,7 +218,7 @@
 void rebalance(shard_context& c)
 {
     auto const busy =
-        c.s.stopping_since || c.shard.log.in_flight || c.s.store.failing_since
+        c.s.stopping_since || c.s.store.failing_since
         || c.now - c.shard.owner.role_since < rebalance_pause
         || std::any_of(c.s.shards.begin(), c.s.shards.end(),
                        [](shard_state const& each) {
--- a/src/jaydrift/soak/daemon_processes.cpp
+++ b/src/jaydrift/soak/daemon_processes.cpp
@@ -79,8 +79,7 @@
     codec::put_field(out, "status_s", 120);
     out.EndObject();
     out.EndObject();
-    auto const path =
-        settings_.folder + "/d" + std::to_string(daemon) + ".json";
+    auto path = settings_.folder + "/d" + std::to_string(daemon) + ".json";
     std::ofstream(path) << codec::text_of(buffer);
     return path;
 }
