Leave a shard to large daemons that start a little later

The exclusion of the last successor also outlived its reason. Change: a daemon with three times the load of the best candidate claims 1.5 s later; the successor that was asked last comes last instead of never.

--- a/include/jaydrift/schedule/candidates.hpp
+++ b/include/jaydrift/schedule/candidates.hpp
@@ -22,8 +22,8 @@
 double own_load(shard_context const& c);
 
 /// Returns the first candidate that has just answered, or none. The store must
-/// have answered it since the given time. The one that was asked last and did
-/// not succeed is left out.
+/// have answered it since the given time. The one that was asked last comes
+/// last.
 std::optional<candidate> best_peer(shard_context const& c,
                                    time_ms store_heard_since);
 
--- a/src/jaydrift/schedule/candidates.cpp
+++ b/src/jaydrift/schedule/candidates.cpp
@@ -25,6 +25,11 @@
 /// delays heartbeats, and those in the owner's region know better.
 constexpr time_ms other_region_delay{600};
 
+/// A daemon that would be so much more loaded than the best candidate waits for
+/// those that are about to start again: it may be too small for the shard.
+constexpr double weak_factor = 3.0;
+constexpr time_ms weak_delay{1500};
+
 using owned_shards = std::map<std::string_view, std::uint32_t>;
 
 /// Counts the other shards of each daemon.
@@ -98,17 +103,19 @@
 std::optional<candidate> best_peer(shard_context const& c,
                                    time_ms store_heard_since)
 {
-    auto const& roster = c.shard.owner.roster.nodes;
-    auto const all = ranked(c);
-    auto const found =
-        std::find_if(all.begin(), all.end(), [&](candidate const& each) {
-            return each.member && roster.contains(each.node)
-                   && !each.member->stopping
-                   && each.member->address != c.shard.owner.successor
-                   && c.now - each.member->heard_at < peer_fresh
-                   && each.member->store_heard_at >= store_heard_since;
-        });
-    return found == all.end() ? std::nullopt : std::optional(*found);
+    auto const& owner = c.shard.owner;
+    auto able = ranked(c);
+    std::erase_if(able, [&](candidate const& each) {
+        return !each.member || !owner.roster.nodes.contains(each.node)
+               || each.member->stopping
+               || c.now - each.member->heard_at >= peer_fresh
+               || each.member->store_heard_at < store_heard_since;
+    });
+    // One that was asked before and did not succeed comes last.
+    std::stable_partition(able.begin(), able.end(), [&](auto const& each) {
+        return each.member->address != owner.successor;
+    });
+    return able.empty() ? std::nullopt : std::optional(able.front());
 }
 
 time_ms claim_delay(shard_context const& c)
@@ -127,8 +134,10 @@
                      [](candidate const& each) { return !each.member; });
     auto const rank =
         std::min(last_claim_rank, static_cast<std::size_t>(self - all.begin()));
+    auto const weak = self->load > weak_factor * all.front().load;
     return claim_rank_delay * static_cast<std::int64_t>(rank)
-           + (far ? other_region_delay : time_ms(0));
+           + (far ? other_region_delay : time_ms(0))
+           + (weak ? weak_delay : time_ms(0));
 }
 
 } // namespace jaydrift::schedule::candidates
--- a/src/jaydrift/schedule/deployment_test.cpp
+++ b/src/jaydrift/schedule/deployment_test.cpp
@@ -416,6 +416,30 @@
     expect_no_violation(world);
 }
 
+// Guards against a small daemon that comes back first after all have died: it
+// could not carry the shard, and nobody succeeds an owner that lives.
+TEST(deployment, a_small_daemon_leaves_the_shard_to_large_ones)
+{
+    simulated_deployment world(3, 4, 18);
+    world.run_until(time_ms(4000));
+    auto const owner = world.owner();
+    ASSERT_TRUE(owner);
+    auto const small = (*owner + 1) % 3;
+    world.kill(small);
+    world.shares[small] = 0.07;
+    world.start(small);
+    world.run_until(time_ms(6000));
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        world.kill(i);
+    }
+    world.start(small);
+    world.run_until(time_ms(7000));
+    world.start((*owner + 2) % 3);
+    world.run_until(time_ms(9500));
+    EXPECT_EQ(world.owner(), (*owner + 2) % 3);
+}
+
 // Soak seed 35 with two shards: an owner that stopped asked a daemon that
 // stopped as well to succeed it, again and again, and broke its calls off.
 TEST(deployment, a_stopping_owner_yields_to_a_daemon_that_stays)
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -34,6 +34,7 @@
 
 /// An owner that the store shuts out yields to a peer that reaches it.
 constexpr time_ms yield_after{500};
+
 /// Shards move from loaded daemons to idle ones at this pace at most, since a
 /// move stops the shard's starts for a fraction of a second.
 constexpr time_ms rebalance_pause{5000};
@@ -90,6 +91,7 @@
 {
     if (!holds_shard(c.shard.owner.role))
     {
+        c.shard.owner.successor.clear();
         enter(c, owner_role::recovering, "record swapped");
         recovery::begin(c);
     }
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -129,6 +129,8 @@
     options.node = "d" + std::to_string(daemon);
     options.address = address_of(daemon);
     auto const region = regions.find(daemon);
+    auto const share = shares.find(daemon);
+    options.cpu_share = share == shares.end() ? 1.0 : share->second;
     options.region = region == regions.end() ? "north" : region->second;
     options.incarnation = random_.next();
     auto& process = daemons_[daemon];
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -73,6 +73,9 @@
     /// Regions of daemons that start from now on; "north" if absent.
     std::map<std::size_t, std::string> regions;
 
+    /// Shares of a core of daemons that start from now on; 1 if absent.
+    std::map<std::size_t, double> shares;
+
     /// Daemons that the store does not answer.
     std::set<std::size_t> shut_out;
 
