Move the choice of a worker into a file of its own

The code is moved, not changed: choose takes the workers that are kept free instead of the pass, and the comment of last_tolerance says by itself what it is.

--- /dev/null
+++ b/include/jaydrift/schedule/placement_request.hpp
@@ -0,0 +1,39 @@
+#ifndef JAYDRIFT_SCHEDULE_PLACEMENT_REQUEST_HPP
+#define JAYDRIFT_SCHEDULE_PLACEMENT_REQUEST_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/task_id.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace jaydrift::schedule {
+
+struct step_spec;
+
+/// Tail latency of serving neighbours, relative to their target, up to which an
+/// opportunistic task may start before its objective has passed.
+inline constexpr double first_tolerance = 0.7;
+
+/// A task that needs a worker.
+struct placement_request
+{
+    task_id id;
+    step_spec const& spec;
+    std::string_view service;
+
+    /// Worker to avoid, since the task failed there; empty if there is none.
+    std::string const& failed_on;
+    time_ms waiting_since;
+
+    /// Rack where the task runs fastest; empty if there is none.
+    std::string_view rack;
+
+    /// Tail latency of serving neighbours, relative to their target, up to
+    /// which the task may start.
+    double tolerance = first_tolerance;
+};
+
+} // namespace jaydrift::schedule
+
+#endif // JAYDRIFT_SCHEDULE_PLACEMENT_REQUEST_HPP
--- /dev/null
+++ b/include/jaydrift/schedule/worker_choice.hpp
@@ -0,0 +1,43 @@
+#ifndef JAYDRIFT_SCHEDULE_WORKER_CHOICE_HPP
+#define JAYDRIFT_SCHEDULE_WORKER_CHOICE_HPP
+
+#include <cstddef>
+#include <set>
+#include <string_view>
+
+namespace jaydrift::schedule {
+
+struct placement_request;
+struct shard_context;
+struct step_spec;
+struct step_state;
+struct submission_state;
+struct task_id;
+struct worker_state;
+
+/// Chooses a worker for one task.
+namespace worker_choice {
+
+/// Returns the tolerance for the tasks of a submission. Tasks that have waited
+/// for long are started also where they disturb others, and paced there.
+double tolerance_of(shard_context const& ctx,
+                    submission_state const& submission);
+
+/// Returns the rack of the data or, for a step that runs fastest on one rack,
+/// the rack of its first task that has a place. Empty if there is none.
+std::string_view rack_for(shard_context const& ctx, step_spec const& spec,
+                          step_state const& step);
+
+/// Counts the runs of the step of a task on a worker.
+std::size_t tasks_of_step_on(worker_state const& worker, task_id const& id);
+
+/// Returns the worker that suits the task best; null if none suits. Urgent
+/// tasks get none of the workers in `kept_free`.
+worker_state* choose(shard_context& ctx, placement_request const& request,
+                     std::set<std::string_view> const& kept_free);
+
+} // namespace worker_choice
+
+} // namespace jaydrift::schedule
+
+#endif // JAYDRIFT_SCHEDULE_WORKER_CHOICE_HPP
--- /dev/null
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -0,0 +1,221 @@
+#include <jaydrift/schedule/worker_choice.hpp>
+
+#include <jaydrift/schedule/interference.hpp>
+#include <jaydrift/schedule/placement_request.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/workers.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace jaydrift::schedule::worker_choice {
+
+namespace {
+
+/// Share of their declared processors that long-running tasks are expected to
+/// use, whether or not they have a latency target. Serving tasks use about
+/// half; opportunistic tasks get the rest.
+constexpr double serving_use = 0.6;
+
+/// An opportunistic task starts only where at least this share of its demand is
+/// left over.
+constexpr double min_leftover_share = 0.5;
+
+/// Highest tolerance, reached `tolerance_ramp` after the objective; from the
+/// objective on, the tolerance rises evenly.
+constexpr double last_tolerance = 0.8;
+constexpr time_ms tolerance_ramp{10000};
+
+/// Added to a worker's score for a long-running task, times the result of
+/// `same_image_balance`.
+constexpr double same_image_bonus = 2.0;
+
+/// Added to the score of a worker on the rack where the task runs fastest.
+constexpr double rack_bonus = 4.0;
+
+/// Taken from the score of the worker on which the task failed last.
+constexpr double failed_worker_penalty = 2.0;
+
+/// Long-running tasks leave this share of a worker's processors to urgent
+/// tasks.
+constexpr double urgent_reserve = 0.08;
+
+/// A long-running task that has waited for this long may use that share as
+/// well.
+constexpr time_ms max_wait_for_reserve{1000};
+
+/// Returns the millicores of a worker that its tasks are expected to leave
+/// unused.
+double leftover_millicores(worker_state const& worker)
+{
+    auto const others = worker.used.millicores - worker.long_running_millicores;
+    return static_cast<double>(worker.entry.capacity.millicores - others
+                               - worker.opportunistic_millicores)
+           - serving_use * static_cast<double>(worker.long_running_millicores);
+}
+
+/// Returns by how much long-running tasks of the image outnumber those of other
+/// images on the worker, from -1 (none has the image) to 1 (all have it); 0 if
+/// there are no long-running tasks.
+double same_image_balance(worker_state const& worker, std::string_view image)
+{
+    auto same = 0;
+    auto others = 0;
+    for (auto const& [id, run] : worker.runs)
+    {
+        if (run.long_running)
+        {
+            ++(run.image == image ? same : others);
+        }
+    }
+    return same + others == 0
+               ? 0.0
+               : static_cast<double>(same - others) / (same + others);
+}
+
+/// Returns the score of a worker for the task. The highest one is best; absent
+/// if the task must not run there.
+std::optional<double> score(shard_context const& ctx, worker_state& worker,
+                            placement_request const& request)
+{
+    auto const& spec = request.spec;
+    auto const& entry = worker.entry;
+    if (!workers::usable(ctx, worker)
+        || !workers::matches_step(entry, request.service, spec))
+    {
+        return std::nullopt;
+    }
+    auto demand = spec.demand;
+    if (spec.opportunistic)
+    {
+        demand.millicores = 0;
+    }
+    auto const free = entry.capacity - worker.used;
+    if (!fits(demand, free)
+        || (spec.max_per_worker > 0
+            && tasks_of_step_on(worker, request.id) >= spec.max_per_worker))
+    {
+        return std::nullopt;
+    }
+    auto const capacity = static_cast<double>(
+        std::max<std::int64_t>(1, entry.capacity.millicores));
+    auto value = 0.0;
+    if (spec.opportunistic)
+    {
+        auto const left = leftover_millicores(worker);
+        auto const demand_share =
+            static_cast<double>(spec.demand.millicores) / capacity;
+        auto const tail = interference::expected_tail(
+            ctx.shard.interference, worker, spec.image, demand_share);
+        if (left / capacity < min_leftover_share * demand_share
+            || tail > request.tolerance)
+        {
+            return std::nullopt;
+        }
+        value = left / capacity - tail;
+    }
+    else
+    {
+        auto const after =
+            static_cast<double>(free.millicores - demand.millicores) / capacity;
+        if (spec.long_running && after < urgent_reserve
+            && ctx.now - request.waiting_since < max_wait_for_reserve)
+        {
+            return std::nullopt;
+        }
+        // Urgent tasks are packed tightly. Long-running tasks join others of
+        // their image, so that opportunistic tasks find workers where they
+        // disturb nobody.
+        value = spec.long_running
+                    ? after
+                          + same_image_bonus
+                                * same_image_balance(worker, spec.image)
+                    : 1.0 - after;
+    }
+    if (!request.rack.empty() && workers::has_label(entry, request.rack))
+    {
+        value += rack_bonus;
+    }
+    if (entry.id == request.failed_on)
+    {
+        value -= failed_worker_penalty;
+    }
+    return value;
+}
+
+} // namespace
+
+double tolerance_of(shard_context const& ctx,
+                    submission_state const& submission)
+{
+    auto const late = ctx.now - submission.objective;
+    if (late <= time_ms(0))
+    {
+        return first_tolerance;
+    }
+    auto const share =
+        std::min(1.0, static_cast<double>(late.count())
+                          / static_cast<double>(tolerance_ramp.count()));
+    return first_tolerance + share * (last_tolerance - first_tolerance);
+}
+
+std::string_view rack_for(shard_context const& ctx, step_spec const& spec,
+                          step_state const& step)
+{
+    if (!spec.data_rack.empty() || !spec.same_rack)
+    {
+        return spec.data_rack;
+    }
+    for (auto const& task : step.tasks)
+    {
+        auto const worker = task.place
+                                ? ctx.shard.workers.find(task.place->worker)
+                                : ctx.shard.workers.end();
+        if (worker != ctx.shard.workers.end()
+            && !worker->second.entry.labels.empty())
+        {
+            return worker->second.entry.labels.back();
+        }
+    }
+    return {};
+}
+
+std::size_t tasks_of_step_on(worker_state const& worker, task_id const& id)
+{
+    run_id first{{id.submission, id.occurrence, id.step, 0}, 0};
+    std::size_t count = 0;
+    for (auto run = worker.runs.lower_bound(first);
+         run != worker.runs.end() && run->first.task.submission == id.submission
+         && run->first.task.occurrence == id.occurrence
+         && run->first.task.step == id.step;
+         ++run)
+    {
+        ++count;
+    }
+    return count;
+}
+
+worker_state* choose(shard_context& ctx, placement_request const& request,
+                     std::set<std::string_view> const& kept_free)
+{
+    worker_state* best = nullptr;
+    auto best_value = 0.0;
+    auto const urgent =
+        !request.spec.opportunistic && !request.spec.long_running;
+    for (auto& [id, worker] : ctx.shard.workers)
+    {
+        if (urgent && kept_free.contains(id))
+        {
+            continue;
+        }
+        auto const value = score(ctx, worker, request);
+        if (value && (!best || *value > best_value))
+        {
+            best = &worker;
+            best_value = *value;
+        }
+    }
+    return best;
+}
+
+} // namespace jaydrift::schedule::worker_choice
