Keep the reason why the tasks of a step wait

A ready task that is not started left no trace: the choice of a worker returned null, whatever had spoken against each worker, and a step did not know since when it was ready (waiting_since of a task is the time at which it was added or lost its place).

The choice now returns the refusal of the worker that came nearest, as wait_reason; the pass keeps it in the step, together with the reasons of its own: pause, an earlier owner, skipped because of an earlier request, end of the pass, incomplete gang. The step also keeps since when it is ready, under this owner. A refusal costs one byte and a comparison, no allocation.

No decision changes. The service and label of a worker are compared before its state, so that the order of the reasons is the order of the checks; both must hold as before. The expected tail is still computed before the check of the processors that are left, since the result is cached in the worker.

--- a/include/jaydrift/schedule/step_state.hpp
+++ b/include/jaydrift/schedule/step_state.hpp
@@ -1,7 +1,9 @@
 #ifndef JAYDRIFT_SCHEDULE_STEP_STATE_HPP
 #define JAYDRIFT_SCHEDULE_STEP_STATE_HPP
 
+#include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/task_state.hpp>
+#include <jaydrift/schedule/wait_reason.hpp>
 
 #include <cstdint>
 #include <vector>
@@ -21,6 +23,14 @@
 
     /// All steps that it comes after are done.
     bool ready = false;
+
+    /// Time at which this owner saw the step become ready. A task of the step
+    /// waits since then or since its `waiting_since`, whichever is later.
+    time_ms ready_since;
+
+    /// Why its waiting tasks are not started, as the last pass found that tried
+    /// to place one.
+    wait_reason reason = wait_reason::not_tried;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/worker_choice.hpp
+++ b/include/jaydrift/schedule/worker_choice.hpp
@@ -1,6 +1,8 @@
 #ifndef JAYDRIFT_SCHEDULE_WORKER_CHOICE_HPP
 #define JAYDRIFT_SCHEDULE_WORKER_CHOICE_HPP
 
+#include <jaydrift/schedule/chosen_worker.hpp>
+
 #include <cstddef>
 #include <set>
 #include <string_view>
@@ -31,9 +33,9 @@
 /// Counts the runs of the step of a task on a worker.
 std::size_t tasks_of_step_on(worker_state const& worker, task_id const& id);
 
-/// Returns the worker that suits the task best; null if none suits. Urgent
-/// tasks get none of the workers in `kept_free`.
-worker_state* choose(shard_context& ctx, placement_request const& request,
+/// Returns the worker that suits the task best, or why none suits. Urgent tasks
+/// get none of the workers in `kept_free`.
+chosen_worker choose(shard_context& ctx, placement_request const& request,
                      std::set<std::string_view> const& kept_free);
 
 } // namespace worker_choice
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -205,13 +206,21 @@
     workers::add_run(worker, {id, number}, std::move(run));
 }
 
-/// Returns whether a task may be placed now. A task that an earlier owner may
-/// have started waits as long as workers are unaccounted for.
-bool may_start(shard_context const& ctx, task_state const& task,
-               bool unaccounted)
+/// Returns why a waiting task may not be placed now; absent if it may. A task
+/// that an earlier owner may have started waits as long as workers are
+/// unaccounted for.
+std::optional<wait_reason> hindrance(shard_context const& ctx,
+                                     task_state const& task, bool unaccounted)
 {
-    return !task.done && !task.place && ctx.now >= task.not_before
-           && !(task.maybe_running && unaccounted);
+    if (task.maybe_running && unaccounted)
+    {
+        return wait_reason::maybe_running;
+    }
+    if (ctx.now < task.not_before)
+    {
+        return wait_reason::paused;
+    }
+    return std::nullopt;
 }
 
 /// Sends the start orders of all members of a gang under one run number, or
@@ -226,8 +235,14 @@
     std::uint64_t number = 0;
     for (auto const& task : step.tasks)
     {
-        if (!may_start(ctx, task, pass.unaccounted))
+        if (task.done || task.place)
+        {
+            step.reason = wait_reason::incomplete_gang;
+            return;
+        }
+        if (auto const held = hindrance(ctx, task, pass.unaccounted))
         {
+            step.reason = *held;
             return;
         }
         number = std::max(number, next_run(ctx, task));
@@ -236,18 +251,20 @@
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         task_id const id{submission.id, occurrence_index, step_index, i};
-        auto* const worker = worker_choice::choose(
+        auto const choice = worker_choice::choose(
             ctx,
             {id, spec, submission.service, step.tasks[i].failed_on,
              step.tasks[i].waiting_since,
              worker_choice::rack_for(ctx, spec, step)},
             pass.kept_free);
-        if (!worker)
+        if (!choice.worker)
         {
+            step.reason =
+                i == 0 ? choice.refusal : wait_reason::incomplete_gang;
             break;
         }
-        reserve(ctx, submission, id, *worker, number);
-        members.emplace_back(run_id{id, number}, worker);
+        reserve(ctx, submission, id, *choice.worker, number);
+        members.emplace_back(run_id{id, number}, choice.worker);
     }
     auto const complete = members.size() == step.tasks.size();
     for (auto const& [id, worker] : members)
@@ -286,15 +303,25 @@
     auto& step = submission.occurrences[occurrence_index].steps[step_index];
     auto const& spec = submission.work.steps[step_index];
     std::size_t started = 0;
-    if (is_unplaceable(pass, spec) || (spec.opportunistic && !pass.full))
+    if (spec.opportunistic && !pass.full)
+    {
+        return;
+    }
+    if (is_unplaceable(pass, spec))
     {
+        step.reason = wait_reason::skipped;
         return;
     }
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         auto& task = step.tasks[i];
-        if (!may_start(ctx, task, pass.unaccounted))
+        if (task.done || task.place)
+        {
+            continue;
+        }
+        if (auto const held = hindrance(ctx, task, pass.unaccounted))
         {
+            step.reason = *held;
             continue;
         }
         task_id const id{submission.id, occurrence_index, step_index, i};
@@ -306,10 +333,10 @@
             task.waiting_since,
             worker_choice::rack_for(ctx, spec, step),
             worker_choice::tolerance_of(ctx, submission)};
-        auto* const worker =
-            worker_choice::choose(ctx, request, pass.kept_free);
-        if (!worker)
+        auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
+        if (!choice.worker)
         {
+            step.reason = choice.refusal;
             keep_worker_free(pass, request);
             if (spec.opportunistic)
             {
@@ -318,8 +345,8 @@
             break;
         }
         auto const number = next_run(ctx, task);
-        reserve(ctx, submission, id, *worker, number);
-        workers::start(ctx, *worker, {id, number});
+        reserve(ctx, submission, id, *choice.worker, number);
+        workers::start(ctx, *choice.worker, {id, number});
         ++pass.starts;
         ++started;
     }
@@ -335,6 +362,21 @@
     }
 }
 
+/// Notes that the pass has ended before the tasks of a submission.
+void note_pass_ended(submission_state& submission)
+{
+    for (auto& occurrence : submission.occurrences)
+    {
+        for (auto& step : occurrence.steps)
+        {
+            if (step.ready)
+            {
+                step.reason = wait_reason::pass_ended;
+            }
+        }
+    }
+}
+
 /// Starts the tasks of all ready steps of a submission that find a worker.
 void start_tasks(placement_pass& pass, submission_state& submission)
 {
@@ -410,7 +452,8 @@
         if (pass.starts >= starts_per_pass)
         {
             ctx.shard.placement_due = true;
-            break;
+            note_pass_ended(*submission);
+            continue;
         }
         start_tasks(pass, *submission);
     }
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -67,7 +67,7 @@
 
 /// Marks the steps whose earlier steps are done as ready.
 void mark_ready_steps(submission_state& submission,
-                      occurrence_state& occurrence)
+                      occurrence_state& occurrence, time_ms now)
 {
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
     {
@@ -82,6 +82,7 @@
             continue;
         }
         step.ready = true;
+        step.ready_since = now;
         submission.waiting_tasks += step.waiting_tasks;
     }
 }
@@ -99,7 +100,7 @@
         }
         step.waiting_tasks = spec.count;
     }
-    mark_ready_steps(submission, occurrence);
+    mark_ready_steps(submission, occurrence, now);
 }
 
 /// Returns how many occurrences of a submission have been due so far.
@@ -320,7 +321,10 @@
     {
         return;
     }
-    ++step.waiting_tasks;
+    if (step.waiting_tasks++ == 0)
+    {
+        step.reason = wait_reason::not_tried;
+    }
     if (step.ready && !ended(submission.phase))
     {
         ++submission.waiting_tasks;
@@ -377,7 +381,7 @@
     ++occurrence.steps_done;
     if (!ended(submission.phase))
     {
-        mark_ready_steps(submission, occurrence);
+        mark_ready_steps(submission, occurrence, ctx.now);
         ctx.shard.placement_due = true;
     }
     auto const complete =
--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -6,7 +6,7 @@
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
-#include <optional>
+#include <variant>
 
 namespace jaydrift::schedule::worker_choice {
 
@@ -73,17 +73,26 @@
                : static_cast<double>(same - others) / (same + others);
 }
 
-/// Returns the score of a worker for the task. The highest one is best; absent
-/// if the task must not run there.
-std::optional<double> score(shard_context const& ctx, worker_state& worker,
-                            placement_request const& request)
+/// Score of a worker for a task, or why the task must not run there.
+using score_or_refusal = std::variant<double, wait_reason>;
+
+/// Returns the score of a worker for the task; the highest one is best.
+score_or_refusal score(shard_context const& ctx, worker_state& worker,
+                       placement_request const& request, bool kept_free)
 {
     auto const& spec = request.spec;
     auto const& entry = worker.entry;
-    if (!workers::usable(ctx, worker)
-        || !workers::matches_step(entry, request.service, spec))
+    if (!workers::matches_step(entry, request.service, spec))
+    {
+        return wait_reason::no_worker;
+    }
+    if (!workers::usable(ctx, worker))
+    {
+        return wait_reason::no_usable_worker;
+    }
+    if (kept_free)
     {
-        return std::nullopt;
+        return wait_reason::kept_free;
     }
     auto demand = spec.demand;
     if (spec.opportunistic)
@@ -91,11 +100,16 @@
         demand.millicores = 0;
     }
     auto const free = entry.capacity - worker.used;
-    if (!fits(demand, free)
-        || (spec.max_per_worker > 0
-            && tasks_of_step_on(worker, request.id) >= spec.max_per_worker))
+    if (!fits(demand, free))
     {
-        return std::nullopt;
+        demand.millicores = free.millicores;
+        return fits(demand, free) ? wait_reason::processors
+                                  : wait_reason::memory;
+    }
+    if (spec.max_per_worker > 0
+        && tasks_of_step_on(worker, request.id) >= spec.max_per_worker)
+    {
+        return wait_reason::step_limit;
     }
     auto const capacity = static_cast<double>(
         std::max<std::int64_t>(1, entry.capacity.millicores));
@@ -107,10 +121,13 @@
             static_cast<double>(spec.demand.millicores) / capacity;
         auto const tail = interference::expected_tail(
             ctx.shard.interference, worker, spec.image, demand_share);
-        if (left / capacity < min_leftover_share * demand_share
-            || tail > request.tolerance)
+        if (left / capacity < min_leftover_share * demand_share)
+        {
+            return wait_reason::leftover;
+        }
+        if (tail > request.tolerance)
         {
-            return std::nullopt;
+            return wait_reason::tail;
         }
         value = left / capacity - tail;
     }
@@ -121,7 +138,7 @@
         if (spec.long_running && after < urgent_reserve
             && ctx.now - request.waiting_since < max_wait_for_reserve)
         {
-            return std::nullopt;
+            return wait_reason::urgent_reserve;
         }
         // Urgent tasks are packed tightly. Long-running tasks join others of
         // their image, so that opportunistic tasks find workers where they
@@ -195,24 +212,27 @@
     return count;
 }
 
-worker_state* choose(shard_context& ctx, placement_request const& request,
+chosen_worker choose(shard_context& ctx, placement_request const& request,
                      std::set<std::string_view> const& kept_free)
 {
-    worker_state* best = nullptr;
+    chosen_worker best;
     auto best_value = 0.0;
     auto const urgent =
         !request.spec.opportunistic && !request.spec.long_running;
     for (auto& [id, worker] : ctx.shard.workers)
     {
-        if (urgent && kept_free.contains(id))
+        auto const result =
+            score(ctx, worker, request, urgent && kept_free.contains(id));
+        if (auto const* const refusal = std::get_if<wait_reason>(&result))
         {
+            best.refusal = std::max(best.refusal, *refusal);
             continue;
         }
-        auto const value = score(ctx, worker, request);
-        if (value && (!best || *value > best_value))
+        auto const value = std::get<double>(result);
+        if (!best.worker || value > best_value)
         {
-            best = &worker;
-            best_value = *value;
+            best.worker = &worker;
+            best_value = value;
         }
     }
     return best;
