Let simulated workers show interference

Tests of pacing and of refusals for expected interference need workers whose serving tasks report a tail latency. If a test asks for it, a worker reports one that grows with the exponent of a weight times the share of the worker that opportunistic neighbours use at their pace; it obeys pace orders, its runs progress with their pace and resume from their checkpoint, and long-running ones do not end by themselves.

--- a/src/jaydrift/schedule/deployment_test.cpp
+++ b/src/jaydrift/schedule/deployment_test.cpp
@@ -10,13 +10,6 @@
 /// Differs from the results of id_of(), which have decimal digits only.
 constexpr char const* first_id = "00000000000000a1";
 
-/// Returns a number as the ID of a submission.
-std::string id_of(int number)
-{
-    auto text = std::to_string(number);
-    return std::string(16 - text.size(), '0') + text;
-}
-
 /// Asks daemon 1 for the state of the submission.
 void expect_completed(simulated_deployment& deployment, std::string const& id)
 {
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -53,6 +53,12 @@
 
 } // namespace
 
+std::string id_of(int number)
+{
+    auto text = std::to_string(number);
+    return std::string(16 - text.size(), '0') + text;
+}
+
 submission chain_of(std::vector<std::uint32_t> const& tasks_per_step)
 {
     submission work;
@@ -94,7 +100,11 @@
     for (std::size_t i = 0; i < workers; ++i)
     {
         workers_.push_back(std::make_unique<simulated_worker>(
-            entry_of(i), events, random_.next()));
+            entry_of(i), events,
+            [this](task_id const& id) -> step_spec const& {
+                return submissions_.at(id.submission).steps[id.step];
+            },
+            random_.next()));
         list_worker(i);
     }
     daemons_.resize(daemons);
@@ -518,6 +528,25 @@
     return answers[id];
 }
 
+bool simulated_deployment::runs_any(std::string const& submission) const
+{
+    for (auto each = history_.lower_bound({submission, 0, 0, 0});
+         each != history_.end() && each->first.submission == submission; ++each)
+    {
+        if (!each->second.running.empty())
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::size_t simulated_deployment::starts(task_id const& task) const
+{
+    auto const found = history_.find(task);
+    return found == history_.end() ? 0 : found->second.starts;
+}
+
 void simulated_deployment::note_start(std::string const& worker,
                                       run_id const& id)
 {
@@ -550,6 +579,7 @@
         }
     }
     history.running[id.number] = worker;
+    ++history.starts;
 }
 
 void simulated_deployment::note_end(run_id const& id, run_outcome outcome)
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -61,6 +61,12 @@
     simulated_worker& worker(std::size_t number) { return *workers_[number]; }
     std::size_t worker_count() const { return workers_.size(); }
 
+    /// Returns whether a worker runs a task of the submission.
+    bool runs_any(std::string const& submission) const;
+
+    /// Returns how often a task has started on a worker.
+    std::size_t starts(task_id const& task) const;
+
     /// Ends a worker's process; a new one starts after `down`.
     void crash(std::size_t number, time_ms down);
 
@@ -111,10 +117,11 @@
     };
 
     /// What the workers have told of a task: its runs by number, with their
-    /// workers, and its end.
+    /// workers, how often it started, and its end.
     struct task_history
     {
         std::map<std::uint64_t, std::string> running;
+        std::size_t starts = 0;
         bool done = false;
         bool acknowledged = false;
     };
@@ -194,6 +201,9 @@
     std::map<std::uint64_t, simulated_call> calls_;
 };
 
+/// Returns a number as the ID of a submission.
+std::string id_of(int number);
+
 /// Returns a submission of steps with the given numbers of tasks, each step
 /// after the one before.
 submission chain_of(std::vector<std::uint32_t> const& tasks_per_step);
--- a/src/jaydrift/schedule/simulated_worker_test.cpp
+++ b/src/jaydrift/schedule/simulated_worker_test.cpp
@@ -1,6 +1,7 @@
 #include "simulated_worker_test.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace jaydrift::schedule::testing {
@@ -16,11 +17,14 @@
 constexpr std::int64_t ms_per_percent = 11;
 constexpr std::int64_t max_progress_percent = 99;
 
+constexpr std::int64_t percent = 100;
+
 } // namespace
 
 simulated_worker::simulated_worker(worker_entry entry, observer events,
-                                   std::uint64_t seed)
-    : entry_(std::move(entry)), events_(std::move(events)), random_(seed)
+                                   step_lookup step_of, std::uint64_t seed)
+    : entry_(std::move(entry)), events_(std::move(events)),
+      step_of_(std::move(step_of)), random_(seed)
 {
     entry_.process_started_at = time_ms(1);
 }
@@ -55,36 +59,85 @@
         }
         return reply(worker_status::ok, now);
     }
-    auto const* const hold = std::get_if<hold_order>(&call.order);
-    if (!hold)
+    if (auto const* const order = std::get_if<pace_order>(&call.order))
     {
+        auto const found = runs_.find(order->run);
+        if (found != runs_.end())
+        {
+            found->second.pace_percent = order->pace_percent;
+        }
         return reply(worker_status::ok, now);
     }
-    if (hold->lease_until)
+    auto const& hold = std::get<hold_order>(call.order);
+    if (hold.lease_until)
     {
         lease_until_ =
             std::max(lease_until_,
-                     std::min(*hold->lease_until, clock(now) + longest_lease));
+                     std::min(*hold.lease_until, clock(now) + longest_lease));
     }
-    acknowledge(hold->acknowledged_end);
+    acknowledge(hold.acknowledged_end);
     auto result = reply(worker_status::ok, now);
     result.process_started_at = entry_.process_started_at;
-    for (auto const& [id, run] : runs_)
+    for (auto const& [id, each] : runs_)
     {
-        auto const left = (run.done_at - now).count();
-        result.running.push_back(
-            {id,
-             {},
-             static_cast<std::uint32_t>(
-                 max_progress_percent
-                 - std::min<std::int64_t>(max_progress_percent,
-                                          left / ms_per_percent)),
-             run.demand.millicores});
+        result.running.push_back(interference ? report(id, each)
+                                              : timed_report(id, each, now));
     }
     result.ended = ended_;
     return result;
 }
 
+reported_run simulated_worker::timed_report(run_id const& id, run const& each,
+                                            time_ms now) const
+{
+    auto const left = (each.done_at - now).count();
+    return {id,
+            {},
+            static_cast<std::uint32_t>(
+                max_progress_percent
+                - std::min<std::int64_t>(max_progress_percent,
+                                         left / ms_per_percent)),
+            0};
+}
+
+reported_run simulated_worker::report(run_id const& id, run const& each) const
+{
+    auto const& spec = each.spec;
+    reported_run result;
+    result.run = id;
+    result.progress_percent = static_cast<std::uint32_t>(
+        spec.long_running
+            ? percent
+            : each.worked / std::max<std::int64_t>(1, spec.estimate.count()));
+    if (spec.checkpoints)
+    {
+        result.checkpoint = std::to_string(each.worked);
+    }
+    result.load =
+        spec.latency_target > time_ms(0)
+            ? std::llround(static_cast<double>(spec.latency_target.count())
+                           * relative_tail())
+            : spec.demand.millicores * each.pace_percent / percent;
+    return result;
+}
+
+double simulated_worker::relative_tail() const
+{
+    std::int64_t millicore_percents = 0;
+    for (auto const& [id, each] : runs_)
+    {
+        if (each.spec.opportunistic)
+        {
+            millicore_percents +=
+                each.spec.demand.millicores * each.pace_percent;
+        }
+    }
+    auto const share = static_cast<double>(millicore_percents)
+                       / static_cast<double>(percent)
+                       / static_cast<double>(entry_.capacity.millicores);
+    return interference->idle_tail * std::exp(interference->weight * share);
+}
+
 worker_status simulated_worker::start(start_order const& order, time_ms now)
 {
     lease_until_ = std::max(
@@ -109,6 +162,11 @@
         + time_ms(static_cast<std::int64_t>(random_.below(run_spread_ms)));
     added.outcome = random_.below(100) < failing_percent ? run_outcome::failed
                                                          : run_outcome::done;
+    added.spec = step_of_(order.run.task);
+    if (!order.checkpoint.empty())
+    {
+        added.worked = std::stoll(order.checkpoint);
+    }
     runs_.emplace(order.run, added);
     events_.started(entry_.id, order.run);
     return worker_status::ok;
@@ -134,14 +192,26 @@
     });
 }
 
+bool simulated_worker::is_done(run const& each, time_ms now) const
+{
+    if (!interference)
+    {
+        return each.done_at <= now;
+    }
+    return !each.spec.long_running
+           && each.worked >= each.spec.estimate.count() * percent;
+}
+
 void simulated_worker::advance(time_ms now)
 {
+    auto const passed = now - std::exchange(advanced_to_, now);
     std::vector<std::pair<run_id, run_outcome>> finished;
-    for (auto const& [id, run] : runs_)
+    for (auto& [id, each] : runs_)
     {
-        if (run.done_at <= now)
+        each.worked += passed.count() * each.pace_percent;
+        if (is_done(each, now))
         {
-            finished.emplace_back(id, run.outcome);
+            finished.emplace_back(id, each.outcome);
         }
         else if (lease_until_ < clock(now))
         {
--- a/src/jaydrift/schedule/simulated_worker_test.hpp
+++ b/src/jaydrift/schedule/simulated_worker_test.hpp
@@ -1,8 +1,11 @@
 #ifndef JAYDRIFT_SCHEDULE_SIMULATED_WORKER_TEST_HPP
 #define JAYDRIFT_SCHEDULE_SIMULATED_WORKER_TEST_HPP
 
+#include "simulated_interference_test.hpp"
+
 #include <jaydrift/core/random.hpp>
 #include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/step_spec.hpp>
 #include <jaydrift/schedule/worker_call.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
 #include <jaydrift/schedule/worker_replied.hpp>
@@ -10,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,7 +35,11 @@
         std::function<void(run_id const&)> acknowledged;
     };
 
-    simulated_worker(worker_entry entry, observer events, std::uint64_t seed);
+    /// Returns the step of a task.
+    using step_lookup = std::function<step_spec const&(task_id const&)>;
+
+    simulated_worker(worker_entry entry, observer events, step_lookup step_of,
+                     std::uint64_t seed);
 
     /// Carries an order out and returns the reply.
     worker_replied execute(worker_call const& call, time_ms now);
@@ -47,6 +55,11 @@
     /// Share of runs that fail, in percent.
     std::uint64_t failing_percent = 0;
 
+    /// If present, runs last for the estimate of their step at full pace and
+    /// report what they use, and long-running ones do not end by themselves.
+    /// Otherwise all runs end after a random time and report no load.
+    std::optional<simulated_interference> interference;
+
     /// Orders reach the worker.
     bool reachable = true;
 
@@ -58,21 +71,38 @@
     {
         time_ms done_at;
         run_outcome outcome = run_outcome::done;
-        resources demand;
+        step_spec spec;
+        std::uint32_t pace_percent = 100;
+
+        /// Time that the work so far takes at full pace, in hundredths of a
+        /// millisecond.
+        std::int64_t worked = 0;
     };
 
     worker_replied reply(worker_status status, time_ms now) const;
     worker_status start(start_order const& order, time_ms now);
     void finish(run_id const& id, run_outcome outcome);
     void acknowledge(std::uint64_t number);
+    bool is_done(run const& each, time_ms now) const;
+
+    /// Returns what the worker tells of a run. The first one is used without
+    /// `interference`.
+    reported_run timed_report(run_id const& id, run const& each,
+                              time_ms now) const;
+    reported_run report(run_id const& id, run const& each) const;
+
+    /// Returns the tail latency of serving tasks, relative to their target.
+    double relative_tail() const;
 
     /// Returns the worker's clock, which starts with its process.
     time_ms clock(time_ms now) const { return now - clock_start_; }
 
     worker_entry entry_;
     observer events_;
+    step_lookup step_of_;
     random_source random_;
     time_ms clock_start_;
+    time_ms advanced_to_;
     std::uint64_t token_ = 0;
     time_ms lease_until_;
     std::map<run_id, run> runs_;
