Show late work that never starts beside serving tasks

Each of eight workers has a serving task whose tail latency is 0.82 of its target, and would be 0.87 with the work. The work is refused on all of them: the tolerance ends at 0.80 however long it waits.

--- /dev/null
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -0,0 +1,85 @@
+#include "simulated_deployment_test.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace jaydrift::schedule::testing {
+
+namespace {
+
+constexpr time_ms observation_interval{50};
+
+/// Time within which a late submission that could run has something running.
+constexpr time_ms longest_wait{5000};
+
+std::string const serving_id = "00000000000000a0";
+std::string const first_id = "00000000000000a1";
+
+/// Returns opportunistic work of one step.
+submission filler(std::uint32_t count, time_ms estimate)
+{
+    auto work = chain_of({count});
+    work.steps[0].opportunistic = true;
+    work.steps[0].estimate = estimate;
+    work.steps[0].image = "filler";
+    return work;
+}
+
+/// Starts a serving task on each worker.
+void serve(simulated_deployment& deployment,
+           simulated_interference const& interference)
+{
+    for (std::size_t i = 0; i < deployment.worker_count(); ++i)
+    {
+        deployment.worker(i).interference = interference;
+    }
+    deployment.run_until(time_ms(3000));
+    auto work =
+        chain_of({static_cast<std::uint32_t>(deployment.worker_count())});
+    auto& step = work.steps[0];
+    step.long_running = true;
+    step.max_per_worker = 1;
+    step.latency_target = time_ms(1000);
+    step.image = "server";
+    deployment.submit(0, serving_id, work);
+    deployment.run_until(time_ms(4000));
+    for (std::uint32_t i = 0; i < deployment.worker_count(); ++i)
+    {
+        ASSERT_EQ(deployment.starts({serving_id, 0, 0, i}), 1U);
+    }
+}
+
+submission_state const& state_of(simulated_deployment const& deployment,
+                                 std::string const& id)
+{
+    return deployment.daemon(0).shards[0].submissions.at(id);
+}
+
+bool completed(simulated_deployment const& deployment, std::string const& id)
+{
+    return state_of(deployment, id).phase == submission_phase::completed;
+}
+
+} // namespace
+
+// Guards against a late submission that waits without bound because the serving
+// tasks of all workers are close to their targets, though not above them.
+TEST(opportunistic, late_work_starts_beside_serving_tasks_near_their_targets)
+{
+    simulated_deployment deployment(1, 8, 21);
+    serve(deployment, {0.82, 0.5});
+    deployment.submit(0, first_id, filler(4, time_ms(500)));
+    deployment.run_until(time_ms(4100));
+    auto const objective = state_of(deployment, first_id).objective;
+    auto const end = objective + longest_wait;
+    while (deployment.now() < end && !deployment.runs_any(first_id))
+    {
+        deployment.run_until(deployment.now() + observation_interval);
+    }
+    EXPECT_TRUE(deployment.runs_any(first_id)) << "5 s after its objective";
+    deployment.run_until(end + longest_wait);
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+
+} // namespace jaydrift::schedule::testing
