Show late work that never starts since its image is unknown

A pair of images that was never seen together has a weight of 2, so one core of eight is expected to raise a tail latency of 0.66 to 0.85. That is refused on all workers, so no sample is ever taken. The tail would be 0.70.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -82,4 +82,19 @@
     EXPECT_TRUE(completed(deployment, first_id));
 }
 
+// Guards against work that never starts beside images that it was never seen
+// with: it is expected to disturb them, and nothing shows that it does not.
+TEST(opportunistic, late_work_of_an_unknown_image_starts)
+{
+    simulated_deployment deployment(1, 8, 30);
+    serve(deployment, {0.66, 0.5});
+    deployment.submit(0, first_id, filler(4, time_ms(500)));
+    deployment.run_until(time_ms(4100));
+    deployment.run_until(state_of(deployment, first_id).objective
+                         + longest_wait);
+    EXPECT_TRUE(state_of(deployment, first_id).started);
+    deployment.run_until(deployment.now() + longest_wait);
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+
 } // namespace jaydrift::schedule::testing
