Show a late backlog that waits on after the last arrival

Forty late submissions wait while new work, which comes first as long as it is before its objective, arrives for 20 s. Six of eight workers have serving tasks at 0.82 of their target.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
 #include <string>
 
 namespace jaydrift::schedule::testing {
@@ -97,4 +99,56 @@
     EXPECT_TRUE(completed(deployment, first_id));
 }
 
+// Guards against late submissions that new work keeps from starting, and that
+// wait on after the last arrival.
+TEST(opportunistic, a_late_backlog_starts_once_no_new_work_arrives)
+{
+    constexpr auto backlog = 40;
+    constexpr time_ms arrival_interval{250};
+    constexpr time_ms settling_time{14000};
+    constexpr time_ms longest_gap{3000};
+    simulated_deployment deployment(1, 8, 22);
+    serve(deployment, {0.82, 0.2});
+    for (auto i = 0; i < backlog; ++i)
+    {
+        deployment.submit(0, id_of(i), filler(4, time_ms(2000)));
+    }
+    deployment.run_until(time_ms(10000));
+    for (auto i = 0; i < backlog; ++i)
+    {
+        ASSERT_LT(state_of(deployment, id_of(i)).objective, deployment.now());
+    }
+    // Two workers have room for what arrives before its objective.
+    deployment.worker(0).interference->idle_tail = 0.3;
+    deployment.worker(1).interference->idle_tail = 0.3;
+    auto arrived = backlog;
+    while (deployment.now() < time_ms(30000))
+    {
+        deployment.submit(0, id_of(arrived++), filler(4, time_ms(2000)));
+        deployment.run_until(deployment.now() + arrival_interval);
+    }
+    auto const settled = deployment.now() + settling_time;
+    std::map<int, time_ms> last_seen;
+    std::set<int> starved;
+    while (deployment.now() < settled + longest_wait)
+    {
+        deployment.run_until(deployment.now() + observation_interval);
+        for (auto i = 0; i < backlog; ++i)
+        {
+            if (deployment.runs_any(id_of(i))
+                || completed(deployment, id_of(i)))
+            {
+                last_seen[i] = deployment.now();
+            }
+            else if (deployment.now() >= settled
+                     && deployment.now() - last_seen[i] >= longest_gap)
+            {
+                starved.insert(i);
+            }
+        }
+    }
+    EXPECT_TRUE(starved.empty())
+        << starved.size() << " of " << backlog << " had nothing running";
+}
+
 } // namespace jaydrift::schedule::testing
