Show work that waits for a task with a label that no worker has

A pass remembers a task without a place by its image and millicores only, and skips all others of the image that need as much.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -63,6 +63,19 @@
     return state_of(deployment, id).phase == submission_phase::completed;
 }
 
+/// Returns whether work of the same image starts on idle workers within 5 s
+/// while a submission that no worker can run comes before it at all times.
+bool starts_beside(submission const& impossible)
+{
+    simulated_deployment deployment(1, 4, 23);
+    deployment.run_until(time_ms(3000));
+    deployment.submit(0, first_id, impossible);
+    deployment.run_until(time_ms(3100));
+    deployment.submit(0, id_of(1), filler(200, time_ms(500)));
+    deployment.run_until(deployment.now() + longest_wait);
+    return state_of(deployment, id_of(1)).started;
+}
+
 } // namespace
 
 // Guards against a late submission that waits without bound because the serving
@@ -151,4 +164,13 @@
         << starved.size() << " of " << backlog << " had nothing running";
 }
 
+// Guards against work that waits although all workers are idle: a task of the
+// same image could not be placed since no worker has its label.
+TEST(opportunistic, a_missing_label_does_not_hold_up_others_of_the_image)
+{
+    auto impossible = filler(1, time_ms(1000));
+    impossible.steps[0].required_label = "no-such-label";
+    EXPECT_TRUE(starts_beside(impossible));
+}
+
 } // namespace jaydrift::schedule::testing
