--- /dev/null
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -0,0 +1,176 @@
+#include "simulated_deployment_test.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace jaydrift::schedule::testing {
+
+namespace {
+
+constexpr time_ms observation_interval{50};
+
+/// Time within which a late submission that could run has something running.
+constexpr time_ms longest_wait{5000};
+
+std::string const serving_id = "00000000000000a0";
+std::string const first_id = "00000000000000a1";
+
+/// Returns opportunistic work of one step.
+submission filler(std::uint32_t count, time_ms estimate)
+{
+    auto work = chain_of({count});
+    work.steps[0].opportunistic = true;
+    work.steps[0].estimate = estimate;
+    work.steps[0].image = "filler";
+    return work;
+}
+
+/// Starts a serving task on each worker.
+void serve(simulated_deployment& deployment,
+           simulated_interference const& interference)
+{
+    for (std::size_t i = 0; i < deployment.worker_count(); ++i)
+    {
+        deployment.worker(i).interference = interference;
+    }
+    deployment.run_until(time_ms(3000));
+    auto work =
+        chain_of({static_cast<std::uint32_t>(deployment.worker_count())});
+    auto& step = work.steps[0];
+    step.long_running = true;
+    step.max_per_worker = 1;
+    step.latency_target = time_ms(1000);
+    step.image = "server";
+    deployment.submit(0, serving_id, work);
+    deployment.run_until(time_ms(4000));
+    for (std::uint32_t i = 0; i < deployment.worker_count(); ++i)
+    {
+        ASSERT_EQ(deployment.starts({serving_id, 0, 0, i}), 1U);
+    }
+}
+
+submission_state const& state_of(simulated_deployment const& deployment,
+                                 std::string const& id)
+{
+    return deployment.daemon(0).shards[0].submissions.at(id);
+}
+
+bool completed(simulated_deployment const& deployment, std::string const& id)
+{
+    return state_of(deployment, id).phase == submission_phase::completed;
+}
+
+/// Returns whether work of the same image starts on idle workers within 5 s
+/// while a submission that no worker can run comes before it at all times.
+bool starts_beside(submission const& impossible)
+{
+    simulated_deployment deployment(1, 4, 23);
+    deployment.run_until(time_ms(3000));
+    deployment.submit(0, first_id, impossible);
+    deployment.run_until(time_ms(3100));
+    deployment.submit(0, id_of(1), filler(200, time_ms(500)));
+    deployment.run_until(deployment.now() + longest_wait);
+    return state_of(deployment, id_of(1)).started;
+}
+
+} // namespace
+
+// Guards against a late submission that waits without bound because the serving
+// tasks of all workers are close to their targets, though not above them.
+TEST(opportunistic, late_work_starts_beside_serving_tasks_near_their_targets)
+{
+    simulated_deployment deployment(1, 8, 21);
+    serve(deployment, {0.82, 0.5});
+    deployment.submit(0, first_id, filler(4, time_ms(500)));
+    deployment.run_until(time_ms(4100));
+    auto const objective = state_of(deployment, first_id).objective;
+    auto const end = objective + longest_wait;
+    while (deployment.now() < end && !deployment.runs_any(first_id))
+    {
+        deployment.run_until(deployment.now() + observation_interval);
+    }
+    EXPECT_TRUE(deployment.runs_any(first_id)) << "5 s after its objective";
+    deployment.run_until(end + longest_wait);
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+
+// Guards against work that never starts beside images that it was never seen
+// with: it is expected to disturb them, and nothing shows that it does not.
+TEST(opportunistic, late_work_of_an_unknown_image_starts)
+{
+    simulated_deployment deployment(1, 8, 30);
+    serve(deployment, {0.66, 0.5});
+    deployment.submit(0, first_id, filler(4, time_ms(500)));
+    deployment.run_until(time_ms(4100));
+    deployment.run_until(state_of(deployment, first_id).objective
+                         + longest_wait);
+    EXPECT_TRUE(state_of(deployment, first_id).started);
+    deployment.run_until(deployment.now() + longest_wait);
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+
+// Guards against late submissions that new work keeps from starting, and that
+// wait on after the last arrival.
+TEST(opportunistic, a_late_backlog_starts_once_no_new_work_arrives)
+{
+    constexpr auto backlog = 40;
+    constexpr time_ms arrival_interval{250};
+    constexpr time_ms settling_time{14000};
+    constexpr time_ms longest_gap{3000};
+    simulated_deployment deployment(1, 8, 22);
+    serve(deployment, {0.82, 0.2});
+    for (auto i = 0; i < backlog; ++i)
+    {
+        deployment.submit(0, id_of(i), filler(4, time_ms(2000)));
+    }
+    deployment.run_until(time_ms(10000));
+    for (auto i = 0; i < backlog; ++i)
+    {
+        ASSERT_LT(state_of(deployment, id_of(i)).objective, deployment.now());
+    }
+    // Two workers have room for what arrives before its objective.
+    deployment.worker(0).interference->idle_tail = 0.3;
+    deployment.worker(1).interference->idle_tail = 0.3;
+    auto arrived = backlog;
+    while (deployment.now() < time_ms(30000))
+    {
+        deployment.submit(0, id_of(arrived++), filler(4, time_ms(2000)));
+        deployment.run_until(deployment.now() + arrival_interval);
+    }
+    auto const settled = deployment.now() + settling_time;
+    std::map<int, time_ms> last_seen;
+    std::set<int> starved;
+    while (deployment.now() < settled + longest_wait)
+    {
+        deployment.run_until(deployment.now() + observation_interval);
+        for (auto i = 0; i < backlog; ++i)
+        {
+            if (deployment.runs_any(id_of(i))
+                || completed(deployment, id_of(i)))
+            {
+                last_seen[i] = deployment.now();
+            }
+            else if (deployment.now() >= settled
+                     && deployment.now() - last_seen[i] >= longest_gap)
+            {
+                starved.insert(i);
+            }
+        }
+    }
+    EXPECT_TRUE(starved.empty())
+        << starved.size() << " of " << backlog << " had nothing running";
+}
+
+// Guards against work that waits although all workers are idle: a task of the
+// same image could not be placed since no worker has its label.
+TEST(opportunistic, a_missing_label_does_not_hold_up_others_of_the_image)
+{
+    auto impossible = filler(1, time_ms(1000));
+    impossible.steps[0].required_label = "no-such-label";
+    EXPECT_TRUE(starts_beside(impossible));
+}
+
+} // namespace jaydrift::schedule::testing
