Skip only requests that need as much of the same workers as a refused one

Callers saw work wait although workers had room for it. A pass remembered an opportunistic request without a place by its image and millicores alone, so one that needs a label which no worker has, or more memory than is free, kept all others of the image and as many millicores from being tried, in every pass and as long as it waited itself.

The pass now keeps what the refusal depends on: service, image, label, the whole demand and the tolerance. A refusal under a limit per worker is not kept, since it counts the tasks of one step.

--- a/include/jaydrift/schedule/wait_reason.hpp
+++ b/include/jaydrift/schedule/wait_reason.hpp
@@ -26,8 +26,8 @@
     /// The pass had used up its starts before it reached them.
     pass_ended,
 
-    /// A request of the same image that needs no more found no place earlier in
-    /// the pass.
+    /// A request that needs no more of the same workers found no place earlier
+    /// in the pass.
     skipped,
 
     /// Some members of the gang found a place, but not all.
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
+#include <jaydrift/schedule/refused_requests.hpp>
 #include <jaydrift/schedule/run_numbers.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -10,7 +11,6 @@
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -68,9 +68,8 @@
     /// long-running task waits for their room.
     std::set<std::string_view> kept_free;
 
-    /// Smallest demand in millicores of opportunistic tasks that found no
-    /// place, by image.
-    std::map<std::string, std::int64_t, std::less<>> unplaceable;
+    /// Opportunistic requests that found no worker.
+    refused_requests refused;
 };
 
 /// Returns the number of the next run of a task.
@@ -286,15 +285,6 @@
     }
 }
 
-/// Returns whether an opportunistic task of the same image that needs no more
-/// has found no place in this pass.
-bool is_unplaceable(placement_pass const& pass, step_spec const& spec)
-{
-    auto const found = pass.unplaceable.find(spec.image);
-    return spec.opportunistic && found != pass.unplaceable.end()
-           && spec.demand.millicores >= found->second;
-}
-
 /// Starts the tasks of a step that find a worker.
 void start_step(placement_pass& pass, submission_state& submission,
                 std::uint32_t occurrence_index, std::uint32_t step_index)
@@ -307,11 +297,6 @@
     {
         return;
     }
-    if (is_unplaceable(pass, spec))
-    {
-        step.reason = wait_reason::skipped;
-        return;
-    }
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         auto& task = step.tasks[i];
@@ -333,6 +318,11 @@
             task.waiting_since,
             worker_choice::rack_for(ctx, spec, step),
             worker_choice::tolerance_of(ctx, submission)};
+        if (spec.opportunistic && pass.refused.cover(request))
+        {
+            step.reason = wait_reason::skipped;
+            break;
+        }
         auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
         if (!choice.worker)
         {
@@ -340,7 +330,7 @@
             keep_worker_free(pass, request);
             if (spec.opportunistic)
             {
-                pass.unplaceable[spec.image] = spec.demand.millicores;
+                pass.refused.add(request);
             }
             break;
         }
--- /dev/null
+++ b/src/jaydrift/schedule/refused_requests.cpp
@@ -0,0 +1,34 @@
+#include <jaydrift/schedule/refused_requests.hpp>
+
+#include <jaydrift/schedule/placement_request.hpp>
+#include <jaydrift/schedule/step_spec.hpp>
+
+#include <algorithm>
+
+namespace jaydrift::schedule {
+
+void refused_requests::add(placement_request const& request)
+{
+    auto const& spec = request.spec;
+    // A limit per worker counts the tasks of one step, so the refusal says
+    // nothing of other steps.
+    if (spec.max_per_worker == 0)
+    {
+        refused_.push_back({request.service, spec.image, spec.required_label,
+                            spec.demand, request.tolerance});
+    }
+}
+
+bool refused_requests::cover(placement_request const& request) const
+{
+    auto const& spec = request.spec;
+    return std::any_of(
+        refused_.begin(), refused_.end(), [&](refused const& each) {
+            return each.service == request.service && each.image == spec.image
+                   && each.required_label == spec.required_label
+                   && fits(each.demand, spec.demand)
+                   && request.tolerance <= each.tolerance;
+        });
+}
+
+} // namespace jaydrift::schedule
