Show work that waits for a task with more memory than any worker

The same as with a label that no worker has: the memory that a task needs is not part of what a pass remembers.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -172,5 +172,13 @@
     impossible.steps[0].required_label = "no-such-label";
     EXPECT_TRUE(starts_beside(impossible));
 }
+// Guards against work that waits although all workers are idle: a task of the
+// same image could not be placed since it needs more memory than any has.
+TEST(opportunistic, a_lack_of_memory_does_not_hold_up_others_of_the_image)
+{
+    auto impossible = filler(1, time_ms(1000));
+    impossible.steps[0].demand.memory_mb = 100000;
+    EXPECT_TRUE(starts_beside(impossible));
+}
 
 } // namespace jaydrift::schedule::testing
