Show late work that waits for work with a lower tolerance

Late work may start up to a relative tail latency of 0.8, work before its objective up to 0.7. A pass remembers the refusal of the latter without the tolerance. On workers at 0.77 the late work starts if it is alone; on the current code it had not started 12 s after its objective if other work of the image arrived every 500 ms.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -180,5 +180,37 @@
     impossible.steps[0].demand.memory_mb = 100000;
     EXPECT_TRUE(starts_beside(impossible));
 }
+// Guards against late work that could start and waits because work of the same
+// image before its objective, which may disturb less, could not be placed.
+TEST(opportunistic, refused_work_in_time_does_not_hold_up_late_work)
+{
+    auto const starts_late = [](bool others) {
+        constexpr time_ms arrival_interval{500};
+        constexpr time_ms longest_lateness{12000};
+        simulated_deployment deployment(1, 4, 25);
+        serve(deployment, {0.75, 0.05});
+        auto const small = [](time_ms estimate) {
+            auto work = filler(1, estimate);
+            work.steps[0].demand.millicores = 100;
+            return work;
+        };
+        deployment.submit(0, first_id, small(time_ms(500)));
+        deployment.run_until(time_ms(4100));
+        auto const end =
+            state_of(deployment, first_id).objective + longest_lateness;
+        auto arrived = 0;
+        while (deployment.now() < end)
+        {
+            if (others)
+            {
+                deployment.submit(0, id_of(arrived++), small(time_ms(3000)));
+            }
+            deployment.run_until(deployment.now() + arrival_interval);
+        }
+        return deployment.starts({first_id, 0, 0, 0}) > 0;
+    };
+    EXPECT_TRUE(starts_late(false));
+    EXPECT_TRUE(starts_late(true));
+}
 
 } // namespace jaydrift::schedule::testing
