Show a run that stays paused after its serving task has gone

Paces are adjusted only if the worker has a serving task. A run that was paused for one stays at pace 0 once that has gone: on the current code 3 s of work were not completed 10 s later.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -76,6 +76,21 @@
     return state_of(deployment, id_of(1)).started;
 }
 
+/// Lets the only worker run a task of `first_id` and raises the tail latency of
+/// its serving task until the task is paused.
+void pause_a_run(simulated_deployment& deployment)
+{
+    deployment.submit(0, first_id, filler(1, time_ms(3000)));
+    deployment.run_until(deployment.now() + time_ms(300));
+    ASSERT_TRUE(deployment.runs_any(first_id));
+    deployment.worker(0).interference->idle_tail = 1.3;
+    deployment.run_until(deployment.now() + time_ms(1500));
+    auto const& worker = deployment.daemon(0).shards[0].workers.at("w0");
+    auto const run = worker.runs.lower_bound({{first_id, 0, 0, 0}, 0});
+    ASSERT_NE(run, worker.runs.end());
+    ASSERT_EQ(run->second.pace_percent, 0U);
+}
+
 } // namespace
 
 // Guards against a late submission that waits without bound because the serving
@@ -213,4 +228,16 @@
     EXPECT_TRUE(starts_late(true));
 }
 
+// Guards against a run that stays paused after the serving task that it
+// disturbed has gone.
+TEST(opportunistic, a_paused_run_resumes_once_the_serving_task_has_gone)
+{
+    simulated_deployment deployment(1, 1, 26);
+    serve(deployment, {0.5, 0.5});
+    pause_a_run(deployment);
+    deployment.cancel(0, serving_id);
+    deployment.run_until(deployment.now() + time_ms(10000));
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+
 } // namespace jaydrift::schedule::testing
