--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -239,5 +239,16 @@
     deployment.run_until(deployment.now() + time_ms(10000));
     EXPECT_TRUE(completed(deployment, first_id));
 }
+// Guards against a run that stays paused while the serving task beside it is
+// below its target, though not far.
+TEST(opportunistic, a_paused_run_resumes_beside_a_serving_task_near_its_target)
+{
+    simulated_deployment deployment(1, 1, 27);
+    serve(deployment, {0.5, 0.5});
+    pause_a_run(deployment);
+    deployment.worker(0).interference->idle_tail = 0.85;
+    deployment.run_until(deployment.now() + time_ms(10000));
+    EXPECT_TRUE(completed(deployment, first_id));
+}
 
 } // namespace jaydrift::schedule::testing
