--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -76,6 +76,21 @@
     return state_of(deployment, id_of(1)).started;
 }
 
+/// Lets the only worker run a task of `first_id` and raises the tail latency of
+/// its serving task until the task is paused.
+void pause_a_run(simulated_deployment& deployment)
+{
+    deployment.submit(0, first_id, filler(1, time_ms(3000)));
+    deployment.run_until(deployment.now() + time_ms(300));
+    ASSERT_TRUE(deployment.runs_any(first_id));
+    deployment.worker(0).interference->idle_tail = 1.3;
+    deployment.run_until(deployment.now() + time_ms(1500));
+    auto const& worker = deployment.daemon(0).shards[0].workers.at("w0");
+    auto const run = worker.runs.lower_bound({{first_id, 0, 0, 0}, 0});
+    ASSERT_NE(run, worker.runs.end());
+    ASSERT_EQ(run->second.pace_percent, 0U);
+}
+
 } // namespace
 
 // Guards against a late submission that waits without bound because the serving
@@ -172,5 +187,68 @@
     impossible.steps[0].required_label = "no-such-label";
     EXPECT_TRUE(starts_beside(impossible));
 }
+// Guards against work that waits although all workers are idle: a task of the
+// same image could not be placed since it needs more memory than any has.
+TEST(opportunistic, a_lack_of_memory_does_not_hold_up_others_of_the_image)
+{
+    auto impossible = filler(1, time_ms(1000));
+    impossible.steps[0].demand.memory_mb = 100000;
+    EXPECT_TRUE(starts_beside(impossible));
+}
+// Guards against late work that could start and waits because work of the same
+// image before its objective, which may disturb less, could not be placed.
+TEST(opportunistic, refused_work_in_time_does_not_hold_up_late_work)
+{
+    auto const starts_late = [](bool others) {
+        constexpr time_ms arrival_interval{500};
+        constexpr time_ms longest_lateness{12000};
+        simulated_deployment deployment(1, 4, 25);
+        serve(deployment, {0.75, 0.05});
+        auto const small = [](time_ms estimate) {
+            auto work = filler(1, estimate);
+            work.steps[0].demand.millicores = 100;
+            return work;
+        };
+        deployment.submit(0, first_id, small(time_ms(500)));
+        deployment.run_until(time_ms(4100));
+        auto const end =
+            state_of(deployment, first_id).objective + longest_lateness;
+        auto arrived = 0;
+        while (deployment.now() < end)
+        {
+            if (others)
+            {
+                deployment.submit(0, id_of(arrived++), small(time_ms(3000)));
+            }
+            deployment.run_until(deployment.now() + arrival_interval);
+        }
+        return deployment.starts({first_id, 0, 0, 0}) > 0;
+    };
+    EXPECT_TRUE(starts_late(false));
+    EXPECT_TRUE(starts_late(true));
+}
+
+// Guards against a run that stays paused after the serving task that it
+// disturbed has gone.
+TEST(opportunistic, a_paused_run_resumes_once_the_serving_task_has_gone)
+{
+    simulated_deployment deployment(1, 1, 26);
+    serve(deployment, {0.5, 0.5});
+    pause_a_run(deployment);
+    deployment.cancel(0, serving_id);
+    deployment.run_until(deployment.now() + time_ms(10000));
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+// Guards against a run that stays paused while the serving task beside it is
+// below its target, though not far.
+TEST(opportunistic, a_paused_run_resumes_beside_a_serving_task_near_its_target)
+{
+    simulated_deployment deployment(1, 1, 27);
+    serve(deployment, {0.5, 0.5});
+    pause_a_run(deployment);
+    deployment.worker(0).interference->idle_tail = 0.85;
+    deployment.run_until(deployment.now() + time_ms(10000));
+    EXPECT_TRUE(completed(deployment, first_id));
+}
 
 } // namespace jaydrift::schedule::testing
