Resume paused runs once the serving task beside them has gone

Work stayed unfinished although nothing was in its way: the paces of the opportunistic runs of a worker were adjusted only while it had a serving task, so a run that was paused for one kept pace 0 when that task was cancelled, moved or failed. A run at pace 0 is not judged as hanging either.

A report without a serving task now lets all runs work at full pace.

opportunistic.a_paused_run_resumes_once_the_serving_task_has_gone failed before (3 s of work not completed 10 s later) and passes.

--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -209,17 +209,36 @@
     }
 }
 
+/// Lets all opportunistic runs of a worker without serving tasks work at full
+/// pace.
+void release_all(shard_context& ctx, worker_state& worker)
+{
+    for (auto& [id, run] : worker.runs)
+    {
+        if (run.opportunistic && run.phase == run_phase::running
+            && !run.pace_in_flight && run.pace_percent < full_pace)
+        {
+            workers::pace(ctx, worker, id, full_pace);
+        }
+    }
+}
+
 } // namespace
 
 void reported(shard_context& ctx, worker_state& worker)
 {
     auto const worst = worst_served(worker);
-    if (ctx.shard.ownership.role != owner_role::owner || !worst.run
+    if (ctx.shard.ownership.role != owner_role::owner
         || ctx.now - worker.pace_checked_at < action_interval)
     {
         return;
     }
     worker.pace_checked_at = ctx.now;
+    if (!worst.run)
+    {
+        release_all(ctx, worker);
+        return;
+    }
     interference::learn(ctx, worker);
     if (worst.relative_tail > slow_down_above)
     {
