Show a paused run that is stopped without a place to go to

A run that saves checkpoints is stopped 1.2 s after it was paused, whether or not another worker would take its task.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -251,4 +251,29 @@
     EXPECT_TRUE(completed(deployment, first_id));
 }
 
+// Guards against a paused run that is stopped to be moved although no other
+// worker takes its task.
+TEST(opportunistic, a_paused_run_stays_if_no_other_worker_takes_its_task)
+{
+    simulated_deployment deployment(1, 2, 28);
+    serve(deployment, {0.5, 0.5});
+    auto work = filler(1, time_ms(3000));
+    work.steps[0].checkpoints = true;
+    deployment.submit(0, first_id, work);
+    deployment.run_until(time_ms(4500));
+    ASSERT_TRUE(deployment.runs_any(first_id));
+    deployment.worker(0).interference->idle_tail = 1.3;
+    deployment.worker(1).interference->idle_tail = 1.3;
+    time_ms without_run;
+    while (deployment.now() < time_ms(20000))
+    {
+        deployment.run_until(deployment.now() + observation_interval);
+        if (!deployment.runs_any(first_id))
+        {
+            without_run += observation_interval;
+        }
+    }
+    EXPECT_EQ(without_run.count(), 0);
+}
+
 } // namespace jaydrift::schedule::testing
