Show tasks that are moved from worker to worker

The tail latency is low on one worker at a time, for 2 s. Paused runs are stopped and start there again, to be paused soon. On the current code four tasks started 5, 6, 6 and 6 times in 20 s; the test allows one start in 5 s.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -275,5 +275,33 @@
     }
     EXPECT_EQ(without_run.count(), 0);
 }
+// Guards against tasks that are moved from worker to worker wherever the tail
+// latency has just fallen, and stopped there as soon as it rises.
+TEST(opportunistic, tasks_are_not_moved_again_and_again)
+{
+    constexpr std::uint32_t tasks = 4;
+    constexpr std::size_t most_starts = 4;
+    constexpr time_ms wave{2000};
+    simulated_deployment deployment(1, 4, 29);
+    serve(deployment, {0.4, 0.5});
+    auto work = filler(tasks, time_ms(20000));
+    work.steps[0].checkpoints = true;
+    deployment.submit(0, first_id, work);
+    deployment.run_until(time_ms(4500));
+    // The tail latency is low on one worker at a time.
+    for (std::size_t quiet = 0; deployment.now() < time_ms(24500); ++quiet)
+    {
+        for (std::size_t i = 0; i < deployment.worker_count(); ++i)
+        {
+            deployment.worker(i).interference->idle_tail =
+                i == quiet % deployment.worker_count() ? 0.4 : 1.3;
+        }
+        deployment.run_until(deployment.now() + wave);
+    }
+    for (std::uint32_t i = 0; i < tasks; ++i)
+    {
+        EXPECT_LE(deployment.starts({first_id, 0, 0, i}), most_starts) << i;
+    }
+}
 
 } // namespace jaydrift::schedule::testing
