Show late work that waits where all targets are expected to be met

The same as beside serving tasks near their targets, with a quarter of a core for each task: the tail latency is expected to be 0.87 of the target on all workers, with the weight of images that were never seen together.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -120,6 +120,23 @@
     EXPECT_TRUE(completed(deployment, first_id));
 }
 
+// Guards against a late submission that waits without bound where the tail
+// latencies are expected to stay below their targets with it.
+TEST(opportunistic, late_work_starts_where_targets_are_expected_to_be_met)
+{
+    simulated_deployment deployment(1, 8, 31);
+    serve(deployment, {0.82, 0.5});
+    auto work = filler(4, time_ms(500));
+    work.steps[0].demand.millicores = 250;
+    deployment.submit(0, first_id, work);
+    deployment.run_until(time_ms(4100));
+    deployment.run_until(state_of(deployment, first_id).objective
+                         + longest_wait);
+    EXPECT_TRUE(state_of(deployment, first_id).started);
+    deployment.run_until(deployment.now() + longest_wait);
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+
 // Guards against work that never starts beside images that it was never seen
 // with: it is expected to disturb them, and nothing shows that it does not.
 TEST(opportunistic, late_work_of_an_unknown_image_starts)
