--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -76,6 +76,17 @@
     return state_of(deployment, id_of(1)).started;
 }
 
+/// Returns the pace of the run of `first_id` on the only worker; full if it has
+/// ended.
+std::uint32_t pace_of_run(simulated_deployment const& deployment)
+{
+    auto const& runs = deployment.daemon(0).shards[0].workers.at("w0").runs;
+    auto const run = runs.lower_bound({{first_id, 0, 0, 0}, 0});
+    return run == runs.end() || run->first.task.submission != first_id
+               ? 100
+               : run->second.pace_percent;
+}
+
 /// Lets the only worker run a task of `first_id` and raises the tail latency of
 /// its serving task until the task is paused.
 void pause_a_run(simulated_deployment& deployment)
@@ -85,10 +96,7 @@
     ASSERT_TRUE(deployment.runs_any(first_id));
     deployment.worker(0).interference->idle_tail = 1.3;
     deployment.run_until(deployment.now() + time_ms(1500));
-    auto const& worker = deployment.daemon(0).shards[0].workers.at("w0");
-    auto const run = worker.runs.lower_bound({{first_id, 0, 0, 0}, 0});
-    ASSERT_NE(run, worker.runs.end());
-    ASSERT_EQ(run->second.pace_percent, 0U);
+    ASSERT_EQ(pace_of_run(deployment), 0U);
 }
 
 } // namespace
@@ -112,6 +120,23 @@
     EXPECT_TRUE(completed(deployment, first_id));
 }
 
+// Guards against a late submission that waits without bound where the tail
+// latencies are expected to stay below their targets with it.
+TEST(opportunistic, late_work_starts_where_targets_are_expected_to_be_met)
+{
+    simulated_deployment deployment(1, 8, 31);
+    serve(deployment, {0.82, 0.5});
+    auto work = filler(4, time_ms(500));
+    work.steps[0].demand.millicores = 250;
+    deployment.submit(0, first_id, work);
+    deployment.run_until(time_ms(4100));
+    deployment.run_until(state_of(deployment, first_id).objective
+                         + longest_wait);
+    EXPECT_TRUE(state_of(deployment, first_id).started);
+    deployment.run_until(deployment.now() + longest_wait);
+    EXPECT_TRUE(completed(deployment, first_id));
+}
+
 // Guards against work that never starts beside images that it was never seen
 // with: it is expected to disturb them, and nothing shows that it does not.
 TEST(opportunistic, late_work_of_an_unknown_image_starts)
@@ -243,12 +268,69 @@
 // below its target, though not far.
 TEST(opportunistic, a_paused_run_resumes_beside_a_serving_task_near_its_target)
 {
+    // 3 s of work at a tenth of the full pace.
+    constexpr time_ms time_at_smallest_pace{30000};
     simulated_deployment deployment(1, 1, 27);
     serve(deployment, {0.5, 0.5});
     pause_a_run(deployment);
     deployment.worker(0).interference->idle_tail = 0.85;
-    deployment.run_until(deployment.now() + time_ms(10000));
+    deployment.run_until(deployment.now() + longest_wait);
+    EXPECT_GT(pace_of_run(deployment), 0U);
+    deployment.run_until(deployment.now() + time_at_smallest_pace);
     EXPECT_TRUE(completed(deployment, first_id));
 }
 
+// Guards against a paused run that is stopped to be moved although no other
+// worker takes its task.
+TEST(opportunistic, a_paused_run_stays_if_no_other_worker_takes_its_task)
+{
+    simulated_deployment deployment(1, 2, 28);
+    serve(deployment, {0.5, 0.5});
+    auto work = filler(1, time_ms(3000));
+    work.steps[0].checkpoints = true;
+    deployment.submit(0, first_id, work);
+    deployment.run_until(time_ms(4500));
+    ASSERT_TRUE(deployment.runs_any(first_id));
+    deployment.worker(0).interference->idle_tail = 1.3;
+    deployment.worker(1).interference->idle_tail = 1.3;
+    time_ms without_run;
+    while (deployment.now() < time_ms(20000))
+    {
+        deployment.run_until(deployment.now() + observation_interval);
+        if (!deployment.runs_any(first_id))
+        {
+            without_run += observation_interval;
+        }
+    }
+    EXPECT_EQ(without_run.count(), 0);
+}
+// Guards against tasks that are moved from worker to worker wherever the tail
+// latency has just fallen, and stopped there as soon as it rises.
+TEST(opportunistic, tasks_are_not_moved_again_and_again)
+{
+    constexpr std::uint32_t tasks = 4;
+    constexpr std::size_t most_starts = 4;
+    constexpr time_ms wave{2000};
+    simulated_deployment deployment(1, 4, 29);
+    serve(deployment, {0.4, 0.5});
+    auto work = filler(tasks, time_ms(20000));
+    work.steps[0].checkpoints = true;
+    deployment.submit(0, first_id, work);
+    deployment.run_until(time_ms(4500));
+    // The tail latency is low on one worker at a time.
+    for (std::size_t quiet = 0; deployment.now() < time_ms(24500); ++quiet)
+    {
+        for (std::size_t i = 0; i < deployment.worker_count(); ++i)
+        {
+            deployment.worker(i).interference->idle_tail =
+                i == quiet % deployment.worker_count() ? 0.4 : 1.3;
+        }
+        deployment.run_until(deployment.now() + wave);
+    }
+    for (std::uint32_t i = 0; i < tasks; ++i)
+    {
+        EXPECT_LE(deployment.starts({first_id, 0, 0, i}), most_starts) << i;
+    }
+}
+
 } // namespace jaydrift::schedule::testing
