Give a submission of which nothing runs a run at a low pace

Opportunistic tasks start in the order of submissions, each only where the tail latency of serving tasks is expected to stay below a limit, which is 0.8 of the target at most. Pacing keeps the tail latency at 0.8, so under a backlog the limit is reached on every worker that has serving tasks, new work in time takes what little gets free, and nothing bounds how long a late submission is refused.

Now a submission of which nothing has run for 1.5 s gets one run, at a pace of 5 %, on any worker with a quarter of its memory left beside it. It is counted at that pace. The pace is doubled with each report once the submission has its turn in the order and the tail latency allows it: 0.7 of the target while work in time finds no place, 0.9 otherwise. For the same reason late work no longer starts at a higher limit than work in time while such work waits.

--- a/include/jaydrift/schedule/pacing.hpp
+++ b/include/jaydrift/schedule/pacing.hpp
@@ -3,6 +3,7 @@
 
 namespace jaydrift::schedule {
 
+struct run_id;
 struct shard_context;
 struct worker_state;
 
@@ -12,6 +13,10 @@
 /// that save checkpoints are moved after a long pause.
 namespace pacing {
 
+/// Slows down a run that has just started if it may not work at full pace.
+/// @pre The worker has the run.
+void started(shard_context& ctx, worker_state& worker, run_id const& id);
+
 /// Adjusts the pace of the opportunistic runs after a new report of the worker.
 void reported(shard_context& ctx, worker_state& worker);
 
--- a/include/jaydrift/schedule/placement_request.hpp
+++ b/include/jaydrift/schedule/placement_request.hpp
@@ -2,8 +2,10 @@
 #define JAYDRIFT_SCHEDULE_PLACEMENT_REQUEST_HPP
 
 #include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/pace.hpp>
 #include <jaydrift/schedule/task_id.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -32,6 +34,10 @@
     /// Tail latency of serving neighbours, relative to their target, up to
     /// which the task may start.
     double tolerance = first_tolerance;
+
+    /// Highest pace of the run. At `minimum_pace`, the tolerance does not
+    /// count.
+    std::uint32_t pace_limit = full_pace;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/refused_requests.hpp
+++ b/include/jaydrift/schedule/refused_requests.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/resources.hpp>
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -30,6 +31,7 @@
         std::string_view required_label;
         resources demand;
         double tolerance = 0.0;
+        std::uint32_t pace_limit = 0;
     };
 
     std::vector<refused> refused_;
--- a/include/jaydrift/schedule/run_state.hpp
+++ b/include/jaydrift/schedule/run_state.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/resources.hpp>
 #include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/pace.hpp>
 #include <jaydrift/schedule/run_phase.hpp>
 
 #include <cstdint>
@@ -50,9 +51,12 @@
     std::int64_t load = 0;
 
     /// Share of its full speed that the worker last confirmed.
-    std::uint32_t pace_percent = 100;
+    std::uint32_t pace_percent = full_pace;
     bool pace_in_flight = false;
 
+    /// Highest pace that placement allows.
+    std::uint32_t pace_limit = full_pace;
+
     /// Logarithm of the last reported tail latency of a serving task.
     std::optional<double> last_log_tail;
 
--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -5,8 +5,10 @@
 #include <jaydrift/schedule/occurrence_state.hpp>
 #include <jaydrift/schedule/submission.hpp>
 #include <jaydrift/schedule/submission_phase.hpp>
+#include <jaydrift/schedule/task_id.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -62,6 +64,19 @@
 
     /// A task has had a place, under this owner or an earlier one.
     bool started = false;
+
+    /// Number of tasks that have a place.
+    std::uint32_t placed_tasks = 0;
+
+    /// If no task has a place and some wait: the time since which that is so.
+    time_ms idle_since;
+
+    /// Nothing ran for long; set until a task is placed at full pace.
+    bool starved = false;
+
+    /// Task whose run started at `minimum_pace` and may not work at full pace
+    /// yet.
+    std::optional<task_id> minimum_run;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/worker_choice.hpp
+++ b/include/jaydrift/schedule/worker_choice.hpp
@@ -4,12 +4,14 @@
 #include <jaydrift/schedule/chosen_worker.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <set>
 #include <string_view>
 
 namespace jaydrift::schedule {
 
 struct placement_request;
+struct run_state;
 struct shard_context;
 struct step_spec;
 struct step_state;
@@ -25,6 +27,12 @@
 double tolerance_of(shard_context const& ctx,
                     submission_state const& submission);
 
+/// Returns whether the limit of a run's pace may be raised to `pace` percent:
+/// the worker has processors left, and the tail latency of serving tasks,
+/// relative to their target, is expected to be at most `highest_tail`.
+bool may_work_at(shard_context const& ctx, worker_state& worker,
+                 run_state const& run, std::uint32_t pace, double highest_tail);
+
 /// Returns the rack of the data or, for a step that runs fastest on one rack,
 /// the rack of its first task that has a place. Empty if there is none.
 std::string_view rack_for(shard_context const& ctx, step_spec const& spec,
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -63,7 +63,7 @@
     std::map<run_id, run_state> runs;
 
     /// Sums over `runs`. `used` leaves out the processors of opportunistic
-    /// runs.
+    /// runs, which are counted apart as far as the limits of their paces allow.
     resources used;
     std::int64_t opportunistic_millicores = 0;
     std::int64_t long_running_millicores = 0;
@@ -86,6 +86,10 @@
     /// Last time that the pace of opportunistic runs was adjusted.
     time_ms pace_checked_at;
 
+    /// A run was raised to full pace after the last report, which does not show
+    /// its effect yet.
+    bool pace_raised = false;
+
     /// `acknowledged_end` is known to count the ends of the process that runs
     /// now: that process answered the last hold order, and no order since has
     /// been without a reply.
--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -41,6 +41,11 @@
 /// Removes a run from the worker and frees its room; ignored if it is unknown.
 void remove_run(worker_state& worker, run_id const& run);
 
+/// Lets a run work at up to the given pace, and counts its demand so.
+/// @pre The worker has the run.
+void raise_pace_limit(worker_state& worker, run_id const& run,
+                      std::uint32_t percent);
+
 /// Orders a run to start.
 /// @pre The run was added to the worker, which has answered before.
 void start(shard_context& ctx, worker_state& worker, run_id const& run);
--- a/src/jaydrift/schedule/interference.cpp
+++ b/src/jaydrift/schedule/interference.cpp
@@ -198,12 +198,12 @@
 {
     auto const capacity = static_cast<double>(
         std::max<std::int64_t>(1, worker.entry.capacity.millicores));
-    constexpr double full_pace = 100.0;
+    auto const pace = std::min(run.pace_percent, run.pace_limit);
     auto const millicores =
-        run.load > 0 || run.pace_percent == 0
+        run.load > 0 || pace == 0
             ? static_cast<double>(run.load)
-            : declared_use * static_cast<double>(run.demand.millicores)
-                  * run.pace_percent / full_pace;
+            : declared_use * static_cast<double>(run.demand.millicores) * pace
+                  / full_pace;
     return millicores / capacity;
 }
 
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -1,12 +1,14 @@
 #include <jaydrift/schedule/pacing.hpp>
 
 #include <jaydrift/schedule/interference.hpp>
+#include <jaydrift/schedule/pace.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -27,11 +29,7 @@
 /// twice to the same disturbance.
 constexpr time_ms action_interval{450};
 
-/// Paces in percent. A pace below the smallest one is set to 0, since such a
-/// slow task still disturbs its neighbours but makes hardly any progress.
-constexpr std::uint32_t smallest_pace = 10;
 constexpr std::uint32_t speed_up_step = 30;
-constexpr std::uint32_t full_pace = 100;
 
 /// A neighbour whose weight is lower is not held responsible.
 constexpr double min_responsible_weight = 0.5;
@@ -94,13 +92,14 @@
     return result;
 }
 
-/// Orders the pace nearest to `percent` that is allowed, if it is a change.
+/// Orders the pace nearest to `percent` that is allowed, if it is a change. A
+/// pace below the lowest one is set to 0.
 void set_pace(shard_context& ctx, worker_state& worker, neighbour const& each,
               double percent)
 {
     auto pace = static_cast<std::uint32_t>(
-        std::clamp(percent, 0.0, static_cast<double>(full_pace)));
-    pace = pace < smallest_pace ? 0 : pace;
+        std::clamp(percent, 0.0, static_cast<double>(each.run->pace_limit)));
+    pace = pace < minimum_pace ? 0 : pace;
     if (pace != each.run->pace_percent)
     {
         workers::pace(ctx, worker, each.id, pace);
@@ -108,14 +107,18 @@
 }
 
 /// Slows down the neighbours that disturb most until the expected tail latency
-/// is `target_tail`. If the model holds none responsible, or that is not
-/// enough, the pace of the remaining ones is halved.
+/// is `target_tail`; those at the lowest pace come last. If the model holds
+/// none responsible, or that is not enough, the pace of the remaining ones is
+/// halved.
 void slow_down(shard_context& ctx, worker_state& worker,
                serving_task const& worst)
 {
     auto neighbours = neighbours_of(ctx, worker, *worst.run);
     std::sort(neighbours.begin(), neighbours.end(),
-              [](auto const& a, auto const& b) { return a.weight > b.weight; });
+              [](auto const& a, auto const& b) {
+                  return std::tie(a.run->pace_limit, a.weight)
+                         > std::tie(b.run->pace_limit, b.weight);
+              });
     auto excess = std::log(worst.relative_tail / target_tail);
     auto any_responsible = false;
     for (auto const& each : neighbours)
@@ -158,12 +161,13 @@
                      : 1.0;
     for (auto const& each : neighbours)
     {
-        if (each.run->pace_percent >= full_pace)
+        auto const limit = each.run->pace_limit;
+        if (each.run->pace_percent >= limit)
         {
             continue;
         }
         auto const step =
-            std::min(speed_up_step, full_pace - each.run->pace_percent);
+            std::min(speed_up_step, limit - each.run->pace_percent);
         auto const added =
             each.weight * static_cast<double>(each.run->demand.millicores)
             * step / full_pace
@@ -209,27 +213,53 @@
     }
 }
 
-/// Lets all opportunistic runs of a worker without serving tasks work at full
-/// pace.
+/// Lets all opportunistic runs of a worker without serving tasks work as fast
+/// as they may.
 void release_all(shard_context& ctx, worker_state& worker)
 {
     for (auto& [id, run] : worker.runs)
     {
         if (run.opportunistic && run.phase == run_phase::running
-            && !run.pace_in_flight && run.pace_percent < full_pace)
+            && !run.pace_in_flight && run.pace_percent < run.pace_limit)
         {
-            workers::pace(ctx, worker, id, full_pace);
+            workers::pace(ctx, worker, id, run.pace_limit);
+        }
+    }
+}
+
+/// Slows down the runs that are faster than they may be.
+void apply_limits(shard_context& ctx, worker_state& worker)
+{
+    for (auto const& [id, run] : worker.runs)
+    {
+        if (run.pace_percent > run.pace_limit)
+        {
+            started(ctx, worker, id);
         }
     }
 }
 
 } // namespace
 
+void started(shard_context& ctx, worker_state& worker, run_id const& id)
+{
+    auto const& run = worker.runs.at(id);
+    if (run.phase == run_phase::running && !run.pace_in_flight
+        && run.pace_percent > run.pace_limit)
+    {
+        workers::pace(ctx, worker, id, run.pace_limit);
+    }
+}
+
 void reported(shard_context& ctx, worker_state& worker)
 {
+    if (ctx.shard.ownership.role != owner_role::owner)
+    {
+        return;
+    }
+    apply_limits(ctx, worker);
     auto const worst = worst_served(worker);
-    if (ctx.shard.ownership.role != owner_role::owner
-        || ctx.now - worker.pace_checked_at < action_interval)
+    if (ctx.now - worker.pace_checked_at < action_interval)
     {
         return;
     }
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -1,12 +1,14 @@
 #include <jaydrift/schedule/placement_policy.hpp>
 
+#include <jaydrift/schedule/minimum_runs.hpp>
+#include <jaydrift/schedule/pace.hpp>
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/refused_requests.hpp>
-#include <jaydrift/schedule/run_numbers.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/task_placement.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -70,15 +72,10 @@
 
     /// Opportunistic requests that found no worker.
     refused_requests refused;
-};
 
-/// Returns the number of the next run of a task.
-std::uint64_t next_run(shard_context const& ctx, task_state const& task)
-{
-    return std::max({task.last_run, task.highest_ended_run,
-                     run_number_base(ctx.shard.ownership.record)})
-           + 1;
-}
+    /// One of them could still meet its objective.
+    bool work_in_time_waits = false;
+};
 
 /// Returns 0 if the objective of a submission may still be met, 1 if it has
 /// passed and the submission is worth less, 2 if the submission has taken three
@@ -96,6 +93,16 @@
                : 2;
 }
 
+/// Returns the tolerance for the tasks of a submission in this pass. Late work
+/// may disturb more, but not while work in time finds no place.
+double tolerance_of(placement_pass const& pass,
+                    submission_state const& submission)
+{
+    return pass.work_in_time_waits
+               ? first_tolerance
+               : worker_choice::tolerance_of(pass.ctx, submission);
+}
+
 bool has_long_running_steps(submission_state const& submission)
 {
     return std::any_of(submission.work.steps.begin(),
@@ -187,41 +194,6 @@
     }
 }
 
-/// Places a task on a worker as the run with the given number and counts its
-/// demand as used there. `worker_choice::choose` has checked that it fits; for
-/// the processors of an opportunistic task, it has compared only with those
-/// that other tasks are expected to leave unused.
-void reserve(shard_context& ctx, submission_state& submission,
-             task_id const& id, worker_state& worker, std::uint64_t number)
-{
-    auto& task = *submissions::find_task(submission, id);
-    task.place = placement{worker.entry.id, number};
-    task.last_run = number;
-    task.maybe_running = false;
-    submissions::placed(submission, id);
-    auto run = workers::reservation(submission, id.step);
-    run.started_at = ctx.now;
-    run.progress_at = ctx.now;
-    workers::add_run(worker, {id, number}, std::move(run));
-}
-
-/// Returns why a waiting task may not be placed now; absent if it may. A task
-/// that an earlier owner may have started waits as long as workers are
-/// unaccounted for.
-std::optional<wait_reason> hindrance(shard_context const& ctx,
-                                     task_state const& task, bool unaccounted)
-{
-    if (task.maybe_running && unaccounted)
-    {
-        return wait_reason::maybe_running;
-    }
-    if (ctx.now < task.not_before)
-    {
-        return wait_reason::paused;
-    }
-    return std::nullopt;
-}
-
 /// Sends the start orders of all members of a gang under one run number, or
 /// none if a member finds no worker. If a worker refuses its order, only that
 /// member waits again; the workers end the others as `gang_incomplete`.
@@ -239,12 +211,13 @@
             step.reason = wait_reason::incomplete_gang;
             return;
         }
-        if (auto const held = hindrance(ctx, task, pass.unaccounted))
+        if (auto const held =
+                task_placement::hindrance(ctx, task, pass.unaccounted))
         {
             step.reason = *held;
             return;
         }
-        number = std::max(number, next_run(ctx, task));
+        number = std::max(number, task_placement::next_run(ctx, task));
     }
     std::vector<std::pair<run_id, worker_state*>> members;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
@@ -262,7 +235,8 @@
                 i == 0 ? choice.refusal : wait_reason::incomplete_gang;
             break;
         }
-        reserve(ctx, submission, id, *choice.worker, number);
+        task_placement::reserve(ctx, submission, id, *choice.worker, number,
+                                full_pace);
         members.emplace_back(run_id{id, number}, choice.worker);
     }
     auto const complete = members.size() == step.tasks.size();
@@ -285,6 +259,13 @@
     }
 }
 
+/// Notes that opportunistic tasks of a submission have found no place.
+void note_refusal(placement_pass& pass, submission_state const& submission)
+{
+    pass.work_in_time_waits =
+        pass.work_in_time_waits || lateness(pass.ctx, submission) == 0;
+}
+
 /// Starts the tasks of a step that find a worker.
 void start_step(placement_pass& pass, submission_state& submission,
                 std::uint32_t occurrence_index, std::uint32_t step_index)
@@ -304,7 +285,8 @@
         {
             continue;
         }
-        if (auto const held = hindrance(ctx, task, pass.unaccounted))
+        if (auto const held =
+                task_placement::hindrance(ctx, task, pass.unaccounted))
         {
             step.reason = *held;
             continue;
@@ -317,10 +299,11 @@
             task.failed_on,
             task.waiting_since,
             worker_choice::rack_for(ctx, spec, step),
-            worker_choice::tolerance_of(ctx, submission)};
+            tolerance_of(pass, submission)};
         if (spec.opportunistic && pass.refused.cover(request))
         {
             step.reason = wait_reason::skipped;
+            note_refusal(pass, submission);
             break;
         }
         auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
@@ -331,11 +314,14 @@
             if (spec.opportunistic)
             {
                 pass.refused.add(request);
+                note_refusal(pass, submission);
             }
             break;
         }
-        auto const number = next_run(ctx, task);
-        reserve(ctx, submission, id, *choice.worker, number);
+        auto const number = task_placement::next_run(ctx, task);
+        task_placement::reserve(ctx, submission, id, *choice.worker, number,
+                                full_pace);
+        submission.starved = false;
         workers::start(ctx, *choice.worker, {id, number});
         ++pass.starts;
         ++started;
@@ -395,18 +381,10 @@
     }
 }
 
-} // namespace
-
-void tick(shard_context& ctx)
+/// Returns the submissions with waiting tasks, and those with a run at the
+/// lowest pace, in the order of their ranks.
+std::vector<submission_state*> waiting_by_rank(shard_context& ctx)
 {
-    auto const age = ctx.now - ctx.shard.last_pass;
-    if (ctx.shard.ownership.role != owner_role::owner || !ctx.state.config
-        || age < (ctx.shard.placement_due ? pass_interval : idle_pass_interval))
-    {
-        return;
-    }
-    ctx.shard.last_pass = ctx.now;
-    ctx.shard.placement_due = false;
     using ranked =
         std::pair<decltype(rank(ctx, std::declval<submission_state>())),
                   submission_state*>;
@@ -414,20 +392,44 @@
     for (auto const& id : ctx.shard.active)
     {
         auto* const submission = submissions::find(ctx, id);
-        if (submission->waiting_tasks > 0 && submission->record_stored)
+        if ((submission->waiting_tasks > 0 || submission->minimum_run)
+            && submission->record_stored)
         {
             waiting.emplace_back(rank(ctx, *submission), submission);
         }
     }
     std::sort(waiting.begin(), waiting.end(),
               [](auto const& a, auto const& b) { return a.first < b.first; });
+    std::vector<submission_state*> result;
+    result.reserve(waiting.size());
+    for (auto const& [order, submission] : waiting)
+    {
+        result.push_back(submission);
+    }
+    return result;
+}
+
+} // namespace
+
+void tick(shard_context& ctx)
+{
+    auto const age = ctx.now - ctx.shard.last_pass;
+    if (ctx.shard.ownership.role != owner_role::owner || !ctx.state.config
+        || age < (ctx.shard.placement_due ? pass_interval : idle_pass_interval))
+    {
+        return;
+    }
+    ctx.shard.last_pass = ctx.now;
+    ctx.shard.placement_due = false;
+    auto const waiting = waiting_by_rank(ctx);
     placement_pass pass{ctx,
                         recovery::any_worker_unaccounted(ctx),
                         ctx.now - ctx.shard.last_full_pass
                             >= full_pass_interval,
                         0,
                         {},
-                        {}};
+                        {},
+                        false};
     if (pass.full)
     {
         ctx.shard.last_full_pass = ctx.now;
@@ -437,8 +439,15 @@
         // Opportunistic tasks may still find a place in the next pass.
         ctx.shard.placement_due = true;
     }
-    for (auto const& [order, submission] : waiting)
+    for (auto* const submission : waiting)
     {
+        if (pass.full && submission->minimum_run)
+        {
+            minimum_runs::raise(ctx, *submission,
+                                pass.work_in_time_waits
+                                    ? first_tolerance
+                                    : minimum_runs::tolerance);
+        }
         if (pass.starts >= starts_per_pass)
         {
             ctx.shard.placement_due = true;
@@ -447,6 +456,10 @@
         }
         start_tasks(pass, *submission);
     }
+    if (pass.full)
+    {
+        minimum_runs::start(ctx, waiting, pass.unaccounted);
+    }
 }
 
 } // namespace jaydrift::schedule::placement_policy
--- a/src/jaydrift/schedule/refused_requests.cpp
+++ b/src/jaydrift/schedule/refused_requests.cpp
@@ -15,7 +15,8 @@
     if (spec.max_per_worker == 0)
     {
         refused_.push_back({request.service, spec.image, spec.required_label,
-                            spec.demand, request.tolerance});
+                            spec.demand, request.tolerance,
+                            request.pace_limit});
     }
 }
 
@@ -27,7 +28,8 @@
             return each.service == request.service && each.image == spec.image
                    && each.required_label == spec.required_label
                    && fits(each.demand, spec.demand)
-                   && request.tolerance <= each.tolerance;
+                   && request.tolerance <= each.tolerance
+                   && request.pace_limit == each.pace_limit;
         });
 }
 
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -427,6 +427,7 @@
               worker_replied const& reply, time_ms sent)
 {
     worker.serving_images_valid = false;
+    worker.pace_raised = false;
     std::set<run_id> listed;
     for (auto const& end : reply.ended)
     {
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -81,6 +81,10 @@
         {
             continue;
         }
+        if (submission.waiting_tasks == 0)
+        {
+            submission.idle_since = now;
+        }
         step.ready = true;
         step.ready_since = now;
         submission.waiting_tasks += step.waiting_tasks;
@@ -161,6 +165,19 @@
     record_log::changed_with_waiting_caller(ctx, submission);
 }
 
+/// Takes the place of a task away.
+void remove_place(shard_context const& ctx, submission_state& submission,
+                  task_id const& id, task_state& task)
+{
+    task.place.reset();
+    --submission.placed_tasks;
+    submission.idle_since = ctx.now;
+    if (submission.minimum_run == id)
+    {
+        submission.minimum_run.reset();
+    }
+}
+
 step_state& step_of(submission_state& submission, task_id const& id)
 {
     return submission.occurrences[id.occurrence].steps[id.step];
@@ -315,7 +332,7 @@
     task.maybe_running =
         task.place->run <= run_number_base(ctx.shard.ownership.record)
         && recovery::any_worker_unaccounted(ctx);
-    task.place.reset();
+    remove_place(ctx, submission, id, task);
     task.waiting_since = ctx.now;
     if (task.done)
     {
@@ -345,6 +362,7 @@
         --submission.waiting_tasks;
     }
     submission.started = true;
+    ++submission.placed_tasks;
     if (submission.phase == submission_phase::queued)
     {
         submission.phase = submission_phase::running;
@@ -364,7 +382,7 @@
     task.done = true;
     if (task.place)
     {
-        task.place.reset();
+        remove_place(ctx, submission, id, task);
     }
     else
     {
--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -21,6 +21,10 @@
 /// left over.
 constexpr double min_leftover_share = 0.5;
 
+/// Runs at the lowest pace stay long, so they leave one part in this many of a
+/// worker's memory to others.
+constexpr std::int64_t memory_reserve_divisor = 4;
+
 /// Highest tolerance, reached `tolerance_ramp` after the objective; from the
 /// objective on, the tolerance rises evenly.
 constexpr double last_tolerance = 0.8;
@@ -99,7 +103,11 @@
     {
         demand.millicores = 0;
     }
-    auto const free = entry.capacity - worker.used;
+    auto free = entry.capacity - worker.used;
+    if (request.pace_limit < full_pace)
+    {
+        free.memory_mb -= entry.capacity.memory_mb / memory_reserve_divisor;
+    }
     if (!fits(demand, free))
     {
         demand.millicores = free.millicores;
@@ -116,20 +124,24 @@
     auto value = 0.0;
     if (spec.opportunistic)
     {
-        auto const left = leftover_millicores(worker);
+        auto const left = leftover_millicores(worker) / capacity;
         auto const demand_share =
             static_cast<double>(spec.demand.millicores) / capacity;
         auto const tail = interference::expected_tail(
-            ctx.shard.interference, worker, spec.image, demand_share);
-        if (left / capacity < min_leftover_share * demand_share)
-        {
-            return wait_reason::leftover;
-        }
-        if (tail > request.tolerance)
+            ctx.shard.interference, worker, spec.image,
+            demand_share * request.pace_limit / full_pace);
+        if (request.pace_limit == full_pace)
         {
-            return wait_reason::tail;
+            if (left < min_leftover_share * demand_share)
+            {
+                return wait_reason::leftover;
+            }
+            if (tail > request.tolerance)
+            {
+                return wait_reason::tail;
+            }
         }
-        value = left / capacity - tail;
+        value = left - tail;
     }
     else
     {
@@ -176,6 +188,19 @@
     return first_tolerance + share * (last_tolerance - first_tolerance);
 }
 
+bool may_work_at(shard_context const& ctx, worker_state& worker,
+                 run_state const& run, std::uint32_t pace, double highest_tail)
+{
+    auto const capacity = static_cast<double>(
+        std::max<std::int64_t>(1, worker.entry.capacity.millicores));
+    auto const added = static_cast<double>(run.demand.millicores)
+                       * (pace - run.pace_limit) / full_pace / capacity;
+    return leftover_millicores(worker) / capacity >= min_leftover_share * added
+           && interference::expected_tail(ctx.shard.interference, worker,
+                                          run.image, added)
+                  <= highest_tail;
+}
+
 std::string_view rack_for(shard_context const& ctx, step_spec const& spec,
                           step_state const& step)
 {
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/ownership.hpp>
+#include <jaydrift/schedule/pacing.hpp>
 #include <jaydrift/schedule/run_reports.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -150,7 +151,8 @@
     auto counted = run.demand;
     if (run.opportunistic)
     {
-        worker.opportunistic_millicores += sign * counted.millicores;
+        worker.opportunistic_millicores +=
+            sign * (counted.millicores * run.pace_limit / full_pace);
         counted.millicores = 0;
     }
     if (run.long_running)
@@ -303,7 +305,10 @@
     if (task && task->place && task->place->run == id.number)
     {
         task->not_before = ctx.now + pause;
+        // Nothing has run, so the submission is idle for as long as before.
+        auto const idle_since = submission->idle_since;
         submissions::requeue(ctx, *submission, id.task);
+        submission->idle_since = idle_since;
     }
 }
 
@@ -326,6 +331,7 @@
         run.confirmed_at = ctx.now;
         run.progress_at = ctx.now;
         ctx.observe("start_ms", ctx.now - run.started_at);
+        pacing::started(ctx, worker, id);
         return;
     case worker_status::lost:
         ctx.log(log_level::warning, "worker",
@@ -553,6 +559,15 @@
     }
 }
 
+void raise_pace_limit(worker_state& worker, run_id const& run,
+                      std::uint32_t percent)
+{
+    auto& known = worker.runs.at(run);
+    add_to_sums(worker, known, -1);
+    known.pace_limit = percent;
+    add_to_sums(worker, known, 1);
+}
+
 void start(shard_context& ctx, worker_state& worker, run_id const& run)
 {
     auto const& submission = *submissions::find(ctx, run.task.submission);
