End long pauses of opportunistic runs without moving them for ever

A run that was paused for a serving task either stayed paused for as long as the tail latency was between 0.75 and 0.95 of its target, or, if it saves checkpoints, was stopped after 1.2 s to go on elsewhere, although no other worker would take it: the submission then had nothing running, or its tasks went from worker to worker.

A run that is the only one of its submission stays. Each move of a task makes the pause before the next one four times as long. Runs that stay resume after 1.2 s, at the pace at which the tail latency is expected to be 0.9 of the target.

--- a/include/jaydrift/schedule/run_state.hpp
+++ b/include/jaydrift/schedule/run_state.hpp
@@ -61,7 +61,7 @@
     std::optional<double> last_log_tail;
 
     /// Time since which the pace has been 0.
-    std::optional<time_ms> paced_to_zero_since;
+    std::optional<time_ms> paused_since;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/task_state.hpp
+++ b/include/jaydrift/schedule/task_state.hpp
@@ -40,6 +40,9 @@
     /// Time since which the task has had no place.
     time_ms waiting_since;
 
+    /// Number of times that a paused run was stopped to go on elsewhere.
+    std::uint32_t moves = 0;
+
     /// Earliest time of the next start.
     time_ms not_before;
 
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -34,10 +34,13 @@
 /// A neighbour whose weight is lower is not held responsible.
 constexpr double min_responsible_weight = 0.5;
 
-/// A neighbour that saves checkpoints is moved to another worker after its pace
-/// has been 0 for this long.
+/// A neighbour that has been paused for this long, which is a pace of 0, is
+/// moved to another worker or resumes.
 constexpr time_ms move_delay{1200};
 
+/// Relative tail latency up to which a neighbour resumes after a long pause.
+constexpr double resume_tail = 0.9;
+
 /// A run of a serving task and its last tail latency relative to the target;
 /// `run` is null if there is none.
 struct serving_task
@@ -182,34 +185,90 @@
     }
 }
 
-/// Stops opportunistic runs whose pace has been 0 for long and which can resume
-/// from a checkpoint, so that they go on elsewhere.
-void move_runs_at_pace_zero(shard_context& ctx, worker_state& worker)
+/// Returns whether the run has been paused for longer than `limit`.
+bool paused_for(shard_context const& ctx, run_state const& run, time_ms limit)
+{
+    return run.phase == run_phase::running && run.paused_since
+           && ctx.now - *run.paused_since >= limit;
+}
+
+/// Returns how long a run stays paused before its task is moved. Each move of
+/// the task makes the next pause longer, so that it is not moved again and
+/// again.
+time_ms pause_before_move(task_state const& task)
+{
+    constexpr std::int64_t growth = 4;
+    constexpr std::uint32_t most_growths = 3;
+    auto result = move_delay;
+    for (std::uint32_t i = 0; i < std::min(task.moves, most_growths); ++i)
+    {
+        result = result * growth;
+    }
+    return result;
+}
+
+/// Returns the task of a paused run that goes on on another worker; null if the
+/// run stays. A task can move if it saves checkpoints, and others of its
+/// submission run meanwhile.
+task_state* task_to_move(shard_context& ctx, run_id const& id,
+                         run_state const& run)
+{
+    auto* const submission = submissions::find(ctx, id.task.submission);
+    auto* const task =
+        submission ? submissions::find_task(*submission, id.task) : nullptr;
+    auto const moves = task && submission->placed_tasks > 1
+                       && submission->work.steps[id.task.step].checkpoints
+                       && paused_for(ctx, run, pause_before_move(*task));
+    return moves ? task : nullptr;
+}
+
+/// Notes since when the opportunistic runs of the worker are paused.
+void note_pauses(shard_context const& ctx, worker_state& worker)
 {
-    std::vector<run_id> moving;
     for (auto& [id, run] : worker.runs)
     {
         if (run.pace_percent > 0)
         {
-            run.paced_to_zero_since.reset();
+            run.paused_since.reset();
         }
-        else if (!run.paced_to_zero_since)
+        else if (!run.paused_since)
         {
-            run.paced_to_zero_since = ctx.now;
-        }
-        auto const* const submission =
-            submissions::find(ctx, id.task.submission);
-        if (run.opportunistic && run.phase == run_phase::running
-            && run.paced_to_zero_since
-            && ctx.now - *run.paced_to_zero_since >= move_delay && submission
-            && submission->work.steps[id.task.step].checkpoints)
-        {
-            moving.push_back(id);
+            run.paused_since = ctx.now;
         }
     }
-    for (auto const& id : moving)
+}
+
+/// Ends the pauses of opportunistic runs that have lasted for long: some of
+/// them are stopped, to go on on another worker; the others resume as far as
+/// the expected tail latency stays below `resume_tail`.
+void end_long_pauses(shard_context& ctx, worker_state& worker,
+                     serving_task const& worst)
+{
+    auto slack = std::log(resume_tail / worst.relative_tail);
+    for (auto const& each : neighbours_of(ctx, worker, *worst.run))
     {
-        workers::stop(ctx, worker, id);
+        if (!paused_for(ctx, *each.run, move_delay))
+        {
+            continue;
+        }
+        if (auto* const task = task_to_move(ctx, each.id, *each.run))
+        {
+            ++task->moves;
+            workers::stop(ctx, worker, each.id);
+        }
+        else if (slack > 0)
+        {
+            auto const caused =
+                std::max(min_responsible_weight, each.weight)
+                * static_cast<double>(each.run->demand.millicores)
+                / static_cast<double>(std::max<std::int64_t>(
+                    1, worker.entry.capacity.millicores));
+            auto const pace = std::clamp(
+                slack / caused * full_pace, static_cast<double>(minimum_pace),
+                static_cast<double>(each.run->pace_limit));
+            slack -= caused * pace / full_pace;
+            set_pace(ctx, worker, each, pace);
+        }
     }
 }
 
@@ -270,6 +329,7 @@
         return;
     }
     interference::learn(ctx, worker);
+    note_pauses(ctx, worker);
     if (worst.relative_tail > slow_down_above)
     {
         slow_down(ctx, worker, worst);
@@ -278,7 +338,7 @@
     {
         speed_up(ctx, worker, worst);
     }
-    move_runs_at_pace_zero(ctx, worker);
+    end_long_pauses(ctx, worker, worst);
 }
 
 } // namespace jaydrift::schedule::pacing
