Log the steps whose tasks wait for long

Once a second, after a full pass, the daemon that holds a shard looks for ready steps with a task that has waited for 5 s or more, and writes a line for each: ID.OCCURRENCE.STEP, tasks that wait, the one that has waited longest and for how long, the reason, and what the workers offer: usable, with memory, with processors, suitable, the lowest expected tail and the tolerance. For a step that was skipped because of an earlier one, the line names that step, its reason and in which properties it asks for more. The line is a warning if a worker has the memory. It comes again when the wait has doubled; there are at most 20 a second, those that are due longest first, and one with the number of the others. Only steps in a line ask the workers; the expected tails that they cache stay as the next pass would find them.

--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -57,6 +57,9 @@
     /// Time of the last pass that considered opportunistic steps too.
     time_ms last_full_pass;
 
+    /// Next search for tasks that wait for long.
+    time_ms next_wait_search;
+
     /// Next search for ended submissions whose retention is over.
     time_ms next_submission_expiry;
 };
--- a/include/jaydrift/schedule/step_state.hpp
+++ b/include/jaydrift/schedule/step_state.hpp
@@ -31,6 +31,9 @@
     /// Why its waiting tasks are not started, as the last pass found that tried
     /// to place one.
     wait_reason reason = wait_reason::not_tried;
+
+    /// Earliest time of the next log line about its waiting tasks.
+    time_ms next_wait_line;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/wait_reason.hpp
+++ b/include/jaydrift/schedule/wait_reason.hpp
@@ -13,6 +13,10 @@
     /// No pass has tried to place them since the step began to wait.
     not_tried,
 
+    /// The daemon holds the shard, but is not its owner now: it recovers the
+    /// shard, yields it, or is suspended.
+    not_owner,
+
     /// The store does not hold the submission yet.
     not_stored,
 
@@ -67,6 +71,12 @@
 inline constexpr std::size_t wait_reasons =
     static_cast<std::size_t>(wait_reason::urgent_reserve) + 1;
 
+/// Returns whether the reason is a refusal by workers.
+constexpr bool is_refusal(wait_reason reason)
+{
+    return reason >= wait_reason::no_worker;
+}
+
 /// Returns the name of the reason in log lines and labels of metrics.
 std::string_view name_of(wait_reason reason);
 
--- a/include/jaydrift/schedule/worker_choice.hpp
+++ b/include/jaydrift/schedule/worker_choice.hpp
@@ -16,6 +16,7 @@
 struct submission_state;
 struct task_id;
 struct worker_state;
+struct worker_survey;
 
 /// Chooses a worker for one task.
 namespace worker_choice {
@@ -38,6 +39,9 @@
 chosen_worker choose(shard_context& ctx, placement_request const& request,
                      std::set<std::string_view> const& kept_free);
 
+/// Asks all workers about a task that waits. Costs as much as `choose`.
+worker_survey survey(shard_context& ctx, placement_request const& request);
+
 } // namespace worker_choice
 
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -13,6 +13,7 @@
 #include <jaydrift/schedule/stopping.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <utility>
@@ -129,6 +130,7 @@
     {
         shard_context shard_ctx(ctx, shard);
         placement_policy::tick(shard_ctx);
+        waiting_tasks::tick(shard_ctx);
         record_log::tick(shard_ctx);
     }
     state.last_event_at = now;
--- /dev/null
+++ b/src/jaydrift/schedule/waiting_tasks.cpp
@@ -0,0 +1,274 @@
+#include <jaydrift/schedule/waiting_tasks.hpp>
+
+#include <jaydrift/schedule/placement_request.hpp>
+#include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/worker_choice.hpp>
+#include <jaydrift/schedule/worker_survey.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jaydrift::schedule::waiting_tasks {
+
+namespace {
+
+/// Time between two searches for steps to report.
+constexpr time_ms search_interval{1000};
+
+/// A search that is due comes after the next full pass, or after this time.
+constexpr time_ms max_wait_for_pass{200};
+
+/// A step is reported once a task of it has waited for this long, and again
+/// when that time has doubled.
+constexpr time_ms min_reported_wait{5000};
+
+/// Lines about steps in one search. Others that are due come in later ones.
+constexpr std::size_t lines_per_search = 20;
+
+/// A ready step with waiting tasks. Does not own the submission.
+struct waiting_step
+{
+    submission_state* submission = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    /// Index of the task that has waited longest, and since when.
+    std::uint32_t first_task = 0;
+    time_ms since;
+
+    wait_reason reason = wait_reason::not_tried;
+
+    step_state& state() const
+    {
+        return submission->occurrences[occurrence].steps[step];
+    }
+    step_spec const& spec() const { return submission->work.steps[step]; }
+    std::string name() const
+    {
+        return submission->id + '.' + std::to_string(occurrence) + '.'
+               + std::to_string(step);
+    }
+};
+
+bool waits(task_state const& task) { return !task.done && !task.place; }
+
+/// Sets `first_task` and `since`.
+void find_first_task(waiting_step& waiting, time_ms now)
+{
+    auto const& step = waiting.state();
+    waiting.since = now;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+    {
+        auto const since = waiting_since(step, step.tasks[i]);
+        if (waits(step.tasks[i]) && since < waiting.since)
+        {
+            waiting.first_task = i;
+            waiting.since = since;
+        }
+    }
+}
+
+wait_reason reason_of(shard_context const& ctx,
+                      submission_state const& submission,
+                      step_state const& step)
+{
+    if (ctx.shard.ownership.role != owner_role::owner)
+    {
+        return wait_reason::not_owner;
+    }
+    return submission.record_stored ? step.reason : wait_reason::not_stored;
+}
+
+/// Returns the ready steps of a shard that have waiting tasks.
+std::vector<waiting_step> waiting_steps(shard_context& ctx)
+{
+    std::vector<waiting_step> result;
+    for (auto const& id : ctx.shard.active)
+    {
+        auto* const submission = submissions::find(ctx, id);
+        for (std::uint32_t i = 0; i < submission->occurrences.size(); ++i)
+        {
+            auto const& steps = submission->occurrences[i].steps;
+            for (std::uint32_t j = 0; j < steps.size(); ++j)
+            {
+                if (!steps[j].ready || steps[j].waiting_tasks == 0)
+                {
+                    continue;
+                }
+                waiting_step each;
+                each.submission = submission;
+                each.occurrence = i;
+                each.step = j;
+                each.reason = reason_of(ctx, *submission, steps[j]);
+                find_first_task(each, ctx.now);
+                result.push_back(each);
+            }
+        }
+    }
+    return result;
+}
+
+/// Returns the step whose refusal made the pass skip this one; null if it is
+/// not known any more.
+waiting_step const* refused_before(std::vector<waiting_step> const& all,
+                                   waiting_step const& skipped)
+{
+    auto const found =
+        std::find_if(all.begin(), all.end(), [&skipped](auto const& each) {
+            return is_refusal(each.reason) && each.spec().opportunistic
+                   && each.spec().image == skipped.spec().image
+                   && each.spec().demand.millicores
+                          <= skipped.spec().demand.millicores;
+        });
+    return found == all.end() ? nullptr : &*found;
+}
+
+/// Names the properties in which the request of a refused step asks for more
+/// than that of the step that was skipped because of it.
+std::string difference_text(shard_context const& ctx,
+                            waiting_step const& refused,
+                            waiting_step const& skipped)
+{
+    auto const& more = refused.spec();
+    auto const& less = skipped.spec();
+    std::string result;
+    auto const add = [&result](bool differs, std::string_view property) {
+        if (differs)
+        {
+            result += result.empty() ? ", which differs in " : " and ";
+            result += property;
+        }
+    };
+    add(refused.submission->service != skipped.submission->service, "service");
+    add(more.required_label != less.required_label, "label");
+    add(more.demand.memory_mb > less.demand.memory_mb
+            || more.demand.accelerators > less.demand.accelerators,
+        "memory");
+    add(more.max_per_worker > 0, "limit per worker");
+    add(worker_choice::tolerance_of(ctx, *refused.submission)
+            < worker_choice::tolerance_of(ctx, *skipped.submission),
+        "tolerance");
+    return result;
+}
+
+std::string reason_text(shard_context const& ctx,
+                        std::vector<waiting_step> const& all,
+                        waiting_step const& waiting)
+{
+    std::string result(name_of(waiting.reason));
+    if (waiting.reason == wait_reason::skipped)
+    {
+        auto const* const refused = refused_before(all, waiting);
+        result += " after "
+                  + (refused ? refused->name() + ", "
+                                   + std::string(name_of(refused->reason))
+                                   + difference_text(ctx, *refused, waiting)
+                             : "another step");
+    }
+    return result;
+}
+
+std::string percent(double share)
+{
+    constexpr double whole = 100.0;
+    return std::to_string(std::lround(share * whole)) + " %";
+}
+
+std::string survey_text(worker_survey const& survey)
+{
+    return "of " + std::to_string(survey.matching) + " workers "
+           + std::to_string(survey.usable) + " usable, "
+           + std::to_string(survey.with_memory) + " with memory, "
+           + std::to_string(survey.with_processors) + " with processors, "
+           + std::to_string(survey.suitable) + " suitable";
+}
+
+/// Writes the line about a step: a warning if a worker has the memory that it
+/// needs.
+void report(shard_context& ctx, std::vector<waiting_step> const& all,
+            waiting_step const& waiting)
+{
+    auto& step = waiting.state();
+    auto const& task = step.tasks[waiting.first_task];
+    placement_request const request{
+        {waiting.submission->id, waiting.occurrence, waiting.step,
+         waiting.first_task},
+        waiting.spec(),
+        waiting.submission->service,
+        task.failed_on,
+        task.waiting_since,
+        {},
+        worker_choice::tolerance_of(ctx, *waiting.submission)};
+    auto const survey = worker_choice::survey(ctx, request);
+    auto const waited = ctx.now - waiting.since;
+    auto text = waiting.name() + ": " + std::to_string(step.waiting_tasks)
+                + " tasks wait, task " + std::to_string(waiting.first_task)
+                + " for " + std::to_string(waited.count()) + " ms, reason "
+                + reason_text(ctx, all, waiting) + "; " + survey_text(survey);
+    if (survey.lowest_tail)
+    {
+        text += "; lowest expected tail " + percent(*survey.lowest_tail)
+                + " of its target, tolerance " + percent(request.tolerance);
+    }
+    ctx.log(survey.with_memory > 0 ? log_level::warning : log_level::info,
+            "placement", std::move(text));
+    step.next_wait_line = ctx.now + waited;
+}
+
+/// Reports the steps whose line is due, those first that are due longest.
+void report_due(shard_context& ctx, std::vector<waiting_step> const& all)
+{
+    std::vector<waiting_step const*> due;
+    for (auto const& each : all)
+    {
+        if (ctx.now - each.since >= min_reported_wait
+            && ctx.now >= each.state().next_wait_line)
+        {
+            due.push_back(&each);
+        }
+    }
+    auto const due_at = [](waiting_step const* each) {
+        return std::max(each->state().next_wait_line,
+                        each->since + min_reported_wait);
+    };
+    std::sort(due.begin(), due.end(), [&due_at](auto const* a, auto const* b) {
+        return due_at(a) < due_at(b);
+    });
+    auto const reported = std::min(due.size(), lines_per_search);
+    for (std::size_t i = 0; i < reported; ++i)
+    {
+        report(ctx, all, *due[i]);
+    }
+    if (due.size() > reported)
+    {
+        ctx.log(log_level::warning, "placement",
+                std::to_string(due.size() - reported)
+                    + " more steps have waited for long");
+    }
+}
+
+} // namespace
+
+time_ms waiting_since(step_state const& step, task_state const& task)
+{
+    return std::max(step.ready_since, task.waiting_since);
+}
+
+void tick(shard_context& ctx)
+{
+    auto const due_at = ctx.shard.next_wait_search;
+    if (ctx.now < due_at || !holds_shard(ctx.shard.ownership.role)
+        || (ctx.shard.last_full_pass != ctx.now
+            && ctx.now - due_at < max_wait_for_pass))
+    {
+        return;
+    }
+    ctx.shard.next_wait_search = ctx.now + search_interval;
+    report_due(ctx, waiting_steps(ctx));
+}
+
+} // namespace jaydrift::schedule::waiting_tasks
--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/worker_survey.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
@@ -73,6 +74,33 @@
                : static_cast<double>(same - others) / (same + others);
 }
 
+/// Returns the millicores of a worker as a number to divide by.
+double capacity_of(worker_state const& worker)
+{
+    return static_cast<double>(
+        std::max<std::int64_t>(1, worker.entry.capacity.millicores));
+}
+
+/// Returns whether a worker has enough processors left over for an
+/// opportunistic task.
+bool has_leftover(worker_state const& worker, step_spec const& spec)
+{
+    auto const capacity = capacity_of(worker);
+    return leftover_millicores(worker) / capacity
+           >= min_leftover_share
+                  * (static_cast<double>(spec.demand.millicores) / capacity);
+}
+
+/// Returns the tail latency that is expected if an opportunistic task starts
+/// on the worker.
+double tail_with(shard_context const& ctx, worker_state& worker,
+                 step_spec const& spec)
+{
+    return interference::expected_tail(
+        ctx.shard.interference, worker, spec.image,
+        static_cast<double>(spec.demand.millicores) / capacity_of(worker));
+}
+
 /// Score of a worker for a task, or why the task must not run there.
 using score_or_refusal = std::variant<double, wait_reason>;
 
@@ -111,17 +139,12 @@
     {
         return wait_reason::step_limit;
     }
-    auto const capacity = static_cast<double>(
-        std::max<std::int64_t>(1, entry.capacity.millicores));
+    auto const capacity = capacity_of(worker);
     auto value = 0.0;
     if (spec.opportunistic)
     {
-        auto const left = leftover_millicores(worker);
-        auto const demand_share =
-            static_cast<double>(spec.demand.millicores) / capacity;
-        auto const tail = interference::expected_tail(
-            ctx.shard.interference, worker, spec.image, demand_share);
-        if (left / capacity < min_leftover_share * demand_share)
+        auto const tail = tail_with(ctx, worker, spec);
+        if (!has_leftover(worker, spec))
         {
             return wait_reason::leftover;
         }
@@ -129,7 +152,7 @@
         {
             return wait_reason::tail;
         }
-        value = left / capacity - tail;
+        value = leftover_millicores(worker) / capacity - tail;
     }
     else
     {
@@ -238,4 +261,41 @@
     return best;
 }
 
+worker_survey survey(shard_context& ctx, placement_request const& request)
+{
+    auto const& spec = request.spec;
+    worker_survey result;
+    for (auto& [id, worker] : ctx.shard.workers)
+    {
+        if (!workers::matches_step(worker.entry, request.service, spec))
+        {
+            continue;
+        }
+        auto const free = worker.entry.capacity - worker.used;
+        auto memory_demand = spec.demand;
+        memory_demand.millicores = free.millicores;
+        ++result.matching;
+        result.usable += workers::usable(ctx, worker) ? 1 : 0;
+        result.with_memory += fits(memory_demand, free) ? 1 : 0;
+        result.with_processors +=
+            (spec.opportunistic ? has_leftover(worker, spec)
+                                : spec.demand.millicores <= free.millicores)
+                ? 1
+                : 0;
+        // The next pass computes the expected tail at its own time.
+        auto const was_valid = worker.serving_images_valid;
+        auto const value = score(ctx, worker, request, false);
+        auto const* const refusal = std::get_if<wait_reason>(&value);
+        result.suitable += refusal ? 0 : 1;
+        if (spec.opportunistic && (!refusal || *refusal == wait_reason::tail))
+        {
+            auto const tail = tail_with(ctx, worker, spec);
+            result.lowest_tail =
+                std::min(result.lowest_tail.value_or(tail), tail);
+        }
+        worker.serving_images_valid = was_valid;
+    }
+    return result;
+}
+
 } // namespace jaydrift::schedule::worker_choice
