Log and count the runs that are stopped because of pace 0

A run with checkpoints whose pace has been 0 for 1.2 s is ordered to stop, so that it goes on elsewhere. Nothing said so: the log had the report of the worker that the run was stopped, and not why. Each such run now has a line [pacing] with its ID, its worker, how long its pace was 0, and the image and the tail latency of the serving task that suffers most there; runs_stopped_total counts them, and runs_paced_to_zero_total those that were slowed down to 0.

--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -178,9 +179,28 @@
     }
 }
 
+/// Logs that a run is moved away because its pace was 0.
+void log_move(shard_context& ctx, worker_state const& worker, run_id const& id,
+              serving_task const& worst)
+{
+    auto const& task = id.task;
+    auto const stood = ctx.now - *worker.runs.at(id).paced_to_zero_since;
+    constexpr double percent = 100.0;
+    ctx.count("runs_stopped_total", "pace_zero");
+    ctx.log(log_level::info, "pacing",
+            task.submission + '.' + std::to_string(task.occurrence) + '.'
+                + std::to_string(task.step) + '.' + std::to_string(task.index)
+                + " run " + std::to_string(id.number) + " stopped on "
+                + worker.entry.id + " after " + std::to_string(stood.count())
+                + " ms at pace 0, tail of " + worst.run->image + " there "
+                + std::to_string(std::lround(worst.relative_tail * percent))
+                + " % of its target");
+}
+
 /// Stops opportunistic runs whose pace has been 0 for long and which can resume
 /// from a checkpoint, so that they go on elsewhere.
-void move_runs_at_pace_zero(shard_context& ctx, worker_state& worker)
+void move_runs_at_pace_zero(shard_context& ctx, worker_state& worker,
+                            serving_task const& worst)
 {
     std::vector<run_id> moving;
     for (auto& [id, run] : worker.runs)
@@ -192,6 +212,7 @@
         else if (!run.paced_to_zero_since)
         {
             run.paced_to_zero_since = ctx.now;
+            ctx.count("runs_paced_to_zero_total", {});
         }
         auto const* const submission =
             submissions::find(ctx, id.task.submission);
@@ -205,6 +226,7 @@
     }
     for (auto const& id : moving)
     {
+        log_move(ctx, worker, id, worst);
         workers::stop(ctx, worker, id);
     }
 }
@@ -229,7 +251,7 @@
     {
         speed_up(ctx, worker, worst);
     }
-    move_runs_at_pace_zero(ctx, worker);
+    move_runs_at_pace_zero(ctx, worker, worst);
 }
 
 } // namespace jaydrift::schedule::pacing
