--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -222,8 +223,26 @@
     return moves ? task : nullptr;
 }
 
+/// Logs that a run is stopped to go on elsewhere because it is paused.
+void log_move(shard_context& ctx, worker_state const& worker,
+              neighbour const& each, serving_task const& worst)
+{
+    auto const& task = each.id.task;
+    constexpr double percent = 100.0;
+    ctx.count("runs_stopped_total", "paused");
+    ctx.log(log_level::info, "pacing",
+            task.submission + '.' + std::to_string(task.occurrence) + '.'
+                + std::to_string(task.step) + '.' + std::to_string(task.index)
+                + " run " + std::to_string(each.id.number) + " stopped on "
+                + worker.entry.id + " after "
+                + std::to_string((ctx.now - *each.run->paused_since).count())
+                + " ms at pace 0, tail of " + worst.run->image + " there "
+                + std::to_string(std::lround(worst.relative_tail * percent))
+                + " % of its target");
+}
+
 /// Notes since when the opportunistic runs of the worker are paused.
-void note_pauses(shard_context const& ctx, worker_state& worker)
+void note_pauses(shard_context& ctx, worker_state& worker)
 {
     for (auto& [id, run] : worker.runs)
     {
@@ -234,6 +253,7 @@
         else if (!run.paused_since)
         {
             run.paused_since = ctx.now;
+            ctx.count("runs_paused_total", {});
         }
     }
 }
@@ -254,6 +274,7 @@
         if (auto* const task = task_to_move(ctx, each.id, *each.run))
         {
             ++task->moves;
+            log_move(ctx, worker, each, worst);
             workers::stop(ctx, worker, each.id);
         }
         else if (slack > 0)
