Check counters against sets after every event in the simulation

Counters that stand for sets (waiting and done tasks, done steps, the room used on a worker) could drift from them unnoticed, and a task could have a place that its worker does not know of: it would then wait for ever. The simulated deployment now compares them in each shard that a daemon owns, after each event.

--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -1,5 +1,7 @@
 #include "simulated_deployment_test.hpp"
 
+#include "invariants_test.hpp"
+
 #include <jaydrift/schedule/reduce.hpp>
 
 #include <algorithm>
@@ -53,31 +55,6 @@
 
 } // namespace
 
-std::string id_of(int number)
-{
-    auto text = std::to_string(number);
-    return std::string(16 - text.size(), '0') + text;
-}
-
-submission chain_of(std::vector<std::uint32_t> const& tasks_per_step)
-{
-    submission work;
-    work.payload = "work";
-    for (std::size_t i = 0; i < tasks_per_step.size(); ++i)
-    {
-        step_spec step;
-        step.count = tasks_per_step[i];
-        step.demand = {1000, 1000, 0};
-        step.estimate = time_ms(500);
-        if (i > 0)
-        {
-            step.after = {static_cast<std::uint32_t>(i - 1)};
-        }
-        work.steps.push_back(step);
-    }
-    return work;
-}
-
 simulated_deployment::simulated_deployment(std::size_t daemons,
                                            std::size_t workers,
                                            std::uint64_t seed,
@@ -245,6 +222,12 @@
         std::visit([&](auto const& effect) { carry_out(daemon, effect); },
                    output);
     }
+    auto const broken = broken_invariant(*daemons_[daemon].state);
+    if (!broken.empty() && violations.empty())
+    {
+        violations.push_back(broken + ", at " + std::to_string(now_.count())
+                             + " ms");
+    }
 }
 
 void simulated_deployment::watch(std::size_t daemon, std::uint64_t incarnation,
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -201,13 +201,6 @@
     std::map<std::uint64_t, simulated_call> calls_;
 };
 
-/// Returns a number as the ID of a submission.
-std::string id_of(int number);
-
-/// Returns a submission of steps with the given numbers of tasks, each step
-/// after the one before.
-submission chain_of(std::vector<std::uint32_t> const& tasks_per_step);
-
 } // namespace jaydrift::schedule::testing
 
 #endif // JAYDRIFT_SCHEDULE_SIMULATED_DEPLOYMENT_TEST_HPP
