Fail a call to an unusable address instead of the process

Another writer put a port out of range into a worker's entry: the owner sent its first order there, `endpoint_of` threw on the traffic thread and the process ended. So did each later owner, which reads the address back from the fleet record.

Cause: an address was parsed where a connection is opened, long after it was decoded, and a failure was an exception that no handler catches.

A call to another text ends as `not_sent`, a datagram is dropped. Listening still throws, since that is the start of the process.

--- a/include/jaydrift/http/client.hpp
+++ b/include/jaydrift/http/client.hpp
@@ -38,9 +38,8 @@
     /// Sends a request to `address` (IP:PORT) in the named pool, which opens at
     /// most `max_connections`; the latest call sets this limit. `done` is
     /// called once, with `lost` or `not_sent` if there is no response after
-    /// `time_limit`.
-    ///
-    /// @throws boost::system::system_error if the address is malformed.
+    /// `time_limit`, and with `not_sent` if the address is not a network
+    /// address.
     void call(std::string_view address, std::string_view pool,
               std::size_t max_connections, request message, time_ms time_limit,
               handler done);
--- a/include/jaydrift/http/datagram_socket.hpp
+++ b/include/jaydrift/http/datagram_socket.hpp
@@ -31,10 +31,8 @@
     /// Port that the socket is bound to.
     unsigned short port() const;
 
-    /// Sends to `address` (IP:PORT). A datagram that cannot be sent at once is
-    /// dropped.
-    ///
-    /// @throws boost::system::system_error if the address is malformed.
+    /// Sends to `address` (IP:PORT). A datagram that cannot be sent at once, or
+    /// whose address is not a network address, is dropped.
     void send(std::string_view address, std::string_view content);
 
 private:
--- a/src/jaydrift/http/client.cpp
+++ b/src/jaydrift/http/client.cpp
@@ -38,9 +38,18 @@
     void call(std::string_view address, std::string_view pool_name,
               std::size_t max_connections, pending_call call)
     {
+        auto const server =
+            remote_endpoint<boost::asio::ip::tcp::endpoint>(address);
+        if (!server)
+        {
+            boost::asio::post(context_, [done = std::move(call.done)] {
+                done({call_result::outcome_kind::not_sent, {}});
+            });
+            return;
+        }
         auto& pool = pools_[{std::string(address), std::string(pool_name)}];
         pool.max_connections = max_connections;
-        pool.address = address;
+        pool.server = *server;
         pool.used_at = steady::now();
         pool.waiting.push_back(std::move(call));
         ++open_calls_;
@@ -62,7 +71,7 @@
     /// Connections to one address, and the calls that wait for one of them.
     struct connection_pool
     {
-        std::string address;
+        boost::asio::ip::tcp::endpoint server;
         std::size_t max_connections = 1;
         std::vector<std::shared_ptr<connection>> connections;
         std::deque<pending_call> waiting;
@@ -110,7 +119,7 @@
     std::shared_ptr<connection> open(connection_pool& pool)
     {
         auto result = std::make_shared<connection>(
-            context_, endpoint_of<boost::asio::ip::tcp::endpoint>(pool.address),
+            context_, pool.server,
             [weak = weak_from_this(), &pool](connection&) {
                 auto const self = weak.lock();
                 if (self && !self->stopped_)
--- a/src/jaydrift/http/datagram_socket.cpp
+++ b/src/jaydrift/http/datagram_socket.cpp
@@ -55,9 +55,12 @@
 
     void send(std::string_view address, std::string_view content)
     {
-        error_code ignored;
-        socket_.send_to(boost::asio::buffer(content.data(), content.size()),
-                        endpoint_of<udp::endpoint>(address), 0, ignored);
+        if (auto const receiver = remote_endpoint<udp::endpoint>(address))
+        {
+            error_code ignored;
+            socket_.send_to(boost::asio::buffer(content.data(), content.size()),
+                            *receiver, 0, ignored);
+        }
     }
 
     unsigned short port() const { return socket_.local_endpoint().port(); }
@@ -78,7 +81,7 @@
 datagram_socket::datagram_socket(boost::asio::io_context& context,
                                  std::string_view address, handler receive)
     : state_(std::make_shared<state>(
-        context, endpoint_of<udp::endpoint>(address), std::move(receive)))
+        context, local_endpoint<udp::endpoint>(address), std::move(receive)))
 {
     state_->listen();
 }
--- a/src/jaydrift/http/http_test.cpp
+++ b/src/jaydrift/http/http_test.cpp
@@ -140,6 +140,27 @@
     EXPECT_EQ(result->outcome, call_result::outcome_kind::not_sent);
 }
 
+// Another writer put a port out of range into a worker's entry. Guards against
+// an address that ends the process when it is used.
+TEST(http, a_call_to_an_unusable_address_is_not_sent)
+{
+    boost::asio::io_context context;
+    client http_client(context);
+    for (auto const* const address :
+         {"", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:-1",
+          "10.0.0.9:http", "host.example:80", "::1:80", "[::1:80"})
+    {
+        std::optional<call_result> result;
+        EXPECT_NO_THROW(http_client.call(
+            address, "pool", 1, post("a"), time_ms(100),
+            [&result](call_result ended) { result = std::move(ended); }))
+            << address;
+        run_until(context, [&result] { return result.has_value(); });
+        ASSERT_TRUE(result) << address;
+        EXPECT_EQ(result->outcome, call_result::outcome_kind::not_sent);
+    }
+}
+
 // Guards against request bodies that exhaust the memory.
 TEST(http, a_body_over_the_limit_is_refused)
 {
@@ -183,6 +204,21 @@
     EXPECT_EQ(result->reply.header("connection"), "close");
 }
 
+// Guards against a member's address that ends the process when a heartbeat is
+// sent there.
+TEST(datagram_socket, drops_a_datagram_to_an_unusable_address)
+{
+    boost::asio::io_context context;
+    datagram_socket sender(context, any_port,
+                           [](std::string const&, std::string_view) {});
+    for (auto const* const address :
+         {"", "10.0.0.9", "127.0.0.1:0", "127.0.0.1:65536", "host.example:80",
+          "[::1]:80"})
+    {
+        EXPECT_NO_THROW(sender.send(address, "hello")) << address;
+    }
+}
+
 // Guards against datagrams whose content does not arrive.
 TEST(datagram_socket, delivers_the_content)
 {
--- a/src/jaydrift/http/server.cpp
+++ b/src/jaydrift/http/server.cpp
@@ -239,7 +239,7 @@
 server::server(boost::asio::io_context& context, std::string_view address,
                handler serve)
     : state_(std::make_shared<state>(
-        context, endpoint_of<tcp::endpoint>(address), std::move(serve)))
+        context, local_endpoint<tcp::endpoint>(address), std::move(serve)))
 {
     state_->start();
 }
