Check the scheduler's records and datagrams where they are decoded

Cause: the decoders checked types at most, and not those of elements. A step or an occurrence that is no object or array was read as one, which RapidJSON checks only by assertions: the process ended. All figures were taken over and failed later: addresses of members and owners on the traffic thread, `after` as an index into a vector, counts as sizes of allocations, run numbers and times in sums that overflow, doubles in conversions to integers.

`find` now refuses values that are no objects. Each figure has a range in schedule/limits.hpp, chosen so that sums over workers, tasks and shards stay within 64 bits; names and addresses must be such. A fleet record leaves out only the workers with odd addresses, since an earlier release may have stored them and the others must be fenced. Loads in heartbeats and estimates are clamped, since both are rough and the rest of the message counts.

--- a/include/jaydrift/codec/json.hpp
+++ b/include/jaydrift/codec/json.hpp
@@ -22,7 +22,14 @@
 /// @throws codec_error if it is not JSON or not an object.
 rapidjson::Document parse_object(std::string_view text);
 
+/// The same for a text that must be UTF-8.
+///
+/// @throws codec_error if it is not UTF-8.
+rapidjson::Document parse_utf8_object(std::string_view text);
+
 /// Returns a field, or null if it is absent or null.
+///
+/// @throws codec_error if the value is not an object.
 json const* find(json const& object, std::string_view name);
 
 /// Returns a string field; if it is absent or null, an empty string.
@@ -42,6 +49,39 @@
 bool boolean(json const& object, std::string_view name);
 time_ms milliseconds(json const& object, std::string_view name);
 
+/// Returns a whole number from `min` to `max`; if it is absent or null, the
+/// default.
+///
+/// @throws codec_error if the field is of another type, or if its value or the
+/// default is out of range.
+std::int64_t integer_between(json const& object, std::string_view name,
+                             std::int64_t min, std::int64_t max,
+                             std::int64_t default_value = 0);
+time_ms milliseconds_up_to(json const& object, std::string_view name,
+                           time_ms max);
+
+/// Returns a number from `min` to `max`; if it is absent or null, 0.
+///
+/// @throws codec_error if the field is of another type or out of range.
+double number_between(json const& object, std::string_view name, double min,
+                      double max);
+
+/// Returns a string of at most 200 bytes; if it is absent or null, an empty
+/// string.
+///
+/// @throws codec_error if the field is of another type or longer.
+std::string short_text(json const& object, std::string_view name);
+
+/// Returns a string for which `is_name` holds.
+///
+/// @throws codec_error if the field is absent or anything else.
+std::string required_name(json const& object, std::string_view name);
+
+/// Returns a string for which `is_network_address` holds.
+///
+/// @throws codec_error if the field is absent or anything else.
+std::string required_address(json const& object, std::string_view name);
+
 /// Returns an array, or a null pointer if the field is absent or null.
 ///
 /// @throws codec_error if the field is of another type.
@@ -63,6 +103,17 @@
 /// @throws codec_error if it is not a number, or too large to be exact.
 std::int64_t as_integer(json const& value);
 
+/// Returns a whole number from `min` to `max` that is an element of an array.
+///
+/// @throws codec_error if it is not a whole number or out of range.
+std::int64_t as_integer_between(json const& value, std::int64_t min,
+                                std::int64_t max);
+
+/// Returns an array that is an element of an array.
+///
+/// @throws codec_error if it is of another type.
+json::ConstArray as_array(json const& value);
+
 /// Writes the name of a field; its value must follow.
 void put_key(json_writer& writer, std::string_view name);
 
--- a/src/jaydrift/codec/peer_codec.cpp
+++ b/src/jaydrift/codec/peer_codec.cpp
@@ -2,7 +2,10 @@
 
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/codec/json.hpp>
+#include <jaydrift/core/printable.hpp>
+#include <jaydrift/schedule/limits.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <variant>
 
@@ -48,6 +51,33 @@
 
 void write_fields(json_writer&, yield_request const&) {}
 
+/// Returns a field from 0 to `max_number`.
+std::uint64_t number_field(json const& object, std::string_view name)
+{
+    return static_cast<std::uint64_t>(
+        integer_between(object, name, 0, limits::max_number));
+}
+
+/// Returns a load within its limits: one of a shard with a tiny capacity may be
+/// beyond them.
+std::int64_t load_field(json const& object, std::string_view name)
+{
+    return std::clamp<std::int64_t>(integer(object, name), 0, limits::max_load);
+}
+
+heartbeat read_heartbeat(json const& value)
+{
+    heartbeat result;
+    result.address = required_address(value, "address");
+    result.term = static_cast<std::uint64_t>(
+        integer_between(value, "term", 0, limits::max_term));
+    result.interval = time_ms(integer_between(
+        value, "interval_ms", 1, limits::max_heartbeat_interval.count()));
+    result.load = {load_field(value, "firm_load"),
+                   load_field(value, "opportunistic_load")};
+    return result;
+}
+
 } // namespace
 
 std::string encode_message(peer_message const& message)
@@ -73,42 +103,41 @@
 {
     auto const value = parse_object(bytes);
     auto const type = text(value, "type");
-    auto const shard = static_cast<std::uint32_t>(integer(value, "shard"));
-    auto node = text(value, "node");
-    auto const revision =
-        static_cast<std::uint64_t>(integer(value, "revision"));
+    auto const shard = static_cast<std::uint32_t>(
+        integer_between(value, "shard", 0, limits::max_shards - 1));
+    auto node = required_name(value, "node");
+    auto const revision = number_field(value, "revision");
     if (type == "heartbeat")
     {
-        return heartbeat{shard,
-                         std::move(node),
-                         text(value, "address"),
-                         revision,
-                         static_cast<std::uint64_t>(integer(value, "term")),
-                         milliseconds(value, "interval_ms"),
-                         {integer(value, "firm_load"),
-                          integer(value, "opportunistic_load")}};
+        auto result = read_heartbeat(value);
+        result.shard = shard;
+        result.node = std::move(node);
+        result.revision = revision;
+        return result;
     }
     if (type == "reply")
     {
-        return heartbeat_reply{shard, std::move(node), revision,
-                               milliseconds(value, "store_age_ms"),
-                               boolean(value, "stopping")};
+        return heartbeat_reply{
+            shard, std::move(node), revision,
+            milliseconds_up_to(value, "store_age_ms", limits::max_time),
+            boolean(value, "stopping")};
     }
     if (type == "query")
     {
-        return owner_query{shard, std::move(node), text(value, "address"),
-                           revision};
+        return owner_query{shard, std::move(node),
+                           required_address(value, "address"), revision};
     }
     if (type == "sighting")
     {
-        return owner_query_reply{shard, std::move(node), revision,
-                                 milliseconds(value, "age_ms")};
+        return owner_query_reply{
+            shard, std::move(node), revision,
+            milliseconds_up_to(value, "age_ms", limits::max_time)};
     }
     if (type == "yield")
     {
         return yield_request{shard, std::move(node), revision};
     }
-    throw codec_error("unknown datagram type '" + type + "'");
+    throw codec_error("unknown datagram type '" + printable(type) + "'");
 }
 
 } // namespace jaydrift::codec
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -2,7 +2,12 @@
 
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/codec/json.hpp>
+#include <jaydrift/core/network_address.hpp>
+#include <jaydrift/core/printable.hpp>
+#include <jaydrift/schedule/limits.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <utility>
 #include <variant>
@@ -46,32 +51,54 @@
     out.EndObject();
 }
 
-std::uint32_t unsigned_field(json const& object, std::string_view name)
+/// Returns a field from 0 to `max_count`.
+std::uint32_t count_field(json const& object, std::string_view name)
 {
-    return static_cast<std::uint32_t>(integer(object, name));
+    return static_cast<std::uint32_t>(
+        integer_between(object, name, 0, limits::max_count));
 }
 
-step_spec read_step(json const& value)
+/// Returns a field from 0 to `max_number`.
+std::uint64_t number_field(json const& object, std::string_view name)
+{
+    return static_cast<std::uint64_t>(
+        integer_between(object, name, 0, limits::max_number));
+}
+
+std::uint64_t as_number(json const& value)
+{
+    return static_cast<std::uint64_t>(
+        as_integer_between(value, 0, limits::max_number));
+}
+
+/// Reads the step at `index`; it may wait only for steps with a lower index.
+step_spec read_step(json const& value, std::size_t index)
 {
     step_spec step;
-    step.count = unsigned_field(value, "count");
-    step.demand = {integer(value, "millicores"), integer(value, "memory_mb"),
-                   integer(value, "accelerators")};
-    step.estimate = milliseconds(value, "estimate_ms");
+    step.count = static_cast<std::uint32_t>(
+        integer_between(value, "count", 1, limits::max_tasks_per_step));
+    step.demand = {
+        integer_between(value, "millicores", 0, limits::max_demand_millicores),
+        integer_between(value, "memory_mb", 0, limits::max_amount),
+        integer_between(value, "accelerators", 0, limits::max_amount)};
+    step.estimate =
+        std::min(limits::max_estimate,
+                 milliseconds_up_to(value, "estimate_ms", limits::max_time));
     if (auto const* const after = array(value, "after"))
     {
         for (auto const& predecessor : after->GetArray())
         {
-            step.after.push_back(
-                static_cast<std::uint32_t>(as_integer(predecessor)));
+            step.after.push_back(static_cast<std::uint32_t>(as_integer_between(
+                predecessor, 0, static_cast<std::int64_t>(index) - 1)));
         }
     }
     step.required_label = text(value, "required_label");
     step.data_rack = text(value, "data_rack");
     step.image = text(value, "image");
-    step.max_per_worker = unsigned_field(value, "max_per_worker");
-    step.max_unavailable = unsigned_field(value, "max_unavailable");
-    step.latency_target = milliseconds(value, "latency_target_ms");
+    step.max_per_worker = count_field(value, "max_per_worker");
+    step.max_unavailable = count_field(value, "max_unavailable");
+    step.latency_target =
+        milliseconds_up_to(value, "latency_target_ms", limits::max_duration);
     step.gang = boolean(value, "gang");
     step.same_rack = boolean(value, "same_rack");
     step.checkpoints = boolean(value, "checkpoints");
@@ -102,20 +129,30 @@
 submission_record read_submission(json const& value)
 {
     submission_record record;
-    record.id = text(value, "id");
+    record.id = required_name(value, "id");
     record.queue = text(value, "queue");
-    record.accepted_at = milliseconds(value, "accepted_ms");
+    record.accepted_at =
+        milliseconds_up_to(value, "accepted_ms", limits::max_time);
     record.work.payload = text(value, "payload");
-    record.work.first_due = milliseconds(value, "first_due_ms");
-    record.work.interval = milliseconds(value, "interval_ms");
-    record.work.repeat_count = unsigned_field(value, "repeat_count");
+    record.work.first_due =
+        milliseconds_up_to(value, "first_due_ms", limits::max_time);
+    record.work.interval =
+        milliseconds_up_to(value, "interval_ms", limits::max_time);
+    record.work.repeat_count = count_field(value, "repeat_count");
+    std::int64_t tasks = 0;
     if (auto const* const steps = array(value, "steps"))
     {
         for (auto const& step : steps->GetArray())
         {
-            record.work.steps.push_back(read_step(step));
+            auto const index = record.work.steps.size();
+            tasks +=
+                record.work.steps.emplace_back(read_step(step, index)).count;
         }
     }
+    if (tasks == 0 || tasks > limits::max_tasks_per_occurrence)
+    {
+        throw codec_error("the number of tasks is out of range");
+    }
     return record;
 }
 
@@ -153,26 +190,26 @@
     task_progress task;
     if (value.IsInt())
     {
-        task.done = value.GetInt() == 1;
+        task.done = as_integer_between(value, 0, 1) == 1;
         return task;
     }
-    if (!value.IsArray() || value.Size() != element_count)
-    {
-        throw codec_error(
-            "a task is not an array of 5 elements that begins with an array");
-    }
-    if (!value[0].IsArray())
+    if (!value.IsArray() || value.Size() != element_count
+        || !value[0].IsArray())
     {
         throw codec_error(
             "a task is not an array of 5 elements that begins with an array");
     }
     for (auto const& run : value[0].GetArray())
     {
-        task.failed_runs.push_back(static_cast<std::uint64_t>(as_integer(run)));
+        task.failed_runs.push_back(as_number(run));
     }
-    task.highest_ended_run = static_cast<std::uint64_t>(as_integer(value[1]));
-    task.run = static_cast<std::uint64_t>(as_integer(value[2]));
+    task.highest_ended_run = as_number(value[1]);
+    task.run = as_number(value[2]);
     task.worker = as_text(value[3]);
+    if (!task.worker.empty() && !is_name(task.worker))
+    {
+        throw codec_error("the worker of a task is not a name");
+    }
     task.checkpoint = as_text(value[4]);
     return task;
 }
@@ -204,14 +241,10 @@
 progress_record read_progress(json const& value)
 {
     progress_record record;
-    record.id = text(value, "id");
-    auto const phase = integer(value, "phase");
-    if (phase < 0 || phase > static_cast<int>(submission_phase::cancelled))
-    {
-        throw codec_error("field 'phase' holds no known phase");
-    }
-    record.phase = static_cast<submission_phase>(phase);
-    record.ended_at = milliseconds(value, "ended_ms");
+    record.id = required_name(value, "id");
+    record.phase = static_cast<submission_phase>(integer_between(
+        value, "phase", 0, static_cast<int>(submission_phase::cancelled)));
+    record.ended_at = milliseconds_up_to(value, "ended_ms", limits::max_time);
     auto const* const occurrences = array(value, "tasks");
     if (!occurrences)
     {
@@ -220,10 +253,10 @@
     for (auto const& occurrence : occurrences->GetArray())
     {
         auto& steps = record.occurrences.emplace_back();
-        for (auto const& step : occurrence.GetArray())
+        for (auto const& step : as_array(occurrence))
         {
             auto& tasks = steps.emplace_back();
-            for (auto const& task : step.GetArray())
+            for (auto const& task : as_array(step))
             {
                 tasks.push_back(read_task(task));
             }
@@ -292,7 +325,13 @@
     {
         throw codec_error("a weight is not an array of two numbers");
     }
-    return {value[0].GetDouble(), value[1].GetDouble()};
+    learned_weight const result{value[0].GetDouble(), value[1].GetDouble()};
+    if (std::abs(result.weight) > limits::max_weight || result.evidence < 0
+        || result.evidence > limits::max_weight)
+    {
+        throw codec_error("a weight is out of range");
+    }
+    return result;
 }
 
 interference_record read_interference(json const& value)
@@ -335,6 +374,10 @@
     roster_record record;
     for (auto& node : texts(value, "nodes"))
     {
+        if (!is_name(node))
+        {
+            throw codec_error("an element of field 'nodes' is not a name");
+        }
         record.nodes.insert(std::move(node));
     }
     return record;
@@ -357,6 +400,8 @@
     out.EndObject();
 }
 
+/// Leaves out workers that cannot be reached, so that the others are known: an
+/// owner of an earlier release may have stored any address.
 fleet_record read_fleet(json const& value)
 {
     fleet_record record;
@@ -367,7 +412,12 @@
     }
     for (auto const& each : addresses->GetObject())
     {
-        record.addresses.emplace(as_text(each.name), as_text(each.value));
+        auto worker = as_text(each.name);
+        if (is_name(worker) && each.value.IsString()
+            && is_network_address(as_text(each.value)))
+        {
+            record.addresses.emplace(std::move(worker), as_text(each.value));
+        }
     }
     return record;
 }
@@ -397,22 +447,25 @@
     switch (kind)
     {
     case record_kind::owner:
-        return owner_record{
-            text(value, "node"), text(value, "address"),
-            static_cast<std::uint64_t>(integer(value, "term")),
-            static_cast<std::uint64_t>(integer(value, "incarnation"))};
+        return owner_record{required_name(value, "node"),
+                            required_address(value, "address"),
+                            static_cast<std::uint64_t>(integer_between(
+                                value, "term", 0, limits::max_term)),
+                            number_field(value, "incarnation")};
     case record_kind::member:
-        return member_record{text(value, "node"), text(value, "address"),
-                             number(value, "cpu_share"), text(value, "region")};
+        return member_record{
+            required_name(value, "node"), required_address(value, "address"),
+            number_between(value, "cpu_share", 0, limits::max_cpu_share),
+            short_text(value, "region")};
     case record_kind::layout:
-        return layout_record{unsigned_field(value, "shards")};
+        return layout_record{static_cast<std::uint32_t>(
+            integer_between(value, "shards", 1, limits::max_shards))};
     case record_kind::interference:
         return read_interference(value);
     case record_kind::roster:
         return read_roster(value);
     case record_kind::serial:
-        return serial_record{
-            static_cast<std::uint64_t>(integer(value, "value"))};
+        return serial_record{number_field(value, "value")};
     case record_kind::fleet:
         return read_fleet(value);
     case record_kind::submission:
@@ -420,8 +473,11 @@
     case record_kind::progress:
         return read_progress(value);
     case record_kind::relocation:
-        return relocation_record{text(value, "id"), unsigned_field(value, "to"),
-                                 milliseconds(value, "decided_ms")};
+        return relocation_record{
+            required_name(value, "id"),
+            static_cast<std::uint32_t>(
+                integer_between(value, "to", 0, limits::max_shards - 1)),
+            milliseconds_up_to(value, "decided_ms", limits::max_time)};
     default:
         throw codec_error(
             "a record of the platform cannot be decoded by decode_record");
