--- a/include/jaydrift/schedule/configuration.hpp
+++ b/include/jaydrift/schedule/configuration.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/schedule/queue.hpp>
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace jaydrift::schedule {
@@ -15,6 +16,9 @@
 {
     std::uint64_t version = 0;
     std::vector<queue> queues;
+
+    /// For each queue that was left out, what is wrong with it.
+    std::vector<std::string> unreadable_queues;
 };
 
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -55,6 +55,15 @@
             "version " + std::to_string(config->version) + " in force, "
                 + std::to_string(config->queues.size()) + " queues, revision "
                 + std::to_string(item.revision));
+    if (!config->unreadable_queues.empty())
+    {
+        ctx.log(log_level::warning, "config",
+                std::to_string(config->unreadable_queues.size())
+                    + " queues of version " + std::to_string(config->version)
+                    + " cannot be read, the first one because "
+                    + config->unreadable_queues.front());
+        ctx.count("unreadable_records_total", "queue");
+    }
 }
 
 void set_closed(context& ctx, std::string const& zone, bool closed)
