Bound what a caller's message can ask of the daemons

A body of 300 KB with 20,000 steps of 5,000 tasks was accepted: 100 million tasks, more than a daemon's memory, and again for each later owner that reads the record.

--- a/include/jaydrift/schedule/limits.hpp
+++ b/include/jaydrift/schedule/limits.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/time_ms.hpp>
 
+#include <cstddef>
 #include <cstdint>
 
 /// Ranges of the figures of other parties. They are checked where a record or
@@ -31,6 +32,13 @@
 /// the store.
 inline constexpr std::int64_t max_tasks_per_occurrence = 10000;
 
+/// Bytes of a caller's message. The stored record is at most three times as
+/// long, which is less than the largest value of the store.
+inline constexpr std::size_t max_submission_bytes = 256U * 1024U;
+
+/// Bytes of a checkpoint.
+inline constexpr std::size_t max_checkpoint_bytes = 256;
+
 /// Occurrences of a submission, tasks of a step on one worker, unavailable
 /// tasks, priorities and attempts.
 inline constexpr std::int64_t max_count = 1000000;
