Leave odd entries of another writer in the store of the soak

Operators of other systems reported that one odd entry among those of the executors ended every machine that read the list. The soak had no writer in its store beside the workers, the operator and the daemons.

Another writer now leaves up to 12 odd entries at a time (--odd-entries) and replaces and removes them while the other faults go on: values that are not base64, not JSON or nested 100,000 levels deep, objects with a field missing, of another type, too large, or with an address out of range. Half of them are among the workers' entries, the others under the other prefixes that the daemons read. They count as no disturbance: every promise holds as before. Those that are left stay until the end of the run. An end of a process is now expected only if it fits the signal that the soak sent, and the violation names the exit status or the signal.

--- a/include/jaydrift/soak/options.hpp
+++ b/include/jaydrift/soak/options.hpp
@@ -20,6 +20,9 @@
     /// there is no such record and the daemons choose.
     std::uint32_t shards = 0;
 
+    /// Most odd entries that another writer leaves in the store at a time.
+    std::size_t odd_entries = 12;
+
     /// Length of the phase in which faults begin.
     time_ms length{12000};
 
--- a/include/jaydrift/soak/process_exited.hpp
+++ b/include/jaydrift/soak/process_exited.hpp
@@ -10,8 +10,11 @@
 {
     std::size_t daemon = 0;
 
-    /// The process exited with status 0.
-    bool clean = false;
+    /// Exit status; 0 if a signal ended the process.
+    int status = 0;
+
+    /// Signal that ended the process; 0 if it exited.
+    int signal = 0;
 };
 
 } // namespace jaydrift::soak
--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -84,6 +84,13 @@
     /// When that queue was last removed from the configuration.
     time_ms queue_removed_at;
 
+    /// Keys of the odd entries in the store, and the area of each, which only
+    /// `other_writer` reads. Its random numbers are drawn from a source of its
+    /// own.
+    std::map<std::string, std::size_t> odd_entries;
+    random_source other_writer_random;
+    time_ms next_odd_entry;
+
     std::uint64_t next_call = 1;
     std::uint64_t next_submission = 1;
     time_ms next_fault;
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -110,6 +110,9 @@
         reader.number("shards", options.shards, std::uint32_t{0},
                       std::uint32_t{16}, "",
                       "Number of shards; 0 lets the daemons choose it.");
+        reader.number("odd-entries", options.odd_entries, std::size_t{0},
+                      std::size_t{1000}, "",
+                      "Most odd entries of another writer in the store.");
         reader.duration("length", options.length, time_ms(1000),
                         time_ms(600000),
                         "Length of the phase in which faults begin.");
--- a/src/jaydrift/soak/daemon_processes.cpp
+++ b/src/jaydrift/soak/daemon_processes.cpp
@@ -135,7 +135,7 @@
 }
 
 void daemon_processes::reap(
-    std::function<void(std::size_t, bool)> const& exited)
+    std::function<void(std::size_t, int, int)> const& exited)
 {
     for (std::size_t i = 0; i < running_.size(); ++i)
     {
@@ -143,7 +143,8 @@
         if (running_[i] > 0 && ::waitpid(running_[i], &status, WNOHANG) > 0)
         {
             running_[i] = 0;
-            exited(i, WIFEXITED(status) && WEXITSTATUS(status) == 0);
+            exited(i, WIFEXITED(status) ? WEXITSTATUS(status) : 0,
+                   WIFSIGNALED(status) ? WTERMSIG(status) : 0);
         }
     }
 }
--- a/src/jaydrift/soak/daemon_processes.hpp
+++ b/src/jaydrift/soak/daemon_processes.hpp
@@ -47,9 +47,9 @@
     /// @throws std::system_error if the signal cannot be sent.
     void signal(std::size_t daemon, int number);
 
-    /// Calls `exited(daemon, clean)` for each process that has ended since the
-    /// last call; `clean` means exit status 0.
-    void reap(std::function<void(std::size_t, bool)> const& exited);
+    /// Calls `exited(daemon, status, signal)` for each process that has ended
+    /// since the last call, as `process_exited` has them.
+    void reap(std::function<void(std::size_t, int, int)> const& exited);
 
     daemon_ports const& ports(std::size_t daemon) const
     {
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -2,10 +2,12 @@
 
 #include "callers.hpp"
 #include "faults.hpp"
+#include "other_writer.hpp"
 #include "simulated_platform.hpp"
 
 #include <jaydrift/codec/base64.hpp>
 
+#include <csignal>
 #include <string>
 #include <utility>
 #include <variant>
@@ -133,6 +135,7 @@
     case soak_state::phase::faults:
         callers::tick(state, now, effects);
         faults::begin(state, now, effects);
+        other_writer::tick(state, now, effects);
         if (now - state.phase_since >= state.settings.length)
         {
             faults::end_all(state, now, effects);
@@ -166,10 +169,16 @@
     void operator()(process_exited const& input) const
     {
         auto& daemon = state.daemons[input.daemon];
-        if (!daemon.killed && !(daemon.stopping && input.clean))
+        auto const killed = daemon.killed && input.signal == SIGKILL;
+        auto const stopped =
+            daemon.stopping && input.signal == 0 && input.status == 0;
+        if (!killed && !stopped)
         {
             state.oracle.add_violation("daemon " + std::to_string(input.daemon)
-                                       + " exited unexpectedly");
+                                       + " ended by itself, exit status "
+                                       + std::to_string(input.status)
+                                       + ", signal "
+                                       + std::to_string(input.signal));
         }
         auto const jitter =
             static_cast<std::int64_t>(state.random.below(restart_jitter_ms));
@@ -187,6 +196,7 @@
     soak_state state;
     state.settings = std::move(settings);
     state.random = random_source(state.settings.seed);
+    state.other_writer_random = random_source(~state.settings.seed);
     state.phase_since = now;
     state.next_tick = now;
     state.disturbed_at = now;
--- a/src/jaydrift/soak/simulated_platform_test.cpp
+++ b/src/jaydrift/soak/simulated_platform_test.cpp
@@ -1,8 +1,12 @@
+#include "other_writer.hpp"
+
 #include <jaydrift/soak/key_value_store.hpp>
 #include <jaydrift/soak/reduce.hpp>
 
 #include <jaydrift/codec/json.hpp>
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace jaydrift::soak {
@@ -120,6 +124,32 @@
     EXPECT_TRUE(oracle.violations().empty());
 }
 
+// Guards against odd entries that change what the soak checks: they may not
+// touch an entry of the workers, the operator or the daemons.
+TEST(soak, another_writer_keeps_to_its_own_keys)
+{
+    auto const settings = small_options();
+    auto state = initial_state(settings, {"127.0.0.1:1"}, time_ms(0));
+    auto const read = [&state](std::string const& key) {
+        auto const reply = state.store.handle(get("/api/kv-key?key=" + key));
+        return codec::text(codec::parse_object(reply->body), "value");
+    };
+    auto const worker = read("servers/i-0");
+    auto const configuration = read("op/config");
+    std::size_t most = 0;
+    effect_list effects;
+    for (auto now = time_ms(0); now < time_ms(300000); now += time_ms(10))
+    {
+        other_writer::tick(state, now, effects);
+        most = std::max(most, state.odd_entries.size());
+    }
+    EXPECT_EQ(read("servers/i-0"), worker);
+    EXPECT_EQ(read("op/config"), configuration);
+    EXPECT_GT(most, settings.odd_entries / 2);
+    EXPECT_LE(most, settings.odd_entries);
+    EXPECT_GT(effects.size(), 900U);
+}
+
 // Guards the replay of a seed: equal events must give equal faults and calls.
 TEST(soak, equal_events_give_equal_effects)
 {
--- a/src/jaydrift/soak/traffic_thread.cpp
+++ b/src/jaydrift/soak/traffic_thread.cpp
@@ -156,9 +156,10 @@
                 {
                     return;
                 }
-                processes_->reap([this](std::size_t daemon, bool clean) {
-                    events_.deliver(process_exited{daemon, clean});
-                });
+                processes_->reap(
+                    [this](std::size_t daemon, int status, int signal) {
+                        events_.deliver(process_exited{daemon, status, signal});
+                    });
                 wait_for_child_exit();
             });
     }
