Begin faults of the soak in series and stop its daemons in turn

The faults overlapped, but came one by one, 200 ms or more apart; only a kill hit all daemons at once.

One fault in four now begins a series of two to five more of its kind, less than 120 ms apart: signals to several daemons, configurations in quick succession, a zone that is evacuated and taken back. A stop may go to all daemons in turn, up to 1.5 s apart, so that some stop while others start. That clients keep using open connections of a stopping daemon was so already: callers choose any daemon and its open connections first.

--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -58,6 +58,14 @@
     std::map<std::size_t, time_ms> worker_restarts;
     std::map<std::size_t, time_ms> daemon_resumes;
 
+    /// When daemons that are stopped in turn get SIGTERM.
+    std::map<std::size_t, time_ms> daemon_stops;
+
+    /// Kind of the last fault, and how many more of this kind follow it in
+    /// quick succession.
+    std::uint64_t fault_kind = 0;
+    std::uint64_t faults_left_in_series = 0;
+
     /// Until then the store answers 503.
     std::optional<time_ms> store_outage_until;
 
--- a/src/jaydrift/soak/faults.cpp
+++ b/src/jaydrift/soak/faults.cpp
@@ -12,9 +12,19 @@
 
 namespace {
 
-constexpr std::uint64_t fault_jitter_ms = 900;
+constexpr std::int64_t fault_jitter_ms = 900;
 constexpr time_ms min_fault_interval{200};
 
+/// One fault in this many begins a series of faults of its kind.
+constexpr std::uint64_t series_one_in = 4;
+constexpr std::uint64_t min_series = 2;
+constexpr std::uint64_t series_jitter = 4;
+constexpr std::int64_t max_series_interval_ms = 120;
+
+/// Longest time between the stops of daemons that are stopped in turn; they
+/// overlap if it is below `stop_grace`.
+constexpr std::int64_t max_stop_interval_ms = 1500;
+
 /// A daemon that got SIGTERM is killed after this time, which is its setting
 /// graceS.
 constexpr time_ms stop_grace{6000};
@@ -90,6 +100,16 @@
     }
 }
 
+void stop_in_turn(soak_state& state, time_ms now)
+{
+    auto at = now;
+    for (std::size_t i = 0; i < state.daemons.size(); ++i)
+    {
+        state.daemon_stops[i] = at;
+        at += random_time(state, 0, max_stop_interval_ms);
+    }
+}
+
 std::string_view name_of(link_mode mode)
 {
     static constexpr std::string_view names[] = {"pass", "delay", "reset",
@@ -129,10 +149,24 @@
               + std::to_string(state.config_version));
 }
 
+void end_evacuation(soak_state& state)
+{
+    if (state.evacuated_zone)
+    {
+        state.store.remove("op/evacuate/" + *state.evacuated_zone);
+        state.evacuated_zone.reset();
+    }
+}
+
 void evacuate_zone(soak_state& state, time_ms until, time_ms now,
                    effect_list& effects)
 {
-    if (!state.evacuated_zone)
+    if (state.evacuated_zone)
+    {
+        end_evacuation(state);
+        print(effects, now, "evacuation ended early");
+    }
+    else
     {
         state.evacuated_zone = state.random.below(2) == 0 ? "a" : "b";
         state.evacuated_at = now;
@@ -142,15 +176,6 @@
     }
 }
 
-void end_evacuation(soak_state& state)
-{
-    if (state.evacuated_zone)
-    {
-        state.store.remove("op/evacuate/" + *state.evacuated_zone);
-        state.evacuated_zone.reset();
-    }
-}
-
 void begin_store_fault(soak_state& state, time_ms now, effect_list& effects)
 {
     switch (state.random.below(4))
@@ -230,12 +255,43 @@
         effects.push_back(signal_process{number, SIGHUP});
         print(effects, now, name + " reloads its settings");
         return;
+    case 3:
+        if (state.random.below(4) == 0)
+        {
+            stop_in_turn(state, now);
+            print(effects, now, "all daemons told to stop in turn");
+            return;
+        }
+        [[fallthrough]];
     default:
         terminate(state, number, now, effects);
         print(effects, now, name + " told to stop");
     }
 }
 
+/// Draws the kind of the fault that is due, unless it belongs to a series, and
+/// the time of the next one.
+void schedule_next(soak_state& state, time_ms now)
+{
+    if (state.faults_left_in_series > 0)
+    {
+        --state.faults_left_in_series;
+    }
+    else
+    {
+        state.fault_kind = state.random.below(8);
+        state.faults_left_in_series =
+            state.random.below(series_one_in) == 0
+                ? min_series + state.random.below(series_jitter)
+                : 0;
+    }
+    state.next_fault =
+        now
+        + (state.faults_left_in_series > 0
+               ? random_time(state, 0, max_series_interval_ms)
+               : min_fault_interval + random_time(state, 0, fault_jitter_ms));
+}
+
 } // namespace
 
 void begin(soak_state& state, time_ms now, effect_list& effects)
@@ -244,27 +300,25 @@
     {
         return;
     }
-    state.next_fault =
-        now + min_fault_interval
-        + random_time(state, 0, static_cast<std::int64_t>(fault_jitter_ms));
-    auto const draw = state.random.below(8);
-    if (draw == 0)
+    schedule_next(state, now);
+    auto const kind = state.fault_kind;
+    if (kind == 0)
     {
         change_configuration(state, now, effects);
         return;
     }
-    if (draw == 1)
+    if (kind == 1)
     {
         evacuate_zone(state, now + random_time(state, 3000, 9000), now,
                       effects);
         return;
     }
     state.disturbed_at = now;
-    if (draw < 4)
+    if (kind < 4)
     {
         begin_daemon_fault(state, now, effects);
     }
-    else if (draw < 6)
+    else if (kind < 6)
     {
         begin_store_fault(state, now, effects);
     }
@@ -300,6 +354,14 @@
         }
         return now >= each.second;
     });
+    std::erase_if(state.daemon_stops, [&](auto const& each) {
+        if (now >= each.second)
+        {
+            state.disturbed_at = now;
+            terminate(state, each.first, now, effects);
+        }
+        return now >= each.second;
+    });
     if (state.store_outage_until && now >= *state.store_outage_until)
     {
         state.disturbed_at = now;
@@ -354,6 +416,7 @@
     {
         until = now;
     }
+    state.daemon_stops.clear();
     for (auto& worker : state.workers)
     {
         worker.failing_percent = 0;
