--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -58,6 +58,14 @@
     std::map<std::size_t, time_ms> worker_restarts;
     std::map<std::size_t, time_ms> daemon_resumes;
 
+    /// When daemons that are stopped in turn get SIGTERM.
+    std::map<std::size_t, time_ms> daemon_stops;
+
+    /// Kind of the last fault, and how many more of this kind follow it in
+    /// quick succession.
+    std::uint64_t fault_kind = 0;
+    std::uint64_t faults_left_in_series = 0;
+
     /// Until then the store answers 503.
     std::optional<time_ms> store_outage_until;
 
@@ -84,6 +92,13 @@
     /// When that queue was last removed from the configuration.
     time_ms queue_removed_at;
 
+    /// Keys of the odd entries in the store, and the area of each, which only
+    /// `other_writer` reads. Its random numbers are drawn from a source of its
+    /// own.
+    std::map<std::string, std::size_t> odd_entries;
+    random_source other_writer_random;
+    time_ms next_odd_entry;
+
     std::uint64_t next_call = 1;
     std::uint64_t next_submission = 1;
     time_ms next_fault;
