Leave reads of the store unanswered in the scheduler's bench

The bench answered every store call as successful and without records, also reads of whole areas. The owner then took all workers for removed and forgot them, so that most submissions of a measurement found no worker. It answers only transactions now.

--- a/bench/scheduler.cpp
+++ b/bench/scheduler.cpp
@@ -115,8 +115,13 @@
             {
                 worker_calls_.push_back(*call);
             }
+            // Reads stay unanswered: without their records, a reply would
+            // remove all workers.
             else if (auto const* const request =
-                         std::get_if<store_call>(&effect))
+                         std::get_if<store_call>(&effect);
+                     request
+                     && std::holds_alternative<store_transaction>(
+                         request->request))
             {
                 store_calls_.push_back(request->call);
             }
