Measure the scheduler's decisions while submissions wait

The bench had no backlog, so it could not tell which decisions cost more with each submission that waits. It now fills 48 workers with two serving and thirteen opportunistic tasks each and lets opportunistic submissions wait for the tail latency, and urgent ones for processors.

--- a/bench/scheduler.cpp
+++ b/bench/scheduler.cpp
@@ -6,11 +6,13 @@
 #include <jaydrift/schedule/submissions.hpp>
 #include <platform/caller_messages.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -31,6 +33,18 @@
 /// 20 ms and twice 100 ms. The ticks of that time are subtracted.
 constexpr double ticked_seconds_per_submission = 0.22;
 
+/// Microseconds of the owner's parts while submissions wait. A full pass
+/// includes opportunistic tasks, another pass does not; the tick is one without
+/// a pass, and the hold reply lists all runs of a worker.
+struct backlog_costs
+{
+    double full_pass = 0;
+    double other_pass = 0;
+    double idle_tick = 0;
+    double event_without_pass = 0;
+    double hold_reply = 0;
+};
+
 /// Measures the time that the reducer takes for the decisions of the owner of
 /// one shard with a given number of workers, without any input or output.
 class owner_bench
@@ -85,7 +99,242 @@
                        [this](std::size_t) { advance(time_ms(1000)); });
     }
 
+    /// Fills every worker with two serving tasks near their latency target and
+    /// thirteen opportunistic tasks, lets the given numbers of submissions
+    /// wait, and returns the costs of the owner's parts.
+    backlog_costs with_backlog(std::size_t opportunistic, std::size_t urgent,
+                               std::size_t rounds)
+    {
+        fill_workers();
+        for (std::size_t i = 0; i < opportunistic + urgent; ++i)
+        {
+            submit(i < opportunistic ? opportunistic_submission(i)
+                                     : urgent_submission(i));
+            if (i % submissions_between_runs == 0)
+            {
+                run_for(answer_interval, near_target_ms);
+            }
+        }
+        run_for(time_ms(1000), near_target_ms);
+        auto& shard = state_.shards[0];
+        constexpr time_ms long_ago{0};
+        backlog_costs result;
+        result.full_pass = measure(rounds, [&](std::size_t) {
+            idle_event(now_ + tick_interval, long_ago, long_ago);
+        });
+        result.other_pass = measure(rounds, [&](std::size_t) {
+            idle_event(now_ + tick_interval, long_ago, now_);
+        });
+        result.idle_tick =
+            measure(rounds, [&](std::size_t) { idle_event(now_, now_, now_); });
+        result.event_without_pass = measure(rounds, [&](std::size_t) {
+            idle_event(now_ + tick_interval, now_, now_);
+        });
+        std::size_t replies = 0;
+        microseconds spent{0};
+        for (std::size_t i = 0; i < rounds / 10; ++i)
+        {
+            std::vector<worker_replied> batch;
+            for (auto const& call : collect_holds())
+            {
+                if (std::holds_alternative<hold_order>(call.order))
+                {
+                    batch.push_back(hold_reply(call, near_target_ms));
+                }
+            }
+            // Keeps the pass over the waiting tasks out of the figure.
+            shard.last_pass = now_;
+            auto const start = processor_time();
+            for (auto const& reply : batch)
+            {
+                step(reply);
+            }
+            spent += processor_time() - start;
+            replies += batch.size();
+        }
+        result.hold_reply = spent.count() / static_cast<double>(replies);
+        return result;
+    }
+
+    /// Returns how many submissions have tasks that wait.
+    std::size_t waiting_submissions() const
+    {
+        auto const& submissions = state_.shards[0].submissions;
+        return static_cast<std::size_t>(std::count_if(
+            submissions.begin(), submissions.end(),
+            [](auto const& each) { return each.second.waiting_tasks > 0; }));
+    }
+
+    /// Returns the average number of runs on a worker.
+    double runs_per_worker() const
+    {
+        std::size_t runs = 0;
+        for (auto const& [id, worker] : state_.shards[0].workers)
+        {
+            runs += worker.runs.size();
+        }
+        return static_cast<double>(runs)
+               / static_cast<double>(state_.shards[0].workers.size());
+    }
+
 private:
+    static constexpr time_ms tick_interval{20};
+    static constexpr time_ms latency_target{24};
+
+    /// Tail latencies at which opportunistic tasks start, and at which they
+    /// neither start nor change their pace.
+    static constexpr std::int64_t far_below_target_ms = 4;
+    static constexpr std::int64_t near_target_ms = 21;
+
+    static constexpr std::uint32_t serving_per_worker = 2;
+    static constexpr std::uint32_t opportunistic_per_worker = 13;
+    static constexpr std::uint32_t opportunistic_images = 9;
+    static constexpr std::uint32_t serving_images = 5;
+    static constexpr std::size_t submissions_between_runs = 8;
+    static constexpr time_ms answer_interval{100};
+
+    /// Reduces an event that changes nothing. The tick and the passes take
+    /// place if they are due at the times given.
+    void idle_event(time_ms next_tick, time_ms last_pass,
+                    time_ms last_full_pass)
+    {
+        auto& shard = state_.shards[0];
+        state_.next_tick = next_tick;
+        shard.last_pass = last_pass;
+        shard.last_full_pass = last_full_pass;
+        shard.placement_due = true;
+        step(timer_due{now_});
+    }
+
+    /// Returns the reply of a worker with all of its runs at work, and its
+    /// serving tasks at the given tail latency.
+    worker_replied hold_reply(worker_call const& call, std::int64_t tail_ms)
+    {
+        worker_replied reply;
+        reply.call = call.call;
+        reply.status = worker_status::ok;
+        reply.clock = now_;
+        reply.process_started_at = time_ms(1);
+        for (auto const& [id, run] : state_.shards[0].workers[call.worker].runs)
+        {
+            // Opportunistic runs advance at each report, so that none seems
+            // to hang.
+            auto const progress =
+                run.long_running ? 100 : (run.progress_percent + 1) % 100;
+            reply.running.push_back(
+                {id,
+                 {},
+                 progress,
+                 run.long_running ? tail_ms : run.demand.millicores / 2});
+        }
+        return reply;
+    }
+
+    /// Returns an opportunistic submission of two steps. Those with different
+    /// numbers differ in image and demand.
+    submission opportunistic_submission(std::size_t number) const
+    {
+        step_spec spec;
+        spec.count = 8;
+        spec.demand = {1200 + static_cast<std::int64_t>(number % 17) * 100,
+                       3000, 0};
+        spec.estimate = time_ms(2000 + static_cast<int>(number % 7) * 300);
+        spec.image = "o-" + std::to_string(number % opportunistic_images);
+        spec.opportunistic = true;
+        spec.checkpoints = true;
+        submission work;
+        work.steps = {spec, spec};
+        work.steps[1].after = {0};
+        return work;
+    }
+
+    /// Returns an urgent submission of two steps that finds no worker with
+    /// enough free processors.
+    submission urgent_submission(std::size_t number) const
+    {
+        step_spec spec;
+        spec.count = 6;
+        spec.demand = {60000 + static_cast<std::int64_t>(number % 17) * 100,
+                       2000, 0};
+        spec.estimate = time_ms(600);
+        submission work;
+        work.steps = {spec, spec};
+        work.steps[1].after = {0};
+        return work;
+    }
+
+    /// Submits work under the next ID.
+    void submit(submission work)
+    {
+        auto id = std::to_string(++submitted_);
+        id.insert(0, 16 - id.size(), '0');
+        call_arrived request;
+        request.call = submitted_;
+        request.verb = call_verb::submit;
+        request.host = "h";
+        request.path = "/q/" + id;
+        request.work = std::move(work);
+        step(request);
+    }
+
+    /// Starts serving tasks, then opportunistic ones, and reports that the
+    /// former are near their target.
+    void fill_workers()
+    {
+        auto const workers =
+            static_cast<std::uint32_t>(state_.shards[0].workers.size());
+        step_spec serving;
+        serving.count = workers / serving_images;
+        serving.demand = {3200, 6400, 0};
+        serving.max_per_worker = 1;
+        serving.latency_target = latency_target;
+        serving.long_running = true;
+        for (std::uint32_t i = 0; i < serving_per_worker * serving_images; ++i)
+        {
+            submission work;
+            serving.image = "s-" + std::to_string(i % serving_images);
+            work.steps = {serving};
+            submit(work);
+        }
+        run_for(time_ms(3000), far_below_target_ms);
+        step_spec fill;
+        fill.count = workers * opportunistic_per_worker / opportunistic_images;
+        fill.demand = {2000, 3000, 0};
+        fill.opportunistic = true;
+        fill.checkpoints = true;
+        for (std::uint32_t i = 0; i < opportunistic_images; ++i)
+        {
+            submission work;
+            fill.image = "o-" + std::to_string(i);
+            work.steps = {fill};
+            submit(work);
+        }
+        run_for(time_ms(6000), far_below_target_ms);
+        run_for(time_ms(3000), near_target_ms);
+    }
+
+    /// Advances the virtual time; the store and all workers answer.
+    void run_for(time_ms duration, std::int64_t tail_ms)
+    {
+        for (auto const end = now_ + duration; now_ < end;)
+        {
+            answer_store_calls();
+            for (auto const& call : std::exchange(worker_calls_, {}))
+            {
+                if (std::holds_alternative<hold_order>(call.order))
+                {
+                    step(hold_reply(call, tail_ms));
+                    continue;
+                }
+                worker_replied reply;
+                reply.call = call.call;
+                reply.status = worker_status::ok;
+                reply.clock = now_;
+                step(reply);
+            }
+        }
+    }
+
     /// Returns the average microseconds of `count` calls of `action`.
     template<class Action>
     double measure(std::size_t count, Action action)
@@ -172,7 +421,7 @@
     /// Lets the owner write its records, and answers all calls to the store.
     void answer_store_calls()
     {
-        advance(time_ms(100));
+        advance(answer_interval);
         for (auto const call : std::exchange(store_calls_, {}))
         {
             store_replied reply;
@@ -245,6 +494,9 @@
     time_ms now_{1000};
     /// Last revision of the store.
     std::uint64_t revision_ = 10;
+
+    /// Number of the last submission of `submit`, and of its call.
+    std::uint64_t submitted_ = 0;
     /// Time inside `run_submission` that does not count.
     microseconds untimed_{0};
     std::vector<worker_call> worker_calls_;
@@ -295,5 +547,28 @@
         std::cout << "submission_of_4_tasks" << suffix
                   << work - ticked_seconds_per_submission * idle << " us\n";
     }
+    constexpr std::pair<std::size_t, std::size_t> backlogs[] = {
+        {0, 0}, {100, 0}, {400, 0}, {0, 150}, {400, 150}};
+    for (auto const& [opportunistic, urgent] : backlogs)
+    {
+        constexpr std::size_t workers = 48;
+        constexpr std::size_t rounds = 200;
+        owner_bench bench(workers);
+        auto const costs = bench.with_backlog(opportunistic, urgent, rounds);
+        auto const suffix = "_" + std::to_string(opportunistic)
+                            + "_opportunistic_" + std::to_string(urgent)
+                            + "_urgent: ";
+        std::cout << "waiting" << suffix << bench.waiting_submissions()
+                  << " submissions\n"
+                  << "runs_per_worker" << suffix << bench.runs_per_worker()
+                  << " runs\n"
+                  << "full_pass" << suffix
+                  << costs.full_pass - costs.event_without_pass << " us\n"
+                  << "other_pass" << suffix
+                  << costs.other_pass - costs.event_without_pass << " us\n"
+                  << "idle_tick" << suffix
+                  << costs.idle_tick - costs.event_without_pass << " us\n"
+                  << "hold_reply" << suffix << costs.hold_reply << " us\n";
+    }
     return EXIT_SUCCESS;
 }
