Count the waiting tasks by reason and by the length of their wait

The log names at most 20 waiting steps a second; how many tasks wait in all, why and for how long was not known, nor how long a task waits for its start.

The search that writes the lines now counts all waiting tasks. The gauges tasks_waiting_below_1_s, tasks_waiting_below_10_s and tasks_waiting_from_10_s have the reason as their label and the sum over the daemon's shards as their value; an effect of its own, gauge_update, sets those that have changed, once a second. Every 5 s a line says how many tasks have waited for 10 s or more, by reason.

--- a/include/jaydrift/process/metrics.hpp
+++ b/include/jaydrift/process/metrics.hpp
@@ -13,7 +13,7 @@
 
 class metric_histogram;
 
-/// Histograms and counters of a process, printed in the Prometheus text
+/// Histograms, counters and gauges of a process, printed in the Prometheus text
 /// exposition format.
 /// `docs/metrics.md` lists the names and units. Safe on any thread.
 class metrics
@@ -30,19 +30,34 @@
     /// Adds one to the counter `name{type="type"}`.
     void count(std::string_view name, std::string_view type);
 
+    /// Sets the gauge `name{type="type"}`.
+    void set(std::string_view name, std::string_view type, std::int64_t value);
+
     /// Returns all metrics as text, each name with the prefix `jaydrift_`.
     std::string text() const;
 
 private:
-    struct counter
+    /// Values of a counter or gauge.
+    struct labelled_values
     {
-        std::map<std::string, std::uint64_t, std::less<>> by_type;
+        std::map<std::string, std::int64_t, std::less<>> by_type;
     };
 
+    using values_by_name = std::map<std::string, labelled_values, std::less<>>;
+
+    /// Returns the value of a counter or gauge, which is 0 if it is new.
+    static std::int64_t& value_of(values_by_name& all, std::string_view name,
+                                  std::string_view type);
+
+    /// Appends counters or gauges as text.
+    static void print(values_by_name const& all, std::string_view kind,
+                      std::string& output);
+
     mutable std::mutex mutex_;
     std::map<std::string, std::unique_ptr<metric_histogram>, std::less<>>
         histograms_;
-    std::map<std::string, counter, std::less<>> counters_;
+    values_by_name counters_;
+    values_by_name gauges_;
 };
 
 } // namespace jaydrift::process
--- a/include/jaydrift/schedule/context.hpp
+++ b/include/jaydrift/schedule/context.hpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/daemon_state.hpp>
 #include <jaydrift/schedule/effect.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,6 +42,12 @@
         emit(metric_update{std::string(name), {}, value.count()});
     }
 
+    /// Sets the gauge `name`; `type` is its label.
+    void gauge(std::string_view name, std::string_view type, std::int64_t value)
+    {
+        emit(gauge_update{std::string(name), std::string(type), value});
+    }
+
     /// Returns the wall clock time. Only due times of submissions and times in
     /// records use it; everything else uses `now`, which never jumps.
     time_ms wall_time() const { return now + state.wall_offset; }
--- a/include/jaydrift/schedule/daemon_state.hpp
+++ b/include/jaydrift/schedule/daemon_state.hpp
@@ -58,6 +58,9 @@
     std::map<std::uint64_t, pending_worker_call> worker_calls;
     std::uint64_t next_worker_call = 1;
 
+    /// Numbers of waiting tasks of all shards, as the gauges show them.
+    wait_counts shown_waiting;
+
     /// What the probes of the load balancer are told.
     bool ready = false;
 
--- a/include/jaydrift/schedule/effect.hpp
+++ b/include/jaydrift/schedule/effect.hpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/close_connections.hpp>
 #include <jaydrift/schedule/exit_process.hpp>
 #include <jaydrift/schedule/forward_call.hpp>
+#include <jaydrift/schedule/gauge_update.hpp>
 #include <jaydrift/schedule/log_line.hpp>
 #include <jaydrift/schedule/metric_update.hpp>
 #include <jaydrift/schedule/send_message.hpp>
@@ -18,9 +19,10 @@
 namespace jaydrift::schedule {
 
 /// Everything that the reducer can ask of its surroundings.
-using effect = std::variant<answer_call, forward_call, store_call, worker_call,
-                            send_message, set_ready, close_connections,
-                            log_line, metric_update, exit_process>;
+using effect =
+    std::variant<answer_call, forward_call, store_call, worker_call,
+                 send_message, set_ready, close_connections, log_line,
+                 metric_update, gauge_update, exit_process>;
 
 using effect_list = std::vector<effect>;
 
--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -8,6 +8,7 @@
 #include <jaydrift/schedule/relocation_state.hpp>
 #include <jaydrift/schedule/shard_load.hpp>
 #include <jaydrift/schedule/submission_state.hpp>
+#include <jaydrift/schedule/wait_counts.hpp>
 #include <jaydrift/schedule/worker_state.hpp>
 
 #include <cstdint>
@@ -59,6 +60,10 @@
 
     /// Next search for tasks that wait for long.
     time_ms next_wait_search;
+    time_ms next_wait_summary;
+
+    /// What the last search found.
+    wait_counts waiting;
 
     /// Next search for ended submissions whose retention is over.
     time_ms next_submission_expiry;
--- a/src/jaydrift/process/metrics_test.cpp
+++ b/src/jaydrift/process/metrics_test.cpp
@@ -40,4 +40,16 @@
               "jaydrift_shed_total{type=\"request_arrived\"} 2\n");
 }
 
+// Guards against gauges that are added up like counters, and so never fall.
+TEST(metrics, prints_the_last_value_of_a_gauge)
+{
+    metrics tested;
+    tested.set("waiting", "tail", 7);
+    tested.set("waiting", "tail", 3);
+    tested.set("waiting", "memory", 0);
+    EXPECT_EQ(tested.text(), "# TYPE jaydrift_waiting gauge\n"
+                             "jaydrift_waiting{type=\"memory\"} 0\n"
+                             "jaydrift_waiting{type=\"tail\"} 3\n");
+}
+
 } // namespace jaydrift::process
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/run_numbers.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -247,6 +248,7 @@
         }
         number = std::max(number, next_run(ctx, task));
     }
+    auto const since = waiting_tasks::waiting_since(step, ctx.now);
     std::vector<std::pair<run_id, worker_state*>> members;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
@@ -272,6 +274,7 @@
         if (complete)
         {
             workers::start(ctx, *worker, id);
+            ctx.observe("task_wait_ms", ctx.now - since);
             ++pass.starts;
         }
         else
@@ -344,6 +347,8 @@
             }
             break;
         }
+        ctx.observe("task_wait_ms",
+                    ctx.now - waiting_tasks::waiting_since(step, task));
         auto const number = next_run(ctx, task);
         reserve(ctx, submission, id, *choice.worker, number);
         workers::start(ctx, *choice.worker, {id, number});
--- a/src/jaydrift/schedule/waiting_tasks.cpp
+++ b/src/jaydrift/schedule/waiting_tasks.cpp
@@ -9,7 +9,10 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <functional>
+#include <numeric>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jaydrift::schedule::waiting_tasks {
@@ -54,6 +57,14 @@
     }
 };
 
+/// Time between two lines with the numbers of tasks that have waited for
+/// `medium_wait` or more.
+constexpr time_ms summary_interval{5000};
+
+/// Bounds of the ranges of `wait_counts`.
+constexpr time_ms short_wait{1000};
+constexpr time_ms medium_wait{10000};
+
 bool waits(task_state const& task) { return !task.done && !task.place; }
 
 /// Sets `first_task` and `since`.
@@ -251,6 +262,97 @@
     }
 }
 
+wait_counts::by_reason& range_of(wait_counts& counts, time_ms waited)
+{
+    return waited < short_wait    ? counts.below_1_s
+           : waited < medium_wait ? counts.below_10_s
+                                  : counts.from_10_s;
+}
+
+/// Counts the waiting tasks. The members of a gang wait as long as the one that
+/// has waited longest, since a failed attempt to place them counts as a place.
+wait_counts count(std::vector<waiting_step> const& all, time_ms now)
+{
+    wait_counts result;
+    for (auto const& each : all)
+    {
+        auto const& step = each.state();
+        for (auto const& task : step.tasks)
+        {
+            if (waits(task))
+            {
+                auto const since =
+                    each.spec().gang ? each.since : waiting_since(step, task);
+                ++range_of(result,
+                           now - since)[static_cast<std::size_t>(each.reason)];
+            }
+        }
+    }
+    return result;
+}
+
+void add(wait_counts::by_reason& sum, wait_counts::by_reason const& other)
+{
+    std::transform(sum.begin(), sum.end(), other.begin(), sum.begin(),
+                   std::plus<>());
+}
+
+/// Sets the gauges whose value has changed.
+void show(shard_context& ctx)
+{
+    wait_counts sum;
+    for (auto const& shard : ctx.state.shards)
+    {
+        add(sum.below_1_s, shard.waiting.below_1_s);
+        add(sum.below_10_s, shard.waiting.below_10_s);
+        add(sum.from_10_s, shard.waiting.from_10_s);
+    }
+    auto const shown = std::exchange(ctx.state.shown_waiting, sum);
+    for (std::size_t i = 0; i < wait_reasons; ++i)
+    {
+        auto const name = name_of(static_cast<wait_reason>(i));
+        if (sum.below_1_s[i] != shown.below_1_s[i])
+        {
+            ctx.gauge("tasks_waiting_below_1_s", name, sum.below_1_s[i]);
+        }
+        if (sum.below_10_s[i] != shown.below_10_s[i])
+        {
+            ctx.gauge("tasks_waiting_below_10_s", name, sum.below_10_s[i]);
+        }
+        if (sum.from_10_s[i] != shown.from_10_s[i])
+        {
+            ctx.gauge("tasks_waiting_from_10_s", name, sum.from_10_s[i]);
+        }
+    }
+}
+
+/// Writes how many tasks have waited for long, and why.
+void summarize(shard_context& ctx)
+{
+    auto const& counts = ctx.shard.waiting.from_10_s;
+    std::string reasons;
+    for (std::size_t i = 0; i < wait_reasons; ++i)
+    {
+        if (counts[i] > 0)
+        {
+            reasons += ", ";
+            reasons += name_of(static_cast<wait_reason>(i));
+            reasons += ' ' + std::to_string(counts[i]);
+        }
+    }
+    if (reasons.empty() || ctx.now < ctx.shard.next_wait_summary)
+    {
+        return;
+    }
+    ctx.shard.next_wait_summary = ctx.now + summary_interval;
+    auto const sum =
+        std::accumulate(counts.begin(), counts.end(), std::int64_t{0});
+    ctx.log(log_level::info, "placement",
+            std::to_string(sum) + " tasks have waited for "
+                + std::to_string(medium_wait.count()) + " ms or more"
+                + reasons);
+}
+
 } // namespace
 
 time_ms waiting_since(step_state const& step, task_state const& task)
@@ -258,17 +360,38 @@
     return std::max(step.ready_since, task.waiting_since);
 }
 
+time_ms waiting_since(step_state const& step, time_ms now)
+{
+    auto result = now;
+    for (auto const& task : step.tasks)
+    {
+        if (waits(task))
+        {
+            result = std::min(result, waiting_since(step, task));
+        }
+    }
+    return result;
+}
+
 void tick(shard_context& ctx)
 {
     auto const due_at = ctx.shard.next_wait_search;
-    if (ctx.now < due_at || !holds_shard(ctx.shard.ownership.role)
+    if (ctx.now < due_at
         || (ctx.shard.last_full_pass != ctx.now
             && ctx.now - due_at < max_wait_for_pass))
     {
         return;
     }
     ctx.shard.next_wait_search = ctx.now + search_interval;
-    report_due(ctx, waiting_steps(ctx));
+    std::vector<waiting_step> all;
+    if (holds_shard(ctx.shard.ownership.role))
+    {
+        all = waiting_steps(ctx);
+    }
+    report_due(ctx, all);
+    ctx.shard.waiting = count(all, ctx.now);
+    show(ctx);
+    summarize(ctx);
 }
 
 } // namespace jaydrift::schedule::waiting_tasks
