--- a/src/jaydrift/schedule/minimum_runs.cpp
+++ b/src/jaydrift/schedule/minimum_runs.cpp
@@ -7,6 +7,7 @@
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/task_placement.hpp>
+#include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -74,6 +75,8 @@
         refused.add(request);
         return false;
     }
+    ctx.observe("task_wait_ms",
+                ctx.now - waiting_tasks::waiting_since(step, *found));
     auto const number = task_placement::next_run(ctx, *found);
     task_placement::reserve(ctx, submission, id, *choice.worker, number,
                             minimum_pace);
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -9,6 +9,7 @@
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/task_placement.hpp>
+#include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -219,6 +220,7 @@
         }
         number = std::max(number, task_placement::next_run(ctx, task));
     }
+    auto const since = waiting_tasks::waiting_since(step, ctx.now);
     std::vector<std::pair<run_id, worker_state*>> members;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
@@ -245,6 +247,7 @@
         if (complete)
         {
             workers::start(ctx, *worker, id);
+            ctx.observe("task_wait_ms", ctx.now - since);
             ++pass.starts;
         }
         else
@@ -318,6 +321,8 @@
             }
             break;
         }
+        ctx.observe("task_wait_ms",
+                    ctx.now - waiting_tasks::waiting_since(step, task));
         auto const number = task_placement::next_run(ctx, task);
         task_placement::reserve(ctx, submission, id, *choice.worker, number,
                                 full_pace);
