Judge a resumed run by its progress since it resumed

Two such runs of different submissions put their worker into quarantine.

The time without progress now begins when a higher pace is confirmed. Runs below 30 % are judged as well, with more time in proportion to their pace, so that a run at the lowest pace cannot hang for ever.

opportunistic.a_run_that_resumes_is_not_taken_to_hang failed before (2 starts) and passes.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -265,6 +265,20 @@
     deployment.run_until(deployment.now() + time_ms(10000));
     EXPECT_TRUE(completed(deployment, first_id));
 }
+// Guards against a run that is taken to hang, and stopped, because it made no
+// progress while it was paused.
+TEST(opportunistic, a_run_that_resumes_is_not_taken_to_hang)
+{
+    simulated_deployment deployment(1, 1, 32);
+    serve(deployment, {0.5, 0.5});
+    pause_a_run(deployment);
+    deployment.run_until(deployment.now() + time_ms(4000));
+    deployment.cancel(0, serving_id);
+    deployment.run_until(deployment.now() + time_ms(10000));
+    EXPECT_TRUE(completed(deployment, first_id));
+    EXPECT_EQ(deployment.starts({first_id, 0, 0, 0}), 1U);
+}
+
 // Guards against a run that stays paused while the serving task beside it is
 // below its target, though not far.
 TEST(opportunistic, a_paused_run_resumes_beside_a_serving_task_near_its_target)
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -26,9 +26,9 @@
 constexpr time_ms hang_limit{1500};
 constexpr time_ms long_running_hang_limit{3000};
 
-/// At a lower pace, in percent, a run makes too little progress to tell whether
-/// it hangs.
-constexpr std::uint32_t min_judged_pace = 30;
+/// At a pace below this one, in percent, a run has more time to make progress,
+/// in proportion to its pace.
+constexpr std::uint32_t unslowed_pace = 30;
 
 /// A worker gets no tasks for a while after this many failures of different
 /// submissions in a row. Tasks fail by themselves about once in twenty runs.
@@ -372,7 +372,7 @@
 /// Returns whether a run has made no progress for too long.
 bool hangs(shard_context const& ctx, run_state const& run)
 {
-    if (run.phase != run_phase::running || run.pace_percent < min_judged_pace)
+    if (run.phase != run_phase::running || run.pace_percent == 0)
     {
         return false;
     }
@@ -382,7 +382,8 @@
         return run.progress_percent < at_work
                && ctx.now - run.progress_at >= long_running_hang_limit;
     }
-    return ctx.now - run.progress_at >= hang_limit;
+    auto const pace = std::min(run.pace_percent, unslowed_pace);
+    return (ctx.now - run.progress_at) * pace >= hang_limit * unslowed_pace;
 }
 
 /// Stops the runs that hang. If they are of several submissions, the worker is
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -381,19 +381,26 @@
     }
 }
 
-void pace_replied(worker_state& worker, pending_worker_call const& sent,
-                  worker_replied const& reply)
+void pace_replied(shard_context const& ctx, worker_state& worker,
+                  pending_worker_call const& sent, worker_replied const& reply)
 {
     auto const found = worker.runs.find(sent.run);
     if (found == worker.runs.end())
     {
         return;
     }
-    found->second.pace_in_flight = false;
-    if (reply.status == worker_status::ok)
+    auto& run = found->second;
+    run.pace_in_flight = false;
+    if (reply.status != worker_status::ok)
     {
-        found->second.pace_percent = sent.pace_percent;
+        return;
+    }
+    if (sent.pace_percent > run.pace_percent)
+    {
+        // The time at the lower pace does not tell whether the run hangs.
+        run.progress_at = ctx.now;
     }
+    run.pace_percent = sent.pace_percent;
 }
 
 /// Drops the runs of a worker that has not answered this owner, once the leases
@@ -643,7 +650,7 @@
     case order_kind::stop:
         return stop_replied(shard_ctx, worker, sent.run, reply);
     case order_kind::pace:
-        return pace_replied(worker, sent, reply);
+        return pace_replied(shard_ctx, worker, sent, reply);
     }
 }
 
