Let late work yield only to work that is refused for interference

Late work stayed at one run at the lowest pace while a submission before its objective could not be placed for another reason, such as a label that no worker has: its refusal lowered the tolerance of all late work, which gains nobody anything. Only refusals for the tail latency or the processors left over count now.

--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -262,11 +262,16 @@
     }
 }
 
-/// Notes that opportunistic tasks of a submission have found no place.
-void note_refusal(placement_pass& pass, submission_state const& submission)
+/// Notes that the opportunistic tasks of a submission have found no place. Work
+/// in time that is refused for other reasons than interference would not gain
+/// from what late work leaves it.
+void note_refusal(placement_pass& pass, submission_state const& submission,
+                  wait_reason reason)
 {
-    pass.work_in_time_waits =
-        pass.work_in_time_waits || lateness(pass.ctx, submission) == 0;
+    pass.work_in_time_waits = pass.work_in_time_waits
+                              || (lateness(pass.ctx, submission) == 0
+                                  && (reason == wait_reason::tail
+                                      || reason == wait_reason::leftover));
 }
 
 /// Starts the tasks of a step that find a worker.
@@ -306,7 +311,6 @@
         if (spec.opportunistic && pass.refused.cover(request))
         {
             step.reason = wait_reason::skipped;
-            note_refusal(pass, submission);
             break;
         }
         auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
@@ -317,7 +321,7 @@
             if (spec.opportunistic)
             {
                 pass.refused.add(request);
-                note_refusal(pass, submission);
+                note_refusal(pass, submission, choice.refusal);
             }
             break;
         }
