--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -215,8 +215,9 @@
                  run_state const& run, std::uint32_t pace, double highest_tail)
 {
     auto const capacity = capacity_of(worker);
-    auto const added = static_cast<double>(run.demand.millicores)
-                       * (pace - run.pace_limit) / full_pace / capacity;
+    auto const now = std::min(run.pace_percent, run.pace_limit);
+    auto const added = static_cast<double>(run.demand.millicores) * (pace - now)
+                       / full_pace / capacity;
     return leftover_millicores(worker) / capacity >= min_leftover_share * added
            && interference::expected_tail(ctx.shard.interference, worker,
                                           run.image, added)
