Move one paused run of a submission at a time, the last one to an idle worker

All paused runs of a submission could be stopped at once, since runs that are being stopped counted as running: nothing of it ran for 1.5 s. And its last run stayed paused while another worker was idle, so the submission was not completed. A submission now has one move in a second, and its last run moves if a worker takes it at once.

--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -74,6 +74,10 @@
     /// Nothing ran for long; set until a task is placed at full pace.
     bool starved = false;
 
+    /// No paused run is stopped to go on elsewhere before this time, so that
+    /// others of the submission run meanwhile.
+    time_ms next_move_at;
+
     /// Task whose run started at `minimum_pace` and may not work at full pace
     /// yet.
     std::optional<task_id> minimum_run;
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -2,8 +2,10 @@
 
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/pace.hpp>
+#include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
@@ -39,6 +41,10 @@
 /// moved to another worker or resumes.
 constexpr time_ms move_delay{1200};
 
+/// Time between two moves of tasks of a submission; a stopped run has ended by
+/// then.
+constexpr time_ms move_interval{1000};
+
 /// Relative tail latency up to which a neighbour resumes after a long pause.
 constexpr double resume_tail = 0.9;
 
@@ -208,19 +214,27 @@
     return result;
 }
 
-/// Returns the task of a paused run that goes on on another worker; null if the
-/// run stays. A task can move if it saves checkpoints, and others of its
-/// submission run meanwhile.
-task_state* task_to_move(shard_context& ctx, run_id const& id,
-                         run_state const& run)
+/// Returns whether a paused run is stopped to go on on another worker. Its task
+/// has to save checkpoints. Either others of the submission run meanwhile, or a
+/// worker takes it at once.
+bool should_move(shard_context& ctx, submission_state const& submission,
+                 task_state const& task, run_id const& id, run_state const& run)
 {
-    auto* const submission = submissions::find(ctx, id.task.submission);
-    auto* const task =
-        submission ? submissions::find_task(*submission, id.task) : nullptr;
-    auto const moves = task && submission->placed_tasks > 1
-                       && submission->work.steps[id.task.step].checkpoints
-                       && paused_for(ctx, run, pause_before_move(*task));
-    return moves ? task : nullptr;
+    auto const& spec = submission.work.steps[id.task.step];
+    if (!spec.checkpoints || ctx.now < submission.next_move_at
+        || !paused_for(ctx, run, pause_before_move(task)))
+    {
+        return false;
+    }
+    auto const& step =
+        submission.occurrences[id.task.occurrence].steps[id.task.step];
+    return submission.placed_tasks > 1
+           || worker_choice::choose(ctx,
+                                    {id.task, spec, submission.service,
+                                     task.failed_on, task.waiting_since,
+                                     worker_choice::rack_for(ctx, spec, step)},
+                                    {})
+                  .worker;
 }
 
 /// Logs that a run is stopped to go on elsewhere because it is paused.
@@ -271,9 +285,15 @@
         {
             continue;
         }
-        if (auto* const task = task_to_move(ctx, each.id, *each.run))
+        auto* const submission =
+            submissions::find(ctx, each.id.task.submission);
+        auto* const task =
+            submission ? submissions::find_task(*submission, each.id.task)
+                       : nullptr;
+        if (task && should_move(ctx, *submission, *task, each.id, *each.run))
         {
             ++task->moves;
+            submission->next_move_at = ctx.now + move_interval;
             log_move(ctx, worker, each, worst);
             workers::stop(ctx, worker, each.id);
         }
