Estimate the paces that an earlier owner ordered

A new owner took all runs for runs at full pace. 1.5 s after a change of owner it stopped those at a low pace as hanging and put their workers into quarantine, and never sped up the others. The pace of an opportunistic run that it did not start is now estimated from the first report: the processors that the run uses as a share of those that it declares.

--- a/include/jaydrift/schedule/run_state.hpp
+++ b/include/jaydrift/schedule/run_state.hpp
@@ -54,6 +54,10 @@
     std::uint32_t pace_percent = full_pace;
     bool pace_in_flight = false;
 
+    /// The pace was ordered by an earlier owner; it is estimated from the first
+    /// report.
+    bool pace_unknown = false;
+
     /// Highest pace that placement allows.
     std::uint32_t pace_limit = full_pace;
 
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -102,6 +102,7 @@
                 }
                 auto run = workers::reservation(submission, id.step);
                 run.phase = run_phase::running;
+                run.pace_unknown = run.opportunistic;
                 run.started_at = ctx.now;
                 run.progress_at = ctx.now;
                 run.confirmed_at = ctx.now;
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -218,6 +218,15 @@
         {end.number, submission->id, submission->version});
 }
 
+/// Returns the pace at which an opportunistic run uses the processors that it
+/// uses, if it would use all that it declares at full pace.
+std::uint32_t estimated_pace(run_state const& run)
+{
+    auto const declared = std::max<std::int64_t>(1, run.demand.millicores);
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        run.load * full_pace / declared, 0, full_pace));
+}
+
 /// Takes over what the worker reports of a known run.
 void note_progress(shard_context& ctx, run_state& run,
                    reported_run const& reported, task_state& task)
@@ -228,6 +237,11 @@
         run.progress_at = ctx.now;
     }
     run.load = reported.load;
+    if (run.pace_unknown)
+    {
+        run.pace_unknown = false;
+        run.pace_percent = estimated_pace(run);
+    }
     if (!run.confirmed_at)
     {
         run.confirmed_at = ctx.now;
@@ -274,6 +288,7 @@
     task.maybe_running = false;
     submissions::placed(submission, reported.run.task);
     auto run = workers::reservation(submission, reported.run.task.step);
+    run.pace_unknown = run.opportunistic;
     run.phase = run_phase::running;
     run.started_at = ctx.now;
     run.progress_at = ctx.now;
