--- a/src/jaydrift/schedule/review_test.cpp
+++ b/src/jaydrift/schedule/review_test.cpp
@@ -148,6 +148,19 @@
         << " MB are free, each needs 1000";
 }
 
+// Guards against a task that never runs because it needs more than three
+// quarters of the memory of a worker.
+TEST(review, a_task_that_needs_most_of_the_memory_runs)
+{
+    simulated_deployment deployment(1, 4, 54);
+    serve(deployment, {0.89, 0.5});
+    auto work = filler(1, time_ms(3000));
+    work.steps[0].demand.memory_mb = 50000;
+    deployment.submit(0, first_id, work);
+    deployment.run_until(deployment.now() + time_ms(60000));
+    EXPECT_EQ(deployment.starts({first_id, 0, 0, 0}), 1U);
+}
+
 // Guards against runs that count as hanging, and a worker that gets no tasks,
 // because their pause counts as time without progress.
 TEST(review, runs_that_resume_after_a_pause_do_not_count_as_hanging)
