Count opportunistic runs at the limit of their pace in the invariant check

The sum of a worker's opportunistic millicores counts each run at the limit of its pace since submissions of which nothing runs get a run at a low pace; the check still counted the whole demand. It is as strict as before: the sum over the runs must be exact. review.runs_at_the_lowest_pace_keep_the_invariants failed before and passes.

--- a/src/jaydrift/schedule/invariants_test.cpp
+++ b/src/jaydrift/schedule/invariants_test.cpp
@@ -175,7 +175,7 @@
         auto counted = run.demand;
         if (run.opportunistic)
         {
-            opportunistic += counted.millicores;
+            opportunistic += counted.millicores * run.pace_limit / full_pace;
             counted.millicores = 0;
         }
         long_running += run.long_running ? counted.millicores : 0;
