Take memory back from slow runs instead of keeping a part free of them

In turn, urgent and long-running tasks waited without bound for memory that paused runs held.

Slow runs may now take any memory that is free. If a firm task finds no worker, runs that are paused or at the lowest pace are stopped on one worker where that makes room for it.

--- a/include/jaydrift/schedule/minimum_runs.hpp
+++ b/include/jaydrift/schedule/minimum_runs.hpp
@@ -13,7 +13,8 @@
 /// Keeps opportunistic work from starving. Where such work is placed in the
 /// order of submissions, up to a limit of the disturbance, the last ones may
 /// never have their turn. So a submission of which nothing runs gets one run at
-/// `minimum_pace` wherever there is memory. The pace is raised once the
+/// `minimum_pace` wherever there is memory, which firm tasks can have back. The
+/// pace is raised once the
 /// submission has its turn.
 namespace minimum_runs {
 
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/placement_policy.hpp>
 
+#include <jaydrift/schedule/memory_reclaim.hpp>
 #include <jaydrift/schedule/minimum_runs.hpp>
 #include <jaydrift/schedule/pace.hpp>
 #include <jaydrift/schedule/placement_request.hpp>
@@ -74,8 +75,12 @@
     /// Opportunistic requests that found no worker.
     refused_requests refused;
 
-    /// One of them could still meet its objective.
+    /// A submission that could still meet its objective was refused since its
+    /// tasks would disturb serving tasks.
     bool work_in_time_waits = false;
+
+    /// Memory was taken back from slow runs.
+    bool made_room = false;
 };
 
 /// Returns 0 if the objective of a submission may still be met, 1 if it has
@@ -274,6 +279,20 @@
                                       || reason == wait_reason::leftover));
 }
 
+/// Takes memory back for a firm task that found no worker, once in a pass. Some
+/// workers may have refused it for their processors, others for their memory.
+void make_room(placement_pass& pass, placement_request const& request,
+               wait_reason refusal)
+{
+    if (!request.spec.opportunistic && !pass.made_room
+        && (refusal == wait_reason::memory
+            || refusal == wait_reason::processors))
+    {
+        pass.made_room = true;
+        memory_reclaim::make_room(pass.ctx, request);
+    }
+}
+
 /// Starts the tasks of a step that find a worker.
 void start_step(placement_pass& pass, submission_state& submission,
                 std::uint32_t occurrence_index, std::uint32_t step_index)
@@ -318,6 +337,7 @@
         {
             step.reason = choice.refusal;
             keep_worker_free(pass, request);
+            make_room(pass, request, choice.refusal);
             if (spec.opportunistic)
             {
                 pass.refused.add(request);
@@ -438,6 +458,7 @@
                         0,
                         {},
                         {},
+                        false,
                         false};
     if (pass.full)
     {
--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -22,10 +22,6 @@
 /// left over.
 constexpr double min_leftover_share = 0.5;
 
-/// Runs at the lowest pace stay long, so they leave one part in this many of a
-/// worker's memory to others.
-constexpr std::int64_t memory_reserve_divisor = 4;
-
 /// Highest tolerance, reached `tolerance_ramp` after the objective; from the
 /// objective on, the tolerance rises evenly.
 constexpr double last_tolerance = 0.8;
@@ -132,11 +128,7 @@
     {
         demand.millicores = 0;
     }
-    auto free = entry.capacity - worker.used;
-    if (request.pace_limit < full_pace)
-    {
-        free.memory_mb -= entry.capacity.memory_mb / memory_reserve_divisor;
-    }
+    auto const free = entry.capacity - worker.used;
     if (!fits(demand, free))
     {
         demand.millicores = free.millicores;
