Take memory back for any firm task of a pass that can have it

Memory was taken back for the first firm task of a pass that found no worker. If that one needs more than can be had, no other task ever had memory back. The pass now goes on until there will be room for one. Found by reading.

--- a/include/jaydrift/schedule/memory_reclaim.hpp
+++ b/include/jaydrift/schedule/memory_reclaim.hpp
@@ -12,10 +12,10 @@
 namespace memory_reclaim {
 
 /// Stops such runs on one worker so that the task, for which no worker has
-/// memory, fits there. Does nothing if that is not enough on any worker, or
-/// while runs that free enough are being stopped.
+/// memory, fits there, unless runs that free enough are being stopped already.
+/// Returns whether there will be room.
 /// @pre The task is not opportunistic.
-void make_room(shard_context& ctx, placement_request const& request);
+bool make_room(shard_context& ctx, placement_request const& request);
 
 } // namespace memory_reclaim
 
--- a/src/jaydrift/schedule/memory_reclaim.cpp
+++ b/src/jaydrift/schedule/memory_reclaim.cpp
@@ -63,7 +63,7 @@
 
 } // namespace
 
-void make_room(shard_context& ctx, placement_request const& request)
+bool make_room(shard_context& ctx, placement_request const& request)
 {
     auto const demand = request.spec.demand.memory_mb;
     worker_state* best = nullptr;
@@ -80,7 +80,7 @@
         auto const memory = measure(worker);
         if (memory.free + memory.stopping >= demand)
         {
-            return;
+            return true;
         }
         if (memory.free + memory.stopping + memory.idle >= demand
             && (!best || memory.idle > best_idle))
@@ -91,7 +91,7 @@
     }
     if (!best)
     {
-        return;
+        return false;
     }
     auto const memory = measure(*best);
     auto missing = demand - memory.free - memory.stopping;
@@ -114,6 +114,7 @@
         ctx.count("runs_stopped_total", "memory");
         workers::stop(ctx, *best, id);
     }
+    return true;
 }
 
 } // namespace jaydrift::schedule::memory_reclaim
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -288,8 +288,7 @@
         && (refusal == wait_reason::memory
             || refusal == wait_reason::processors))
     {
-        pass.made_room = true;
-        memory_reclaim::make_room(pass.ctx, request);
+        pass.made_room = memory_reclaim::make_room(pass.ctx, request);
     }
 }
 
