Start an opportunistic gang of which nothing has run for long

An opportunistic gang was refused beyond the tolerance of work in time however late it was, and got no run at the lowest pace, so it waited without bound beside serving tasks.

--- a/include/jaydrift/schedule/minimum_runs.hpp
+++ b/include/jaydrift/schedule/minimum_runs.hpp
@@ -27,6 +27,11 @@
 /// its objective.
 inline constexpr double tolerance = 0.9;
 
+/// Returns whether tasks of the submission wait and nothing of it has run for
+/// `max_idle_time`. Once that is so, the submission gets its next run without a
+/// pause.
+bool is_starved(shard_context const& ctx, submission_state& submission);
+
 /// Starts a run for each of the submissions that needs one, those first that
 /// have been idle for longest.
 void start(shard_context& ctx, std::span<submission_state* const> waiting,
--- a/src/jaydrift/schedule/minimum_runs.cpp
+++ b/src/jaydrift/schedule/minimum_runs.cpp
@@ -28,19 +28,6 @@
 /// how much it disturbs.
 constexpr std::uint32_t raise_factor = 2;
 
-/// Returns whether nothing of the submission has run for long, and notes that:
-/// once starved, the submission gets its next run without a pause.
-bool is_starved(shard_context const& ctx, submission_state& submission)
-{
-    if (submission.placed_tasks > 0 || submission.waiting_tasks == 0)
-    {
-        return false;
-    }
-    submission.starved =
-        submission.starved || ctx.now - submission.idle_since >= max_idle_time;
-    return submission.starved;
-}
-
 /// Starts the first task of the step that may start, if a worker has memory for
 /// it.
 bool start_task(shard_context& ctx, refused_requests& refused,
@@ -118,6 +105,17 @@
 
 } // namespace
 
+bool is_starved(shard_context const& ctx, submission_state& submission)
+{
+    if (submission.placed_tasks > 0 || submission.waiting_tasks == 0)
+    {
+        return false;
+    }
+    submission.starved =
+        submission.starved || ctx.now - submission.idle_since >= max_idle_time;
+    return submission.starved;
+}
+
 void start(shard_context& ctx, std::span<submission_state* const> waiting,
            bool unaccounted)
 {
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -226,16 +226,23 @@
         number = std::max(number, task_placement::next_run(ctx, task));
     }
     auto const since = waiting_tasks::waiting_since(step, ctx.now);
+    // If nothing of the submission has run for long, the gang starts wherever
+    // it finds room, as a single task would; pacing slows it down.
+    auto const starved =
+        spec.opportunistic && minimum_runs::is_starved(ctx, submission);
     std::vector<std::pair<run_id, worker_state*>> members;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         task_id const id{submission.id, occurrence_index, step_index, i};
-        auto const choice = worker_choice::choose(
-            ctx,
-            {id, spec, submission.service, step.tasks[i].failed_on,
-             step.tasks[i].waiting_since,
-             worker_choice::rack_for(ctx, spec, step)},
-            pass.kept_free);
+        placement_request request{id,
+                                  spec,
+                                  submission.service,
+                                  step.tasks[i].failed_on,
+                                  step.tasks[i].waiting_since,
+                                  worker_choice::rack_for(ctx, spec, step),
+                                  tolerance_of(pass, submission)};
+        request.pace_limit = starved ? minimum_pace : full_pace;
+        auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
         if (!choice.worker)
         {
             step.reason =
