Check metrics with digits in their names against the page as well

The pattern of check.sh for names of metrics had letters only, so it passed over tasks_waiting_below_1_s and its like: with the row of tasks_waiting_from_10_s removed from docs/metrics.md, it found nothing missing. With digits in the pattern it names the metric; with the row, all names are found.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -14,8 +14,8 @@
   | xargs clang-format-14 --dry-run --Werror
 echo "format: clean"
 # Each metric of the scheduler must be documented.
-grep -ohE 'ctx\.(observe|count|gauge)\("[a-z_]+"' src/jaydrift/schedule/*.cpp \
-  | grep -oE '[a-z_]+"$' | tr -d '"' | sort -u | while read -r name; do
+grep -ohE 'ctx\.(observe|count|gauge)\("[a-z0-9_]+"' src/jaydrift/schedule/*.cpp \
+  | grep -oE '[a-z0-9_]+"$' | tr -d '"' | sort -u | while read -r name; do
   grep -q "\`$name\`" docs/metrics.md || { echo "metrics: $name is not in docs/metrics.md" >&2; exit 1; }
 done
 echo "metrics: documented"
