Ask no worker again for urgent tasks that found no place in the pass

Only opportunistic requests that found no worker were remembered within a pass. Each of 100 to 150 urgent steps that wait while a zone is closed asked all 48 workers in each pass, so the owner spent nine tenths of its time on passes and did not answer its callers.

Urgent requests are remembered as well. Within a pass the room of workers only shrinks and more of them are kept free, so a refusal holds for each later urgent request that needs as much or more of the same workers, whatever its image and tolerance. A refused request without a required label covers those with one, now also for opportunistic tasks.

a_backlog_of_urgent_steps_asks_the_workers_once failed before: each of 50 steps had asked.

--- a/include/jaydrift/schedule/refused_requests.hpp
+++ b/include/jaydrift/schedule/refused_requests.hpp
@@ -11,9 +11,11 @@
 
 struct placement_request;
 
-/// The opportunistic requests for which a pass found no worker. They spare the
-/// choice of a worker for requests that need at least as much. Refers to the
-/// steps of the requests; owns none.
+/// The requests for which a pass found no worker. They spare the choice of a
+/// worker for requests that need at least as much, since the room of workers
+/// only shrinks within a pass. Long-running tasks are left out: what workers
+/// reserve depends on how long such a task has waited. Refers to the steps of
+/// the requests; owns none.
 class refused_requests
 {
 public:
@@ -27,11 +29,14 @@
     struct refused
     {
         std::string_view service;
-        std::string_view image;
         std::string_view required_label;
         resources demand;
-        double tolerance = 0.0;
         std::uint32_t pace_limit = 0;
+        bool opportunistic = false;
+
+        /// Urgent tasks do not depend on these.
+        std::string_view image;
+        double tolerance = 0.0;
     };
 
     std::vector<refused> refused_;
--- a/include/jaydrift/schedule/step_spec.hpp
+++ b/include/jaydrift/schedule/step_spec.hpp
@@ -72,6 +72,11 @@
     bool opportunistic = false;
 };
 
+inline bool is_urgent(step_spec const& spec)
+{
+    return !spec.long_running && !spec.opportunistic;
+}
+
 } // namespace jaydrift::schedule
 
 #endif // JAYDRIFT_SCHEDULE_STEP_SPEC_HPP
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -70,10 +70,11 @@
     /// long-running task waits for their room.
     std::set<std::string_view> kept_free;
 
-    /// Opportunistic requests that found no worker.
+    /// Requests that found no worker. Those of gangs are left out: the room of
+    /// members that found one is given back.
     refused_requests refused;
 
-    /// One of them could still meet its objective.
+    /// An opportunistic one of them could still meet its objective.
     bool work_in_time_waits = false;
 };
 
@@ -259,11 +260,13 @@
     }
 }
 
-/// Notes that opportunistic tasks of a submission have found no place.
-void note_refusal(placement_pass& pass, submission_state const& submission)
+/// Notes that tasks of a step have found no place.
+void note_refusal(placement_pass& pass, submission_state const& submission,
+                  step_spec const& spec)
 {
     pass.work_in_time_waits =
-        pass.work_in_time_waits || lateness(pass.ctx, submission) == 0;
+        pass.work_in_time_waits
+        || (spec.opportunistic && lateness(pass.ctx, submission) == 0);
 }
 
 /// Starts the tasks of a step that find a worker.
@@ -300,10 +303,10 @@
             task.waiting_since,
             worker_choice::rack_for(ctx, spec, step),
             tolerance_of(pass, submission)};
-        if (spec.opportunistic && pass.refused.cover(request))
+        if (pass.refused.cover(request))
         {
             step.reason = wait_reason::skipped;
-            note_refusal(pass, submission);
+            note_refusal(pass, submission, spec);
             break;
         }
         auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
@@ -311,11 +314,8 @@
         {
             step.reason = choice.refusal;
             keep_worker_free(pass, request);
-            if (spec.opportunistic)
-            {
-                pass.refused.add(request);
-                note_refusal(pass, submission);
-            }
+            pass.refused.add(request);
+            note_refusal(pass, submission, spec);
             break;
         }
         auto const number = task_placement::next_run(ctx, task);
--- a/src/jaydrift/schedule/refused_requests.cpp
+++ b/src/jaydrift/schedule/refused_requests.cpp
@@ -12,25 +12,30 @@
     auto const& spec = request.spec;
     // A limit per worker counts the tasks of one step, so the refusal says
     // nothing of other steps.
-    if (spec.max_per_worker == 0)
+    if (spec.max_per_worker == 0 && !spec.long_running)
     {
-        refused_.push_back({request.service, spec.image, spec.required_label,
-                            spec.demand, request.tolerance,
-                            request.pace_limit});
+        refused_.push_back({request.service, spec.required_label, spec.demand,
+                            request.pace_limit, spec.opportunistic, spec.image,
+                            request.tolerance});
     }
 }
 
 bool refused_requests::cover(placement_request const& request) const
 {
     auto const& spec = request.spec;
-    return std::any_of(
-        refused_.begin(), refused_.end(), [&](refused const& each) {
-            return each.service == request.service && each.image == spec.image
-                   && each.required_label == spec.required_label
-                   && fits(each.demand, spec.demand)
-                   && request.tolerance <= each.tolerance
-                   && request.pace_limit == each.pace_limit;
-        });
+    return !spec.long_running
+           && std::any_of(
+               refused_.begin(), refused_.end(), [&](refused const& each) {
+                   return each.service == request.service
+                          && (each.required_label.empty()
+                              || each.required_label == spec.required_label)
+                          && fits(each.demand, spec.demand)
+                          && request.pace_limit == each.pace_limit
+                          && spec.opportunistic == each.opportunistic
+                          && (is_urgent(spec)
+                              || (spec.image == each.image
+                                  && request.tolerance <= each.tolerance));
+               });
 }
 
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/waiting_tasks.cpp
+++ b/src/jaydrift/schedule/waiting_tasks.cpp
@@ -119,8 +119,12 @@
 {
     auto const found =
         std::find_if(all.begin(), all.end(), [&skipped](auto const& each) {
-            return is_refusal(each.reason) && each.spec().opportunistic
-                   && each.spec().image == skipped.spec().image
+            auto const& spec = each.spec();
+            return is_refusal(each.reason)
+                   && (is_urgent(skipped.spec())
+                           ? is_urgent(spec)
+                           : spec.opportunistic
+                                 && spec.image == skipped.spec().image)
                    && each.spec().demand.millicores
                           <= skipped.spec().demand.millicores;
         });
@@ -144,13 +148,16 @@
         }
     };
     add(refused.submission->service != skipped.submission->service, "service");
-    add(more.required_label != less.required_label, "label");
+    add(!more.required_label.empty()
+            && more.required_label != less.required_label,
+        "label");
     add(more.demand.memory_mb > less.demand.memory_mb
             || more.demand.accelerators > less.demand.accelerators,
         "memory");
     add(more.max_per_worker > 0, "limit per worker");
-    add(worker_choice::tolerance_of(ctx, *refused.submission)
-            < worker_choice::tolerance_of(ctx, *skipped.submission),
+    add(less.opportunistic
+            && worker_choice::tolerance_of(ctx, *refused.submission)
+                   < worker_choice::tolerance_of(ctx, *skipped.submission),
         "tolerance");
     return result;
 }
