--- a/src/jaydrift/schedule/waiting_test.cpp
+++ b/src/jaydrift/schedule/waiting_test.cpp
@@ -451,7 +451,7 @@
               std::string::npos)
         << found[0].text;
     EXPECT_EQ(samples("runs_stopped_total").size(), 1U);
-    EXPECT_EQ(samples("runs_paced_to_zero_total").size(), 1U);
+    EXPECT_EQ(samples("runs_paused_total").size(), 1U);
 }
 
 } // namespace jaydrift::schedule
