Let passes over waiting tasks follow changes

A pass without opportunistic tasks made the next one due, so that passes followed each other at 5 ms until the next full one although nothing had changed. A gang of which some members found no worker did the same at all times: its members counted as a change when they waited again.

Such a pass only leads to a full one, 40 ms after the last. A task that is paused starts when its pause ends; it could wait for the idle pass before.

--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -57,6 +57,9 @@
     /// Time of the last pass that considered opportunistic steps too.
     time_ms last_full_pass;
 
+    /// Time of the next pass if nothing changes before.
+    time_ms next_pass;
+
     /// Next search for tasks that wait for long.
     time_ms next_wait_search;
 
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -63,6 +63,9 @@
     /// The pass includes opportunistic tasks. Gangs are in every pass.
     bool full = false;
 
+    /// Time of the next pass if nothing changes before.
+    time_ms next_pass;
+
     /// Start orders so far.
     std::size_t starts = 0;
 
@@ -195,6 +198,23 @@
     }
 }
 
+/// Returns whether a task must not start now, and notes why it waits.
+bool is_hindered(placement_pass& pass, step_state& step, task_state const& task)
+{
+    auto const held =
+        task_placement::hindrance(pass.ctx, task, pass.unaccounted);
+    if (!held)
+    {
+        return false;
+    }
+    step.reason = *held;
+    if (*held == wait_reason::paused)
+    {
+        pass.next_pass = std::min(pass.next_pass, task.not_before);
+    }
+    return true;
+}
+
 /// Sends the start orders of all members of a gang under one run number, or
 /// none if a member finds no worker. If a worker refuses its order, only that
 /// member waits again; the workers end the others as `gang_incomplete`.
@@ -212,10 +232,8 @@
             step.reason = wait_reason::incomplete_gang;
             return;
         }
-        if (auto const held =
-                task_placement::hindrance(ctx, task, pass.unaccounted))
+        if (is_hindered(pass, step, task))
         {
-            step.reason = *held;
             return;
         }
         number = std::max(number, task_placement::next_run(ctx, task));
@@ -241,6 +259,7 @@
         members.emplace_back(run_id{id, number}, choice.worker);
     }
     auto const complete = members.size() == step.tasks.size();
+    auto const placement_was_due = ctx.shard.placement_due;
     for (auto const& [id, worker] : members)
     {
         if (complete)
@@ -254,6 +273,8 @@
             submissions::requeue(ctx, submission, id.task);
         }
     }
+    // Members that found a worker don't change anything by waiting again.
+    ctx.shard.placement_due = placement_was_due;
     if (complete)
     {
         record_log::changed(ctx, submission);
@@ -288,10 +309,8 @@
         {
             continue;
         }
-        if (auto const held =
-                task_placement::hindrance(ctx, task, pass.unaccounted))
+        if (is_hindered(pass, step, task))
         {
-            step.reason = *held;
             continue;
         }
         task_id const id{submission.id, occurrence_index, step_index, i};
@@ -413,31 +432,32 @@
 
 void tick(shard_context& ctx)
 {
-    auto const age = ctx.now - ctx.shard.last_pass;
-    if (ctx.shard.ownership.role != owner_role::owner || !ctx.state.config
-        || age < (ctx.shard.placement_due ? pass_interval : idle_pass_interval))
+    auto& shard = ctx.shard;
+    if (shard.ownership.role != owner_role::owner || !ctx.state.config
+        || ctx.now - shard.last_pass < pass_interval
+        || (!shard.placement_due && ctx.now < shard.next_pass))
     {
         return;
     }
-    ctx.shard.last_pass = ctx.now;
-    ctx.shard.placement_due = false;
+    shard.last_pass = ctx.now;
+    shard.placement_due = false;
     auto const waiting = waiting_by_rank(ctx);
     placement_pass pass{ctx,
                         recovery::any_worker_unaccounted(ctx),
-                        ctx.now - ctx.shard.last_full_pass
-                            >= full_pass_interval,
+                        ctx.now - shard.last_full_pass >= full_pass_interval,
+                        ctx.now + idle_pass_interval,
                         0,
                         {},
                         {},
                         false};
     if (pass.full)
     {
-        ctx.shard.last_full_pass = ctx.now;
+        shard.last_full_pass = ctx.now;
     }
     else
     {
-        // Opportunistic tasks may still find a place in the next pass.
-        ctx.shard.placement_due = true;
+        // The change that led to this pass may concern opportunistic tasks.
+        pass.next_pass = shard.last_full_pass + full_pass_interval;
     }
     for (auto* const submission : waiting)
     {
@@ -450,7 +470,7 @@
         }
         if (pass.starts >= starts_per_pass)
         {
-            ctx.shard.placement_due = true;
+            shard.placement_due = true;
             note_pass_ended(*submission);
             continue;
         }
@@ -460,6 +480,7 @@
     {
         minimum_runs::start(ctx, waiting, pass.unaccounted);
     }
+    shard.next_pass = pass.next_pass;
 }
 
 } // namespace jaydrift::schedule::placement_policy
