Rank in a pass only the submissions that it may start

Each pass ranked and sorted all waiting submissions, also one that leaves out opportunistic tasks and so most of them. Each lookup of a submission built a string, which allocates memory: IDs have 16 characters. submissions::tick looks all active ones up every 20 ms.

A pass that is not full considers only submissions with firm tasks or gangs that wait, and submissions are found by views.

What is left of a full pass is the choice of workers for opportunistic tasks.

--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -1,6 +1,7 @@
 #ifndef JAYDRIFT_SCHEDULE_SHARD_STATE_HPP
 #define JAYDRIFT_SCHEDULE_SHARD_STATE_HPP
 
+#include <jaydrift/core/string_hash.hpp>
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/interference_model.hpp>
 #include <jaydrift/schedule/ownership_state.hpp>
@@ -11,6 +12,7 @@
 #include <jaydrift/schedule/worker_state.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -38,7 +40,9 @@
     // The members below are empty unless this daemon holds the shard.
     record_log_state record_log;
     std::map<std::string, worker_state, std::less<>> workers;
-    std::unordered_map<std::string, submission_state> submissions;
+    std::unordered_map<std::string, submission_state, string_hash,
+                       std::equal_to<>>
+        submissions;
 
     /// Submissions that were relocated to their second shard, by ID.
     std::unordered_map<std::string, relocation_state> relocations;
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -400,9 +400,37 @@
     }
 }
 
-/// Returns the submissions with waiting tasks, and those with a run at the
-/// lowest pace, in the order of their ranks.
-std::vector<submission_state*> waiting_by_rank(shard_context& ctx)
+/// Returns whether tasks wait that do not need a full pass.
+bool has_firm_tasks_waiting(submission_state const& submission)
+{
+    auto const& specs = submission.work.steps;
+    for (auto const& occurrence : submission.occurrences)
+    {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
+        {
+            auto const& step = occurrence.steps[i];
+            if (step.ready && step.waiting_tasks > 0
+                && (!specs[i].opportunistic || specs[i].gang))
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/// Returns whether a pass has to consider the submission.
+bool takes_part(submission_state const& submission, bool full)
+{
+    return submission.record_stored
+           && (full ? submission.waiting_tasks > 0 || submission.minimum_run
+                    : submission.waiting_tasks > 0
+                          && has_firm_tasks_waiting(submission));
+}
+
+/// Returns the submissions that a pass has to consider, in the order of their
+/// ranks.
+std::vector<submission_state*> waiting_by_rank(shard_context& ctx, bool full)
 {
     using ranked =
         std::pair<decltype(rank(ctx, std::declval<submission_state>())),
@@ -411,8 +439,7 @@
     for (auto const& id : ctx.shard.active)
     {
         auto* const submission = submissions::find(ctx, id);
-        if ((submission->waiting_tasks > 0 || submission->minimum_run)
-            && submission->record_stored)
+        if (takes_part(*submission, full))
         {
             waiting.emplace_back(rank(ctx, *submission), submission);
         }
@@ -441,7 +468,6 @@
     }
     shard.last_pass = ctx.now;
     shard.placement_due = false;
-    auto const waiting = waiting_by_rank(ctx);
     placement_pass pass{ctx,
                         recovery::any_worker_unaccounted(ctx),
                         ctx.now - shard.last_full_pass >= full_pass_interval,
@@ -459,6 +485,7 @@
         // The change that led to this pass may concern opportunistic tasks.
         pass.next_pass = shard.last_full_pass + full_pass_interval;
     }
+    auto const waiting = waiting_by_rank(ctx, pass.full);
     for (auto* const submission : waiting)
     {
         if (pass.full && submission->minimum_run)
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -231,7 +231,7 @@
 
 submission_state* find(shard_context& ctx, std::string_view id)
 {
-    auto const found = ctx.shard.submissions.find(std::string(id));
+    auto const found = ctx.shard.submissions.find(id);
     return found == ctx.shard.submissions.end() ? nullptr : &found->second;
 }
 
