--- a/include/jaydrift/schedule/store_replied.hpp
+++ b/include/jaydrift/schedule/store_replied.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/schedule/store_item.hpp>
 #include <jaydrift/schedule/store_status.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -23,6 +24,9 @@
     /// Records that were read or have changed. After a conflict, the present
     /// content of the records whose revisions were expected.
     std::vector<store_item> items;
+
+    /// Records whose key or revision cannot be read.
+    std::size_t unreadable_items = 0;
 };
 
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -259,6 +259,13 @@
     auto const [purpose, shard, sent_at] = found->second;
     ctx.state.store.calls.erase(found);
     update_failing_since(ctx, reply, sent_at);
+    if (reply.unreadable_items > 0)
+    {
+        ctx.log(log_level::warning, "store",
+                std::to_string(reply.unreadable_items)
+                    + " records of a reply have no readable key or revision");
+        ctx.count("unreadable_records_total", "item");
+    }
     switch (purpose)
     {
     case store_purpose::read_operators:
