Keep the readable rows of a worker's reply

One row of a worker's lists with an unknown outcome or a task that cannot be read made the reply count as lost, and the next one, and so on: the worker was silent for ever, its tasks started elsewhere after 5 s, and new ones never ran there.

Cause: the lists were decoded as a whole, and an unacknowledged end comes again with each reply.

A list with unreadable runs proves of no run that it is gone, since any of the rows may be that run; a run that was stopped is dropped after the longest lease. If ends cannot be acknowledged, the worker would answer each hold order at once, so the next one waits as long as for ends that are being stored. Rows are counted in `unreadable_rows_total`, with one line of a worker until a reply without them.

--- a/include/jaydrift/schedule/limits.hpp
+++ b/include/jaydrift/schedule/limits.hpp
@@ -32,9 +32,14 @@
 /// the store.
 inline constexpr std::int64_t max_tasks_per_occurrence = 10000;
 
+/// Tasks of a submission that have not ended, and all tasks that are kept:
+/// further occurrences wait.
+inline constexpr std::size_t max_unfinished_tasks = max_tasks_per_occurrence;
+inline constexpr std::size_t max_kept_tasks = 200000;
+
 /// Bytes of a caller's message. The stored record is at most three times as
 /// long, which is less than the largest value of the store.
-inline constexpr std::size_t max_submission_bytes = 256U * 1024U;
+inline constexpr std::size_t max_submission_bytes = std::size_t{256} * 1024;
 
 /// Bytes of a checkpoint.
 inline constexpr std::size_t max_checkpoint_bytes = 256;
--- a/include/jaydrift/schedule/worker_replied.hpp
+++ b/include/jaydrift/schedule/worker_replied.hpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/reported_run.hpp>
 #include <jaydrift/schedule/worker_status.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -28,6 +29,11 @@
     /// Only replies to a hold order fill these lists.
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
+
+    /// Rows of these lists that cannot be read. An end whose number and run can
+    /// be read is not among them.
+    std::size_t unreadable_runs = 0;
+    std::size_t unreadable_ends = 0;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -91,6 +91,9 @@
     /// been without a reply.
     bool process_confirmed = false;
 
+    /// The last reply to a hold order had rows that cannot be read.
+    bool unreadable_rows = false;
+
     /// Orders that ended without a reply since the last reply.
     std::uint32_t unanswered_orders = 0;
 
--- /dev/null
+++ b/src/jaydrift/schedule/odd_records_test.cpp
@@ -0,0 +1,151 @@
+#include "simulated_deployment_test.hpp"
+
+#include <jaydrift/schedule/limits.hpp>
+#include <jaydrift/schedule/reduce.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace jaydrift::schedule::testing {
+
+namespace {
+
+constexpr char const* first_id = "00000000000000a1";
+constexpr char const* second_id = "00000000000000b2";
+
+unreadable_record const odd{"another writer"};
+
+std::vector<log_line> lines_with(effect_list const& effects,
+                                 std::string_view text)
+{
+    std::vector<log_line> result;
+    for (auto const& each : effects)
+    {
+        auto const* const line = std::get_if<log_line>(&each);
+        if (line && line->text.find(text) != std::string::npos)
+        {
+            result.push_back(*line);
+        }
+    }
+    return result;
+}
+
+std::size_t count_of(effect_list const& effects, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(
+        effects.begin(), effects.end(), [name](effect const& each) {
+            auto const* const metric = std::get_if<metric_update>(&each);
+            return metric && metric->name == name;
+        }));
+}
+
+/// Returns the last call to the store in which `holds` holds for the request.
+template<class Holds>
+std::optional<store_call> find_call(effect_list const& effects, Holds holds)
+{
+    std::optional<store_call> result;
+    for (auto const& each : effects)
+    {
+        auto const* const call = std::get_if<store_call>(&each);
+        if (call && holds(call->request))
+        {
+            result = *call;
+        }
+    }
+    return result;
+}
+
+std::optional<store_call> worker_area_call(effect_list const& effects)
+{
+    return find_call(effects, [](auto const& request) {
+        auto const* const read = std::get_if<read_area>(&request);
+        auto const* const watch = std::get_if<watch_area>(&request);
+        return (read && read->area == store_area::workers)
+               || (watch && watch->area == store_area::workers);
+    });
+}
+
+worker_entry good_entry()
+{
+    return {"w1",  "svc",      "10.1.0.1:8000",
+            "a",   {"k", "r"}, {8000, 64000, 0},
+            false, time_ms(5)};
+}
+
+daemon_state owner_state()
+{
+    settings options;
+    options.node = "d0";
+    options.address = "10.0.0.1:7000";
+    auto state = initial_state(options, time_ms(0));
+    state.shards.resize(1);
+    state.shards[0].ownership.role = owner_role::owner;
+    state.shards[0].ownership.revision = 5;
+    return state;
+}
+
+/// Submits work and expects that it completes within 20 s.
+void expect_serves(simulated_deployment& deployment, std::string const& id,
+                   std::size_t daemon = 0)
+{
+    deployment.submit(daemon, id, chain_of({3, 2}));
+    deployment.run_until(deployment.now() + time_ms(20000));
+    EXPECT_EQ(deployment.answers[id].result, answer::code::ok) << id;
+    EXPECT_EQ(deployment.show(daemon, id).phase, submission_phase::completed)
+        << id;
+    EXPECT_TRUE(deployment.violations.empty()) << deployment.violations.front();
+}
+
+} // namespace
+
+// Guards against runs that start a second time because a worker's list has a
+// row that cannot be read, and against orders without a pause to a worker whose
+// ends cannot be acknowledged.
+TEST(odd_records, unreadable_rows_of_a_worker_prove_nothing)
+{
+    auto state = owner_state();
+    state.wall_offset = time_ms(1000);
+    auto& worker = state.shards[0].workers["w1"];
+    worker.entry = good_entry();
+    worker.fenced = true;
+    worker.clock = time_ms(0);
+    worker.in_fleet_record = true;
+    run_state run;
+    run.phase = run_phase::running;
+    run.confirmed_at = time_ms(0);
+    run_id const id{{first_id, 0, 0, 0}, 1};
+    worker.runs.emplace(id, run);
+    auto now = time_ms(20);
+    std::size_t holds = 0;
+    std::size_t counts = 0;
+    for (auto i = 0; i < 50; ++i)
+    {
+        now += time_ms(5);
+        auto effects = reduce(state, timer_due{now}, now);
+        for (auto const& each : effects)
+        {
+            auto const* const order = std::get_if<worker_call>(&each);
+            if (order && std::holds_alternative<hold_order>(order->order))
+            {
+                ++holds;
+                worker_replied reply;
+                reply.call = order->call;
+                reply.status = worker_status::ok;
+                reply.clock = now;
+                reply.process_started_at = time_ms(5);
+                reply.unreadable_runs = 1;
+                reply.unreadable_ends = 1;
+                counts += count_of(reduce(state, reply, now),
+                                   "unreadable_rows_total");
+            }
+        }
+    }
+    EXPECT_EQ(state.shards[0].workers.at("w1").runs.count(id), 1U);
+    EXPECT_LE(holds, 3U);
+    EXPECT_GE(counts, 1U);
+}
+
+} // namespace jaydrift::schedule::testing
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -345,14 +345,26 @@
     return run.confirmed_at && *run.confirmed_at < sent;
 }
 
+/// Returns whether a run that is missing in a report with rows that cannot be
+/// read has ended: any of them may be the run, unless it was told to stop so
+/// long ago that its lease would have expired.
+bool has_stopped(shard_context const& ctx, run_state const& run, time_ms sent)
+{
+    return run.phase == run_phase::stopping && run.stop_confirmed_at
+           && sent - *run.stop_confirmed_at >= ctx.state.options.max_lease;
+}
+
 /// Removes the runs that the worker no longer lists; their tasks wait again.
+/// The list is complete unless it had rows that cannot be read.
 void drop_missing(shard_context& ctx, worker_state& worker,
-                  std::set<run_id> const& listed, time_ms sent)
+                  std::set<run_id> const& listed, time_ms sent, bool complete)
 {
     std::vector<run_id> missing;
     for (auto const& [id, run] : worker.runs)
     {
-        if (!listed.contains(id) && has_vanished(run, sent))
+        if (!listed.contains(id)
+            && (complete ? has_vanished(run, sent)
+                         : has_stopped(ctx, run, sent)))
         {
             missing.push_back(id);
         }
@@ -421,12 +433,34 @@
     }
 }
 
+/// Counts rows of a reply that cannot be read, and logs the first ones in a
+/// row.
+void note_unreadable_rows(shard_context& ctx, worker_state& worker,
+                          worker_replied const& reply)
+{
+    auto const rows = reply.unreadable_runs + reply.unreadable_ends;
+    if (rows > 0)
+    {
+        ctx.count("unreadable_rows_total", "worker");
+    }
+    if (rows > 0 && !worker.unreadable_rows)
+    {
+        ctx.log(log_level::warning, "worker",
+                worker.entry.id + " lists "
+                    + std::to_string(reply.unreadable_runs) + " runs and "
+                    + std::to_string(reply.unreadable_ends)
+                    + " ends that cannot be read");
+    }
+    worker.unreadable_rows = rows > 0;
+}
+
 } // namespace
 
 void received(shard_context& ctx, worker_state& worker,
               worker_replied const& reply, time_ms sent)
 {
     worker.serving_images_valid = false;
+    note_unreadable_rows(ctx, worker, reply);
     std::set<run_id> listed;
     for (auto const& end : reply.ended)
     {
@@ -441,7 +475,7 @@
         listed.insert(reported.run);
         handle_running(ctx, worker, reported);
     }
-    drop_missing(ctx, worker, listed, sent);
+    drop_missing(ctx, worker, listed, sent, reply.unreadable_runs == 0);
     stop_hanging(ctx, worker);
     pacing::reported(ctx, worker);
     while (!worker.pending_ends.empty()
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -281,7 +281,7 @@
     }
     run_reports::received(ctx, worker, reply, sent.sent_at);
     worker.unaccounted = false;
-    if (!worker.pending_ends.empty())
+    if (!worker.pending_ends.empty() || reply.unreadable_ends > 0)
     {
         worker.next_hold_at = ctx.now + unstored_pause;
     }
