Report a record that cannot be read once for each revision

An odd entry was logged and counted at each reading of the list, so that one entry filled the log of an owner that reads it again and again, and the counter told nothing. Records of a shard that cannot be read were logged, not counted.

The daemon remembers which revision it has reported, for all areas.

Before: odd_records.an_odd_entry_is_passed_over_with_one_line, 2 lines instead of 1 after the second reading of the same revision. Work went on beside odd entries before as well: odd_entries_do_not_keep_work_from_the_others passed. Now both pass.

--- a/include/jaydrift/schedule/daemon_state.hpp
+++ b/include/jaydrift/schedule/daemon_state.hpp
@@ -8,6 +8,7 @@
 #include <jaydrift/schedule/member_state.hpp>
 #include <jaydrift/schedule/open_call.hpp>
 #include <jaydrift/schedule/pending_worker_call.hpp>
+#include <jaydrift/schedule/record_key.hpp>
 #include <jaydrift/schedule/settings.hpp>
 #include <jaydrift/schedule/shard_state.hpp>
 #include <jaydrift/schedule/store_session_state.hpp>
@@ -43,6 +44,9 @@
     std::map<std::string, member_state, std::less<>> members;
     store_session_state store;
 
+    /// Revisions of records that cannot be read, as far as they were reported.
+    std::map<record_key, std::uint64_t> unreadable_revisions;
+
     /// Calls of callers that have no answer yet, by number.
     std::map<std::uint64_t, open_call> calls;
 
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/unreadable.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
@@ -25,14 +26,7 @@
 
 void report_unreadable(context& ctx, store_item const& item)
 {
-    auto const* const unreadable = std::get_if<unreadable_record>(&item.record);
-    if (unreadable && !item.deleted)
-    {
-        ctx.log(log_level::warning, "store",
-                "ignored record '" + item.key.name
-                    + "', it cannot be read: " + unreadable->reason);
-        ctx.count("unreadable_records_total", "store");
-    }
+    unreadable::report(ctx, item, log_level::warning, "store");
 }
 
 /// Applies a configuration unless a later version is in force.
@@ -217,9 +211,9 @@
     }
     else
     {
-        report_unreadable(ctx, item);
         ctx.state.worker_entries.erase(item.key.name);
     }
+    report_unreadable(ctx, item);
     shard_context shard_ctx(ctx, shard_of_worker(ctx, item.key.name));
     if (!holds_shard(shard_ctx.shard.ownership.role))
     {
--- a/src/jaydrift/schedule/odd_records_test.cpp
+++ b/src/jaydrift/schedule/odd_records_test.cpp
@@ -101,6 +101,68 @@
 
 } // namespace
 
+// Guards against one odd entry that hides the workers beside it, and against a
+// log that fills up because the entry is read again and again.
+TEST(odd_records, an_odd_entry_is_passed_over_with_one_line)
+{
+    auto state = owner_state();
+    store_replied reply;
+    reply.status = store_status::ok;
+    reply.revision = 9;
+    reply.items = {{{record_kind::worker, "w0"}, 7, false, odd},
+                   {{record_kind::worker, "w1"}, 8, false, good_entry()}};
+    std::size_t lines = 0;
+    std::size_t counts = 0;
+    auto now = time_ms(0);
+    auto effects = reduce(state, timer_due{now}, now);
+    // The entry is read twice, and then written again.
+    for (auto const round : {0, 1, 2})
+    {
+        auto const call = worker_area_call(effects);
+        ASSERT_TRUE(call) << round;
+        reply.call = call->call;
+        reply.items[0].revision = round == 2 ? 12 : 7;
+        now += time_ms(10);
+        effects = reduce(state, reply, now);
+        lines += lines_with(effects, "cannot be read").size();
+        counts += count_of(effects, "unreadable_records_total");
+        EXPECT_EQ(lines, round == 2 ? 2U : 1U) << round;
+        EXPECT_EQ(state.worker_entries.count("w1"), 1U);
+        EXPECT_EQ(state.shards[0].workers.count("w0"), 0U);
+        if (round < 2)
+        {
+            auto const watch = worker_area_call(effects);
+            ASSERT_TRUE(watch);
+            store_replied compacted;
+            compacted.call = watch->call;
+            compacted.status = store_status::compacted;
+            now += time_ms(20);
+            effects = reduce(state, compacted, now);
+        }
+    }
+    EXPECT_EQ(counts, 2U);
+}
+
+// Guards against workers that are lost with an entry of another writer, also
+// for an owner that takes over later.
+TEST(odd_records, odd_entries_do_not_keep_work_from_the_others)
+{
+    simulated_deployment deployment(3, 4, 21);
+    for (auto i = 0; i < 50; ++i)
+    {
+        deployment.store.put({record_kind::worker, "odd" + std::to_string(i)},
+                             odd);
+    }
+    deployment.store.put({record_kind::worker, {}}, odd);
+    deployment.store.put({record_kind::worker, "w0"}, odd);
+    deployment.run_until(time_ms(3000));
+    expect_serves(deployment, first_id);
+    auto const owner = *deployment.owner();
+    deployment.kill(owner);
+    deployment.run_until(deployment.now() + time_ms(3000));
+    expect_serves(deployment, second_id, (owner + 1) % 3);
+}
+
 // Guards against runs that start a second time because a worker's list has a
 // row that cannot be read, and against orders without a pause to a worker whose
 // ends cannot be acknowledged.
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/unreadable.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
@@ -221,13 +222,7 @@
         {
             interference::restore(ctx.shard.interference, *learned);
         }
-        else if (auto const* const unreadable =
-                     std::get_if<unreadable_record>(&item.record))
-        {
-            ctx.log(log_level::error, "ownership",
-                    "record '" + item.key.name
-                        + "' cannot be read: " + unreadable->reason);
-        }
+        unreadable::report(ctx, item, log_level::error, "ownership");
     }
     // Progress can be restored only for submissions that have been added.
     for (auto const& item : reply.items)
