Replace odd records of owner, roster, serial and layout

After another writer had overwritten one of these records, the shard had no owner for ever: callers got 503, accepted work stood still.

Cause: writes are conditional on the revisions of these records, and a record that cannot be read was passed over together with its revision. Each claim of the shard then expected an old revision of the owner record or of the roster, each new owner's first write an old revision of the serial. A daemon that started without a readable layout waited for one.

An unreadable owner record now counts as that of an owner that is silent, with the known term; an unreadable roster as an empty one; an unreadable serial as 0; each at its revision, so that the next write replaces it. The term of a claim stays in its range. A daemon that knows no layout replaces an unreadable one with the number of shards for which the store has owner records, or else with one for the workers.

Records that are deleted, not overwritten, are not handled.

--- a/include/jaydrift/schedule/layout.hpp
+++ b/include/jaydrift/schedule/layout.hpp
@@ -10,6 +10,7 @@
 struct context;
 struct layout_record;
 struct daemon_state;
+struct store_item;
 struct store_replied;
 
 /// Division of workers and submissions into shards.
@@ -32,6 +33,14 @@
 /// this daemon knows it; a later change is only logged.
 void observe(context& ctx, layout_record const& record);
 
+/// Applies the layout's record. One that cannot be read is replaced by the
+/// first daemon that knows no layout.
+void observe_item(context& ctx, store_item const& item);
+
+/// Handles that the store holds a record of the shard, before the layout is
+/// known.
+void observe_shard(context& ctx, std::uint32_t shard);
+
 /// Handles that the store holds no layout yet.
 void observe_absence(context& ctx);
 
--- a/include/jaydrift/schedule/layout_state.hpp
+++ b/include/jaydrift/schedule/layout_state.hpp
@@ -4,14 +4,20 @@
 #include <jaydrift/core/time_ms.hpp>
 
 #include <cstddef>
+#include <cstdint>
 
 namespace jaydrift::schedule {
 
 /// Progress of the first daemons of a deployment in choosing the layout.
 struct layout_state
 {
-    /// The store has been read and holds no layout.
+    /// The store has been read and holds no layout, or one that cannot be read;
+    /// then this is its revision.
     bool absent = false;
+    std::uint64_t revision = 0;
+
+    /// The store holds owner records of shards below this number.
+    std::uint32_t known_shards = 0;
 
     time_ms absent_since;
 
--- a/include/jaydrift/schedule/ownership.hpp
+++ b/include/jaydrift/schedule/ownership.hpp
@@ -11,6 +11,7 @@
 struct owner_query;
 struct owner_record;
 struct owner_query_reply;
+struct store_item;
 struct store_replied;
 struct yield_request;
 
@@ -23,6 +24,11 @@
 void observe_record(shard_context& ctx, owner_record const& record,
                     std::uint64_t revision);
 
+/// Applies a record of the shard's owner or roster. One that cannot be read is
+/// replaced: it counts as that of an owner that is silent, or as an empty
+/// roster.
+void observe_item(shard_context& ctx, store_item const& item);
+
 /// Ends this daemon's ownership: another daemon has taken over, a worker has
 /// seen a higher fencing token, or the store refused a write of the record log
 /// for its owner record or its write serial.
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -2,7 +2,6 @@
 
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
-#include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/unreadable.hpp>
@@ -149,23 +148,18 @@
     {
         apply_member(ctx, item);
     }
-    else if (auto const* const layout =
-                 std::get_if<layout_record>(&item.record))
+    else if (item.key.kind == record_kind::layout && !item.deleted)
     {
-        layout::observe(ctx, *layout);
+        layout::observe_item(ctx, item);
     }
-    else if (auto const* const owner = std::get_if<owner_record>(&item.record);
-             owner && item.key.shard < ctx.state.shards.size())
+    else if (item.key.shard < ctx.state.shards.size())
     {
         shard_context shard_ctx(ctx, ctx.state.shards[item.key.shard]);
-        ownership::observe_record(shard_ctx, *owner, item.revision);
+        ownership::observe_item(shard_ctx, item);
     }
-    else if (auto const* const roster =
-                 std::get_if<roster_record>(&item.record);
-             roster && item.key.shard < ctx.state.shards.size())
+    else if (item.key.kind == record_kind::owner && !item.deleted)
     {
-        shard_context shard_ctx(ctx, ctx.state.shards[item.key.shard]);
-        roster::observe(shard_ctx, *roster, item.revision);
+        layout::observe_shard(ctx, item.key.shard);
     }
 }
 
--- a/src/jaydrift/schedule/layout.cpp
+++ b/src/jaydrift/schedule/layout.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/core/hash.hpp>
 #include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 
 #include <algorithm>
@@ -33,7 +34,7 @@
 constexpr std::size_t reliable_rank = 3;
 
 /// Bounds the state and the heartbeats that each daemon keeps for other shards.
-constexpr std::size_t max_shards = 64;
+constexpr std::size_t max_shards = limits::max_shards;
 
 /// Daemons register within about a second of their start.
 constexpr time_ms settle_time{1000};
@@ -136,6 +137,23 @@
             std::to_string(ctx.state.shards.size()) + " shards");
 }
 
+void observe_item(context& ctx, store_item const& item)
+{
+    if (auto const* const record = std::get_if<layout_record>(&item.record))
+    {
+        observe(ctx, *record);
+        return;
+    }
+    observe_absence(ctx);
+    ctx.state.layout.revision = item.revision;
+}
+
+void observe_shard(context& ctx, std::uint32_t shard)
+{
+    ctx.state.layout.known_shards =
+        std::max(ctx.state.layout.known_shards, shard + 1);
+}
+
 void observe_absence(context& ctx)
 {
     if (ctx.state.shards.empty() && !ctx.state.layout.absent)
@@ -169,9 +187,14 @@
         return;
     }
     store_transaction write;
-    write.expected.emplace_back(layout_key, 0);
-    write.puts.emplace_back(layout_key, layout_record{shard_count_for(
-                                            workers, owner_share(ctx.state))});
+    write.expected.emplace_back(layout_key, ctx.state.layout.revision);
+    // A layout that was overwritten had these shards.
+    auto const known = ctx.state.layout.known_shards;
+    write.puts.emplace_back(
+        layout_key,
+        layout_record{known > 0
+                          ? known
+                          : shard_count_for(workers, owner_share(ctx.state))});
     store_session::call(ctx, store_purpose::write_layout, std::move(write),
                         write_time_limit);
 }
--- a/src/jaydrift/schedule/odd_records_test.cpp
+++ b/src/jaydrift/schedule/odd_records_test.cpp
@@ -163,6 +163,96 @@
     expect_serves(deployment, second_id, (owner + 1) % 3);
 }
 
+// The store refuses each write of an owner whose record was replaced. Guards
+// against a shard without an owner for ever, because no daemon learns the
+// revision of a record that it cannot read.
+TEST(odd_records, an_odd_owner_record_is_replaced)
+{
+    {
+        simulated_deployment deployment(3, 4, 22);
+        deployment.run_until(time_ms(3000));
+        deployment.submit(0, first_id, chain_of({3}));
+        deployment.run_until(time_ms(3200));
+        deployment.store.put({record_kind::owner, {}}, odd);
+        deployment.run_until(time_ms(6000));
+        expect_serves(deployment, second_id);
+        EXPECT_EQ(deployment.show(0, first_id).phase,
+                  submission_phase::completed);
+    }
+}
+
+// The same for daemons that find the record at their start.
+TEST(odd_records, an_odd_owner_record_is_replaced_after_a_restart_of_all)
+{
+    simulated_deployment deployment(3, 4, 23);
+    deployment.run_until(time_ms(3000));
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        deployment.kill(i);
+    }
+    deployment.store.put({record_kind::owner, {}}, odd);
+    deployment.store.put({record_kind::roster, {}}, odd);
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        deployment.start(i);
+    }
+    deployment.run_until(time_ms(20000));
+    expect_serves(deployment, first_id);
+}
+
+// A claim names the revision of the roster. Guards against a shard that nobody
+// can claim after the roster was overwritten and the owner was killed.
+TEST(odd_records, an_odd_roster_is_replaced)
+{
+    {
+        simulated_deployment deployment(3, 4, 24);
+        deployment.run_until(time_ms(4000));
+        deployment.store.put({record_kind::roster, {}}, odd);
+        deployment.kill(*deployment.owner());
+        deployment.run_until(time_ms(20000));
+        ASSERT_TRUE(deployment.owner());
+        expect_serves(deployment, first_id, *deployment.owner());
+    }
+}
+
+// Guards against owners that follow each other for ever because each one's
+// first write expects another revision of the serial.
+TEST(odd_records, an_odd_serial_is_replaced)
+{
+    {
+        simulated_deployment deployment(3, 4, 25);
+        deployment.run_until(time_ms(4000));
+        deployment.store.put({record_kind::serial, {}}, odd);
+        deployment.run_until(time_ms(8000));
+        expect_serves(deployment, first_id);
+    }
+}
+
+// Guards against a deployment that starts or restarts and never has shards, or
+// other ones than before, because the layout was overwritten.
+TEST(odd_records, an_odd_layout_is_replaced)
+{
+    simulated_deployment fresh(3, 4, 26);
+    fresh.store.put({record_kind::layout, {}}, odd);
+    fresh.run_until(time_ms(15000));
+    expect_serves(fresh, first_id);
+
+    simulated_deployment running(4, 8, 27, 2);
+    running.run_until(time_ms(5000));
+    running.submit(0, first_id, chain_of({3}));
+    running.run_until(time_ms(6000));
+    running.store.put({record_kind::layout, {}}, odd);
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        running.kill(i);
+        running.start(i);
+    }
+    running.run_until(time_ms(25000));
+    EXPECT_EQ(running.daemon(0).shards.size(), 2U);
+    expect_serves(running, second_id);
+    EXPECT_EQ(running.show(0, first_id).phase, submission_phase::completed);
+}
+
 // Guards against runs that start a second time because a worker's list has a
 // row that cannot be read, and against orders without a pause to a worker whose
 // ends cannot be acknowledged.
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -4,6 +4,7 @@
 #include <jaydrift/schedule/candidates.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/heartbeats.hpp>
+#include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_key.hpp>
@@ -114,6 +115,14 @@
     }
 }
 
+/// Returns the term of the next owner record.
+std::uint64_t next_term(ownership_state const& ownership)
+{
+    constexpr auto last = static_cast<std::uint64_t>(limits::max_term);
+    return ownership.revision == 0 ? 0
+                                   : std::min(ownership.record.term + 1, last);
+}
+
 /// Tries to replace the known owner record, or its absence, by one of this
 /// daemon.
 void claim(shard_context& ctx, std::string_view reason)
@@ -122,8 +131,7 @@
     ownership.queried_at.reset();
     change_role(ctx, owner_role::claiming, reason);
     owner_record const next{ctx.state.options.node, ctx.state.options.address,
-                            ownership.revision == 0 ? 0
-                                                    : ownership.record.term + 1,
+                            next_term(ownership),
                             ctx.state.options.incarnation};
     store_transaction write;
     auto const key = shard_key(ctx, record_kind::owner);
@@ -337,18 +345,33 @@
     recovery::discard_state(ctx);
 }
 
+void observe_item(shard_context& ctx, store_item const& item)
+{
+    if (item.deleted)
+    {
+        return;
+    }
+    if (item.key.kind == record_kind::owner)
+    {
+        // The term goes on, since it is part of the numbers of runs.
+        owner_record const unknown{{}, {}, ctx.shard.ownership.record.term, 0};
+        auto const* const record = std::get_if<owner_record>(&item.record);
+        observe_record(ctx, record ? *record : unknown, item.revision);
+    }
+    else if (item.key.kind == record_kind::roster)
+    {
+        auto const* const record = std::get_if<roster_record>(&item.record);
+        roster::observe(ctx, record ? *record : roster_record{}, item.revision);
+    }
+}
+
 void observe_conflict(shard_context& ctx, store_replied const& reply)
 {
     for (auto const& item : reply.items)
     {
-        if (auto const* const record = std::get_if<owner_record>(&item.record))
-        {
-            observe_record(ctx, *record, item.revision);
-        }
-        else if (auto const* const record =
-                     std::get_if<roster_record>(&item.record))
+        if (item.key.shard == ctx.shard.number)
         {
-            roster::observe(ctx, *record, item.revision);
+            observe_item(ctx, item);
         }
     }
 }
@@ -364,8 +387,7 @@
     {
         owner_record const record{
             ctx.state.options.node, ctx.state.options.address,
-            ownership.revision == 0 ? 0 : ownership.record.term + 1,
-            ctx.state.options.incarnation};
+            next_term(ownership), ctx.state.options.incarnation};
         observe_record(ctx, record, reply.revision);
         return;
     }
@@ -390,9 +412,9 @@
     }
     for (auto const& item : reply.items)
     {
-        if (auto const* const record = std::get_if<owner_record>(&item.record))
+        observe_item(ctx, item);
+        if (std::holds_alternative<owner_record>(item.record))
         {
-            observe_record(ctx, *record, item.revision);
             if (ownership.role == owner_role::suspended
                 && item.revision == ownership.revision)
             {
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -201,10 +201,11 @@
             added.record_stored = true;
             added.stored_version = added.version;
         }
-        else if (auto const* const serial =
-                     std::get_if<serial_record>(&item.record))
+        else if (item.key.kind == record_kind::serial)
         {
-            ctx.shard.record_log.serial = serial->value;
+            // One that cannot be read is replaced by the first write.
+            auto const* const serial = std::get_if<serial_record>(&item.record);
+            ctx.shard.record_log.serial = serial ? serial->value : 0;
             ctx.shard.record_log.serial_revision = item.revision;
         }
         else if (auto const* const fleet =
