Check stored records against each other when they are read back

A progress record with 100,000 occurrences of a submission with one made a new owner allocate their tasks (std::bad_alloc under a limit of 4 GB) and the submission never complete; each later owner as well. A submission with a million occurrences that are all due did the same without another writer. A relocation to shard 40 of 1 was used as an index.

Cause: the decoder can check a record for itself only; whether it fits the submission or the layout was not checked at all.

Recovery leaves out occurrences that the submission does not have, and relocations to shards that do not exist, each with a line and a count.

--- a/src/jaydrift/schedule/odd_records_test.cpp
+++ b/src/jaydrift/schedule/odd_records_test.cpp
@@ -253,6 +253,84 @@
     EXPECT_EQ(running.show(0, first_id).phase, submission_phase::completed);
 }
 
+// Guards against submissions that are lost with records of another writer, also
+// for an owner that takes over later.
+TEST(odd_records, an_odd_record_of_the_log_does_not_hide_the_others)
+{
+    simulated_deployment deployment(3, 4, 28);
+    deployment.run_until(time_ms(3000));
+    deployment.submit(0, first_id, chain_of({12, 6}));
+    deployment.run_until(time_ms(3300));
+    for (auto const kind : {record_kind::submission, record_kind::progress,
+                            record_kind::relocation})
+    {
+        deployment.store.put({kind, "x"}, odd);
+        deployment.store.put({kind, second_id}, odd);
+    }
+    constexpr char const* relocated_id = "00000000000000d4";
+    deployment.store.put({record_kind::relocation, relocated_id},
+                         relocation_record{relocated_id, 40, time_ms(3300)});
+    deployment.store.put({record_kind::fleet, {}}, odd);
+    deployment.store.put({record_kind::interference, {}}, odd);
+    deployment.store.put({record_kind::member, "x"}, odd);
+    deployment.store.put({record_kind::member, "d1"}, odd);
+    auto const owner = *deployment.owner();
+    deployment.kill(owner);
+    deployment.run_until(time_ms(20000));
+    EXPECT_EQ(deployment.show((owner + 1) % 3, first_id).phase,
+              submission_phase::completed);
+    expect_serves(deployment, "00000000000000c3", (owner + 1) % 3);
+    expect_serves(deployment, relocated_id, (owner + 1) % 3);
+}
+
+// Guards against occurrences, steps and tasks in a progress record that the
+// submission does not have: it would never be completed, or take all memory.
+TEST(odd_records, progress_beyond_the_submission_is_ignored)
+{
+    simulated_deployment deployment(3, 4, 29);
+    deployment.run_until(time_ms(3000));
+    deployment.submit(0, first_id, chain_of({12, 6}));
+    deployment.run_until(time_ms(3300));
+    auto const owner = *deployment.owner();
+    deployment.kill(owner);
+    progress_record progress;
+    progress.id = first_id;
+    task_progress task;
+    task.worker = "nobody";
+    task.run = 1;
+    progress.occurrences.resize(100000);
+    progress.occurrences[0] = {std::vector<task_progress>(20, task),
+                               {},
+                               std::vector<task_progress>(20, task)};
+    deployment.store.put({record_kind::progress, first_id}, progress);
+    deployment.run_until(time_ms(8000));
+    auto const next = *deployment.owner();
+    auto const& submission =
+        deployment.daemon(next).shards[0].submissions.at(first_id);
+    EXPECT_EQ(submission.occurrences.size(), 1U);
+    deployment.run_until(time_ms(30000));
+    EXPECT_EQ(deployment.show(next, first_id).phase,
+              submission_phase::completed);
+}
+
+// Guards against a submission with occurrences that are all due at once: their
+// tasks would take the owner's memory and that of each later owner.
+TEST(odd_records, occurrences_that_are_due_at_once_are_added_as_others_end)
+{
+    simulated_deployment deployment(1, 4, 30);
+    deployment.run_until(time_ms(3000));
+    auto work = chain_of({100});
+    work.steps[0].demand = {1000000, 1, 0};
+    work.repeat_count = 1000000;
+    work.interval = time_ms(0);
+    deployment.submit(0, first_id, work);
+    deployment.run_until(time_ms(4000));
+    auto const& submission =
+        deployment.daemon(0).shards[0].submissions.at(first_id);
+    EXPECT_LE(submission.occurrences.size(), 100U);
+    EXPECT_GE(submission.occurrences.size(), 2U);
+}
+
 // Guards against runs that start a second time because a worker's list has a
 // row that cannot be read, and against orders without a pause to a worker whose
 // ends cannot be acknowledged.
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -111,6 +111,20 @@
     }
 }
 
+void restore_relocation(shard_context& ctx, relocation_record const& record)
+{
+    if (record.second_shard >= ctx.state.shards.size())
+    {
+        ctx.log(log_level::error, "ownership",
+                "the relocation of " + record.id + " to shard "
+                    + std::to_string(record.second_shard)
+                    + " is ignored, there is no such shard");
+        ctx.count("unreadable_records_total", "relocation");
+        return;
+    }
+    ctx.shard.relocations[record.id] = {record, true, {}};
+}
+
 /// Starts to serve the shard.
 void finish(shard_context& ctx)
 {
@@ -216,7 +230,7 @@
         else if (auto const* const relocated =
                      std::get_if<relocation_record>(&item.record))
         {
-            ctx.shard.relocations[relocated->id] = {*relocated, true, {}};
+            restore_relocation(ctx, *relocated);
         }
         else if (auto const* const learned =
                      std::get_if<interference_record>(&item.record))
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/submissions.hpp>
 
+#include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/run_numbers.hpp>
@@ -126,10 +127,34 @@
     return std::max(1U, work.repeat_count);
 }
 
+/// Returns whether the tasks of one more occurrence can be kept.
+bool has_room_for_occurrence(submission_state const& submission)
+{
+    std::size_t added = 0;
+    for (auto const& step : submission.work.steps)
+    {
+        added += step.count;
+    }
+    std::size_t kept = 0;
+    std::size_t done = 0;
+    for (auto const& occurrence : submission.occurrences)
+    {
+        for (auto const& step : occurrence.steps)
+        {
+            kept += step.tasks.size();
+            done += step.done;
+        }
+    }
+    return submission.occurrences.empty()
+           || (kept - done + added <= limits::max_unfinished_tasks
+               && kept + added <= limits::max_kept_tasks);
+}
+
 void add_due_occurrences(shard_context& ctx, submission_state& submission)
 {
     auto const due = occurrences_due(ctx, submission.work);
-    while (submission.occurrences.size() < due)
+    while (submission.occurrences.size() < due
+           && has_room_for_occurrence(submission))
     {
         add_occurrence(submission, ctx.now);
         ctx.shard.placement_due = true;
@@ -270,18 +295,27 @@
     submission->stored_phase = record.phase;
     submission->ended_at = record.ended_at;
     submission->stored_version = submission->version;
-    while (submission->occurrences.size() < record.occurrences.size())
-    {
-        add_occurrence(*submission, ctx.now);
-    }
     if (ended(record.phase))
     {
-        submission->waiting_tasks = 0;
         ctx.shard.active.erase(submission->id);
     }
     for (std::uint32_t occurrence_index = 0;
          occurrence_index < record.occurrences.size(); ++occurrence_index)
     {
+        if (occurrence_index >= submission->occurrences.size())
+        {
+            if (occurrence_index >= total_occurrences(submission->work)
+                || !has_room_for_occurrence(*submission))
+            {
+                ctx.log(log_level::error, "ownership",
+                        "the progress of " + record.id
+                            + " has more occurrences than the submission, they"
+                              " are ignored");
+                ctx.count("unreadable_records_total", "occurrences");
+                break;
+            }
+            add_occurrence(*submission, ctx.now);
+        }
         for (std::uint32_t step_index = 0;
              step_index < record.occurrences[occurrence_index].size();
              ++step_index)
@@ -298,6 +332,10 @@
             }
         }
     }
+    if (ended(record.phase))
+    {
+        submission->waiting_tasks = 0;
+    }
 }
 
 void requeue(shard_context& ctx, submission_state& submission,
