Recover from datagrams with a false revision or the own name

A heartbeat of another writer with a revision that does not exist deposed the owner, and each claim after it expected that revision: no owner for ever. One in the name of the receiver deposed it and made it a member of itself.

Cause: the revision of a heartbeat was believed although only the store can tell it.

A claim that fails because the store shows an earlier owner record than the claim expected forgets the false revision and learns the one of the store. A message in the daemon's own name is ignored. A forged heartbeat still costs about a second without an owner.

--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -25,6 +25,9 @@
     owner_record record;
     std::uint64_t revision = 0;
 
+    /// Revision that the last claim expected.
+    std::uint64_t claimed_revision = 0;
+
     /// Daemons that may take over the shard, and the revision of the record; 0
     /// if the store holds none.
     roster_record roster;
--- a/src/jaydrift/schedule/odd_records_test.cpp
+++ b/src/jaydrift/schedule/odd_records_test.cpp
@@ -378,4 +378,56 @@
     EXPECT_GE(counts, 1U);
 }
 
+// Guards against a shard without an owner for ever, because each claim expects
+// a revision that only a datagram of another writer named.
+TEST(odd_records, a_revision_that_does_not_exist_is_forgotten)
+{
+    auto state = owner_state();
+    state.shards[0].ownership.role = owner_role::follower;
+    state.config = configuration{};
+    heartbeat message;
+    message.node = "d9";
+    message.address = "10.0.0.9:7000";
+    message.revision = limits::max_number;
+    message.interval = time_ms(150);
+    static_cast<void>(
+        reduce(state, message_arrived{"10.0.0.9:7000", message}, time_ms(1)));
+    std::optional<store_call> claim;
+    auto now = time_ms(1);
+    for (; !claim && now < time_ms(5000); now += time_ms(50))
+    {
+        claim = find_call(
+            reduce(state, timer_due{now}, now), [](auto const& request) {
+                return std::holds_alternative<store_transaction>(request)
+                       && std::get<store_transaction>(request).expected.size()
+                              == 2;
+            });
+    }
+    ASSERT_TRUE(claim);
+    store_replied conflict;
+    conflict.call = claim->call;
+    conflict.status = store_status::conflict;
+    conflict.items = {{{record_kind::owner, {}},
+                       5,
+                       false,
+                       owner_record{"d0", "10.0.0.1:7000", 1, 9}}};
+    static_cast<void>(reduce(state, conflict, now));
+    EXPECT_EQ(state.shards[0].ownership.revision, 5U);
+}
+
+// Guards against a datagram that claims to be of this daemon itself.
+TEST(odd_records, messages_in_the_own_name_are_ignored)
+{
+    auto state = owner_state();
+    heartbeat message;
+    message.node = "d0";
+    message.address = "10.0.0.9:7000";
+    message.revision = limits::max_number;
+    message.interval = time_ms(150);
+    auto const effects =
+        reduce(state, message_arrived{"10.0.0.9:7000", message}, time_ms(1));
+    EXPECT_EQ(state.shards[0].ownership.role, owner_role::owner);
+    EXPECT_TRUE(state.members.empty());
+}
+
 } // namespace jaydrift::schedule::testing
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -133,6 +133,7 @@
     owner_record const next{ctx.state.options.node, ctx.state.options.address,
                             next_term(ownership),
                             ctx.state.options.incarnation};
+    ownership.claimed_revision = ownership.revision;
     store_transaction write;
     auto const key = shard_key(ctx, record_kind::owner);
     write.expected.emplace_back(key, ownership.revision);
@@ -302,6 +303,27 @@
     }
 }
 
+/// Forgets the known owner record if the store, which is never behind its
+/// replies, shows an earlier one: a datagram of another writer named a revision
+/// that does not exist, for which each claim would fail.
+void forget_false_revision(shard_context& ctx, store_replied const& reply)
+{
+    auto& ownership = ctx.shard.ownership;
+    for (auto const& item : reply.items)
+    {
+        if (item.key == shard_key(ctx, record_kind::owner)
+            && ownership.revision == ownership.claimed_revision
+            && item.revision < ownership.revision)
+        {
+            ctx.log(log_level::warning, "ownership",
+                    "revision " + std::to_string(ownership.revision)
+                        + " of the owner record does not exist, the store has "
+                        + std::to_string(item.revision));
+            ownership.revision = 0;
+        }
+    }
+}
+
 } // namespace
 
 void observe_record(shard_context& ctx, owner_record const& record,
@@ -394,6 +416,10 @@
     become_follower(ctx, reply.status == store_status::conflict
                              ? "another daemon claimed first"
                              : "the claim got no answer or was refused");
+    if (reply.status == store_status::conflict)
+    {
+        forget_false_revision(ctx, reply);
+    }
     observe_conflict(ctx, reply);
     if (reply.status == store_status::lost)
     {
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -76,7 +76,10 @@
     {
         std::visit(
             [this](auto const& message) {
-                if (message.shard < ctx.state.shards.size())
+                // A message in the name of this daemon is of an earlier
+                // process or of another writer.
+                if (message.shard < ctx.state.shards.size()
+                    && message.node != ctx.state.options.node)
                 {
                     shard_context shard_ctx(ctx,
                                             ctx.state.shards[message.shard]);
