Keep numbers that an owner continues below those that it can read

A property test feeds mutated records, entries, datagrams and callers' messages to the decoders and then to a daemon that becomes owner, with workers that report random runs, and checks that each record which the daemon writes can be read again. It found that a run number or a write serial at the very end of its range is continued beyond it, so that a later owner could not read the progress ("field 'value': a number is out of range: {"value":}").

--- a/include/jaydrift/schedule/limits.hpp
+++ b/include/jaydrift/schedule/limits.hpp
@@ -54,6 +54,10 @@
 /// numbers up to 2^53 exactly.
 inline constexpr std::int64_t max_number = std::int64_t{1} << 53U;
 
+/// Numbers of runs and write serials from which the owner counts on: its own
+/// must stay below `max_number`, or a later owner could not read them.
+inline constexpr std::int64_t max_continued_number = max_number / 2;
+
 /// The numbers of the runs of this term are below `max_number`; see
 /// `run_number_base`.
 inline constexpr std::int64_t max_term = (std::int64_t{1} << 32U) - 1;
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/layout.hpp>
+#include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -28,6 +29,9 @@
 /// fenced. Tasks that may run on the others wait; see `unaccounted_until`.
 constexpr time_ms fencing_time_limit{400};
 
+constexpr auto max_serial =
+    static_cast<std::uint64_t>(limits::max_continued_number);
+
 /// Longest time that an earlier owner on the other side of a network partition
 /// keeps starting tasks after it was found silent.
 constexpr time_ms isolation_margin{1000};
@@ -219,7 +223,8 @@
         {
             // One that cannot be read is replaced by the first write.
             auto const* const serial = std::get_if<serial_record>(&item.record);
-            ctx.shard.record_log.serial = serial ? serial->value : 0;
+            ctx.shard.record_log.serial =
+                serial ? std::min(serial->value, max_serial) : 0;
             ctx.shard.record_log.serial_revision = item.revision;
         }
         else if (auto const* const fleet =
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -199,9 +199,11 @@
     {
         return;
     }
+    constexpr auto max_run =
+        static_cast<std::uint64_t>(limits::max_continued_number);
     task->failed_runs = stored.failed_runs;
-    task->highest_ended_run = stored.highest_ended_run;
-    task->last_run = stored.run;
+    task->highest_ended_run = std::min(stored.highest_ended_run, max_run);
+    task->last_run = std::min(stored.run, max_run);
     task->checkpoint = stored.checkpoint;
     submission.started = submission.started || stored.run > 0;
     if (stored.done)
@@ -210,7 +212,7 @@
     }
     else if (!stored.worker.empty())
     {
-        task->place = placement{stored.worker, stored.run};
+        task->place = placement{stored.worker, task->last_run};
         placed(submission, id);
     }
 }
