Replace control characters of keys in log lines

A key with a line break, which another writer may choose, added a line of its own to the log.

odd_records.a_key_with_control_characters_stays_on_its_line failed before: a line break at byte 9.

--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/areas.hpp>
 
+#include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
@@ -70,7 +71,7 @@
             shard.placement_due = true;
         }
         ctx.log(log_level::info, "config",
-                "zone " + zone + (closed ? " closed" : " opened"));
+                "zone " + printable(zone) + (closed ? " closed" : " opened"));
     }
 }
 
--- a/src/jaydrift/schedule/odd_records_test.cpp
+++ b/src/jaydrift/schedule/odd_records_test.cpp
@@ -143,6 +143,23 @@
     EXPECT_EQ(counts, 2U);
 }
 
+// Guards against a key of another writer that adds lines of its own to the log.
+TEST(odd_records, a_key_with_control_characters_stays_on_its_line)
+{
+    auto state = owner_state();
+    auto const call =
+        worker_area_call(reduce(state, timer_due{time_ms(0)}, time_ms(0)));
+    ASSERT_TRUE(call);
+    store_replied reply;
+    reply.call = call->call;
+    reply.status = store_status::ok;
+    reply.items = {{{record_kind::worker, "w\n2026 INFO x"}, 7, false, odd}};
+    auto const lines =
+        lines_with(reduce(state, reply, time_ms(5)), "cannot be read");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines[0].text.find('\n'), std::string::npos);
+}
+
 // Guards against workers that are lost with an entry of another writer, also
 // for an owner that takes over later.
 TEST(odd_records, odd_entries_do_not_keep_work_from_the_others)
--- a/src/jaydrift/schedule/unreadable.cpp
+++ b/src/jaydrift/schedule/unreadable.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/unreadable.hpp>
 
+#include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/store_item.hpp>
 
@@ -36,7 +37,7 @@
     }
     revision = item.revision;
     ctx.log(level, part,
-            "record '" + item.key.name + "' at revision "
+            "record '" + printable(item.key.name) + "' at revision "
                 + std::to_string(item.revision)
                 + " cannot be read and is ignored: " + record->reason);
     ctx.count("unreadable_records_total", "store");
