--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -1,10 +1,11 @@
 #include <jaydrift/schedule/areas.hpp>
 
+#include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
-#include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/unreadable.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
@@ -25,14 +26,7 @@
 
 void report_unreadable(context& ctx, store_item const& item)
 {
-    auto const* const unreadable = std::get_if<unreadable_record>(&item.record);
-    if (unreadable && !item.deleted)
-    {
-        ctx.log(log_level::warning, "store",
-                "ignored record '" + item.key.name
-                    + "', it cannot be read: " + unreadable->reason);
-        ctx.count("unreadable_records_total", "store");
-    }
+    unreadable::report(ctx, item, log_level::warning, "store");
 }
 
 /// Applies a configuration unless a later version is in force.
@@ -77,7 +71,7 @@
             shard.placement_due = true;
         }
         ctx.log(log_level::info, "config",
-                "zone " + zone + (closed ? " closed" : " opened"));
+                "zone " + printable(zone) + (closed ? " closed" : " opened"));
     }
 }
 
@@ -155,23 +149,18 @@
     {
         apply_member(ctx, item);
     }
-    else if (auto const* const layout =
-                 std::get_if<layout_record>(&item.record))
+    else if (item.key.kind == record_kind::layout && !item.deleted)
     {
-        layout::observe(ctx, *layout);
+        layout::observe_item(ctx, item);
     }
-    else if (auto const* const owner = std::get_if<owner_record>(&item.record);
-             owner && item.key.shard < ctx.state.shards.size())
+    else if (item.key.shard < ctx.state.shards.size())
     {
         shard_context shard_ctx(ctx, ctx.state.shards[item.key.shard]);
-        ownership::observe_record(shard_ctx, *owner, item.revision);
+        ownership::observe_item(shard_ctx, item);
     }
-    else if (auto const* const roster =
-                 std::get_if<roster_record>(&item.record);
-             roster && item.key.shard < ctx.state.shards.size())
+    else if (item.key.kind == record_kind::owner && !item.deleted)
     {
-        shard_context shard_ctx(ctx, ctx.state.shards[item.key.shard]);
-        roster::observe(shard_ctx, *roster, item.revision);
+        layout::observe_shard(ctx, item.key.shard);
     }
 }
 
@@ -217,9 +206,9 @@
     }
     else
     {
-        report_unreadable(ctx, item);
         ctx.state.worker_entries.erase(item.key.name);
     }
+    report_unreadable(ctx, item);
     shard_context shard_ctx(ctx, shard_of_worker(ctx, item.key.name));
     if (!holds_shard(shard_ctx.shard.ownership.role))
     {
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -3,9 +3,11 @@
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/layout.hpp>
+#include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/unreadable.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
@@ -27,6 +29,9 @@
 /// fenced. Tasks that may run on the others wait; see `unaccounted_until`.
 constexpr time_ms fencing_time_limit{400};
 
+constexpr auto max_serial =
+    static_cast<std::uint64_t>(limits::max_continued_number);
+
 /// Longest time that an earlier owner on the other side of a network partition
 /// keeps starting tasks after it was found silent.
 constexpr time_ms isolation_margin{1000};
@@ -111,6 +116,20 @@
     }
 }
 
+void restore_relocation(shard_context& ctx, relocation_record const& record)
+{
+    if (record.second_shard >= ctx.state.shards.size())
+    {
+        ctx.log(log_level::error, "ownership",
+                "the relocation of " + record.id + " to shard "
+                    + std::to_string(record.second_shard)
+                    + " is ignored, there is no such shard");
+        ctx.count("unreadable_records_total", "relocation");
+        return;
+    }
+    ctx.shard.relocations[record.id] = {record, true, {}};
+}
+
 /// Starts to serve the shard.
 void finish(shard_context& ctx)
 {
@@ -201,10 +220,12 @@
             added.record_stored = true;
             added.stored_version = added.version;
         }
-        else if (auto const* const serial =
-                     std::get_if<serial_record>(&item.record))
+        else if (item.key.kind == record_kind::serial)
         {
-            ctx.shard.record_log.serial = serial->value;
+            // One that cannot be read is replaced by the first write.
+            auto const* const serial = std::get_if<serial_record>(&item.record);
+            ctx.shard.record_log.serial =
+                serial ? std::min(serial->value, max_serial) : 0;
             ctx.shard.record_log.serial_revision = item.revision;
         }
         else if (auto const* const fleet =
@@ -215,20 +236,14 @@
         else if (auto const* const relocated =
                      std::get_if<relocation_record>(&item.record))
         {
-            ctx.shard.relocations[relocated->id] = {*relocated, true, {}};
+            restore_relocation(ctx, *relocated);
         }
         else if (auto const* const learned =
                      std::get_if<interference_record>(&item.record))
         {
             interference::restore(ctx.shard.interference, *learned);
         }
-        else if (auto const* const unreadable =
-                     std::get_if<unreadable_record>(&item.record))
-        {
-            ctx.log(log_level::error, "ownership",
-                    "record '" + item.key.name
-                        + "' cannot be read: " + unreadable->reason);
-        }
+        unreadable::report(ctx, item, log_level::error, "ownership");
     }
     // Progress can be restored only for submissions that have been added.
     for (auto const& item : reply.items)
