--- a/src/jaydrift/schedule/deployment_test.cpp
+++ b/src/jaydrift/schedule/deployment_test.cpp
@@ -1,3 +1,4 @@
+#include "random_faults_test.hpp"
 #include "sample_work_test.hpp"
 #include "simulated_deployment_test.hpp"
 
@@ -24,14 +25,11 @@
     EXPECT_TRUE(deployment.violations.empty()) << deployment.violations.front();
 }
 
-/// Submits work under random faults: daemons are killed, workers crash or
-/// cannot be reached, the network is cut, the store is out or its replies are
-/// lost, and orders are carried out late. Returns the first violation, or an
-/// empty text.
+/// Submits work under random faults. Returns the first violation, or an empty
+/// text.
 std::string violation_under_faults(std::uint64_t seed, std::uint32_t shards = 1)
 {
-    constexpr std::size_t workers = 5;
-    simulated_deployment deployment(3, workers * shards, seed, shards);
+    simulated_deployment deployment(3, 5 * shards, seed, shards);
     random_source random(seed);
     deployment.run_until(time_ms(2500));
     auto submitted = 0;
@@ -41,67 +39,12 @@
             random.below(3), id_of(++submitted),
             chain_of({static_cast<std::uint32_t>(1 + random.below(8)),
                       static_cast<std::uint32_t>(1 + random.below(4))}));
-        auto const daemon = random.below(3);
-        auto const worker = random.below(workers);
-        switch (random.below(9))
-        {
-        case 0:
-            deployment.kill(daemon);
-            deployment.start(daemon);
-            break;
-        case 1:
-            deployment.store_up = !deployment.store_up;
-            break;
-        case 2:
-            deployment.lost_percent = random.below(40);
-            break;
-        case 3:
-            deployment.late_percent = random.below(10);
-            break;
-        case 4:
-            deployment.worker(worker).reachable =
-                !deployment.worker(worker).reachable;
-            break;
-        case 5:
-            deployment.crash(worker, time_ms(static_cast<std::int64_t>(
-                                         800 + random.below(1000))));
-            break;
-        case 6:
-            if (!deployment.daemons_without_store.erase(daemon))
-            {
-                deployment.daemons_without_store.insert(daemon);
-            }
-            break;
-        case 7:
-            if (deployment.cut_daemons.empty())
-            {
-                deployment.cut_daemons = {daemon, (daemon + 1) % 3};
-                deployment.cut_workers = {worker};
-            }
-            else
-            {
-                deployment.cut_daemons.clear();
-                deployment.cut_workers.clear();
-            }
-            break;
-        default:
-            deployment.worker(worker).failing_percent = random.below(30);
-            break;
-        }
+        random_fault(deployment, random);
         deployment.run_until(
             deployment.now()
             + time_ms(static_cast<std::int64_t>(random.below(1500))));
     }
-    deployment.store_up = true;
-    deployment.lost_percent = 0;
-    deployment.late_percent = 0;
-    deployment.daemons_without_store.clear();
-    deployment.cut_daemons.clear();
-    deployment.cut_workers.clear();
-    for (std::size_t i = 0; i < deployment.worker_count(); ++i)
-    {
-        deployment.worker(i).reachable = true;
-    }
+    end_faults(deployment);
     deployment.run_until(deployment.now() + time_ms(25000));
     if (!deployment.violations.empty())
     {
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -554,7 +554,8 @@
             submissions_[id.task.submission].steps[earlier].count;
         for (std::uint32_t i = 0; i < count; ++i)
         {
-            if (!history_[{id.task.submission, 0, earlier, i}].done)
+            if (!history_[{id.task.submission, id.task.occurrence, earlier, i}]
+                     .done)
             {
                 violations.push_back(name + " started too early");
                 return;
