Show an occurrence that starts twice across a change of owner

An owner that is cut off together with some workers starts an occurrence that is due there before it is suspended. The next owner has read the submissions before; it adds the occurrence itself after it has begun to serve, without the mark of tasks that an earlier owner may have started, and starts it although a worker is not fenced yet.

--- a/src/jaydrift/schedule/mixed_work_test.cpp
+++ b/src/jaydrift/schedule/mixed_work_test.cpp
@@ -194,4 +194,35 @@
     }
 }
 
+// Guards against an occurrence that starts twice: it is due while another
+// daemon takes over, and the owner that is cut off starts it as well.
+TEST(mixed_work, an_occurrence_does_not_start_twice_across_a_change_of_owner)
+{
+    simulated_deployment deployment(4, 3, 32);
+    deployment.run_until(time_ms(3000));
+    auto const owner = deployment.owner();
+    ASSERT_TRUE(owner);
+    auto work = chain_of({2});
+    work.first_due = time_ms(4000);
+    work.interval = time_ms(100);
+    work.repeat_count = 40;
+    deployment.submit(*owner, id_of(1), work);
+    deployment.run_until(time_ms(3500));
+    deployment.cut_daemons = {*owner, (*owner + 1) % 4};
+    deployment.cut_workers = {0, 1};
+    deployment.run_until(time_ms(12000));
+    EXPECT_TRUE(deployment.violations.empty()) << deployment.violations.front();
+}
+
+// The same with work that is repeated.
+RC_GTEST_PROP(mixed_work, repeated_work_keeps_all_under_random_faults,
+              (std::uint64_t seed))
+{
+    auto const violation = violation_with_mixed_work(seed, true);
+    if (!violation.empty())
+    {
+        RC_FAIL(violation);
+    }
+}
+
 } // namespace jaydrift::schedule::testing
