Show ends that are acknowledged to a later process of a worker

An owner that was suspended has no order in flight, so it does not notice that a worker started again. Its next hold order acknowledges ends by the numbers of the earlier process. If the order arrives late, the new process drops ends that nobody has handled, and their tasks run again.

--- a/src/jaydrift/schedule/mixed_work_test.cpp
+++ b/src/jaydrift/schedule/mixed_work_test.cpp
@@ -225,4 +225,14 @@
     }
 }
 
+// Guards against ends that are lost: an owner that was suspended acknowledged
+// those of a worker's earlier process to the next one.
+TEST(mixed_work, ends_are_not_acknowledged_to_a_later_process)
+{
+    for (std::uint64_t const seed : {10879938617UL, 1345707967086996UL})
+    {
+        EXPECT_EQ(violation_with_mixed_work(seed), "") << seed;
+    }
+}
+
 } // namespace jaydrift::schedule::testing
