Add a random case of a run that stays paused

The same fault as a_paused_run_resumes_once_the_serving_task_has_gone, found by random work: two tasks of a submission stay at pace 0 on a worker whose serving task has moved, for 30 s and more on an otherwise idle deployment.

--- a/src/jaydrift/schedule/mixed_work_test.cpp
+++ b/src/jaydrift/schedule/mixed_work_test.cpp
@@ -235,4 +235,11 @@
     }
 }
 
+// Guards against work that does not end since a run of it stays paused on a
+// worker whose serving task has gone.
+TEST(mixed_work, paused_runs_end_after_a_serving_task_has_gone)
+{
+    EXPECT_EQ(violation_with_mixed_work(118670), "");
+}
+
 } // namespace jaydrift::schedule::testing
