Show tasks that wait on a worker that refuses all orders

A worker that answers each order as unavailable keeps its tasks: a hold order without success counts neither as an answer nor as a silence, so the owner goes on to grant leases, and the end of the lease moves on.

--- a/src/jaydrift/schedule/simulated_worker_test.cpp
+++ b/src/jaydrift/schedule/simulated_worker_test.cpp
@@ -40,6 +40,10 @@
 worker_replied simulated_worker::execute(worker_call const& call, time_ms now)
 {
     advance(now);
+    if (!healthy)
+    {
+        return reply(worker_status::unavailable, now);
+    }
     if (call.token < token_)
     {
         return reply(worker_status::stale_token, now);
--- a/src/jaydrift/schedule/simulated_worker_test.hpp
+++ b/src/jaydrift/schedule/simulated_worker_test.hpp
@@ -66,6 +66,9 @@
     /// The process runs.
     bool up = true;
 
+    /// The worker carries out orders; otherwise it refuses all as unavailable.
+    bool healthy = true;
+
 private:
     struct run
     {
