Show a gang that waits beside a stream of small tasks

A gang starts if all its members find a place in one pass. Nothing keeps places for it, so single tasks take each one that gets free. A gang that needs 16 of 32 processors had no place in 60 s at a use of 0.79; at 0.71 it started after 7.2 s.

--- a/src/jaydrift/schedule/starvation_test.cpp
+++ b/src/jaydrift/schedule/starvation_test.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+/// Time within which work that could run is started.
+constexpr time_ms longest_wait{5000};
+
+constexpr time_ms arrival_interval{200};
+
 std::string const first_id = "00000000000000a1";
 
 submission_state const& state_of(simulated_deployment const& deployment,
@@ -17,6 +22,32 @@
     return deployment.daemon(0).shards[0].submissions.at(id);
 }
 
+/// Returns whether the work starts before 5 s have passed since its objective,
+/// while small urgent tasks arrive all the time.
+bool starts_beside_small_tasks(simulated_deployment& deployment,
+                               submission const& work,
+                               std::uint32_t tasks_per_arrival)
+{
+    auto arrived = 0;
+    auto const arrive = [&] {
+        deployment.submit(0, id_of(arrived++), chain_of({tasks_per_arrival}));
+        deployment.run_until(deployment.now() + arrival_interval);
+    };
+    deployment.run_until(time_ms(3000));
+    while (deployment.now() < time_ms(6000))
+    {
+        arrive();
+    }
+    deployment.submit(0, first_id, work);
+    arrive();
+    auto const end = state_of(deployment, first_id).objective + longest_wait;
+    while (deployment.now() < end && !deployment.runs_any(first_id))
+    {
+        arrive();
+    }
+    return deployment.runs_any(first_id);
+}
+
 } // namespace
 
 // Guards against tasks that wait without bound since their worker refuses all
@@ -34,4 +65,14 @@
               submission_phase::completed);
 }
 
+// Guards against a gang that never finds all its places since single tasks take
+// each one that gets free.
+TEST(starvation, a_gang_starts_beside_a_stream_of_small_tasks)
+{
+    simulated_deployment deployment(1, 4, 42);
+    auto gang = chain_of({16});
+    gang.steps[0].gang = true;
+    EXPECT_TRUE(starts_beside_small_tasks(deployment, gang, 8));
+}
+
 } // namespace jaydrift::schedule::testing
