Show a large task that waits beside a stream of small ones

An urgent task of 7 of a worker's 8 processors had no place in 60 s at a use of 0.91, with nothing else waiting: workers are kept free for long-running tasks only. At 0.75 it started after 1.0 to 1.6 s.

--- a/src/jaydrift/schedule/starvation_test.cpp
+++ b/src/jaydrift/schedule/starvation_test.cpp
@@ -75,4 +75,14 @@
     EXPECT_TRUE(starts_beside_small_tasks(deployment, gang, 8));
 }
 
+// Guards against a task that needs almost a whole worker and never finds one
+// since small tasks take each processor that gets free.
+TEST(starvation, a_large_task_starts_beside_a_stream_of_small_ones)
+{
+    simulated_deployment deployment(1, 4, 43);
+    auto large = chain_of({1});
+    large.steps[0].demand.millicores = 7000;
+    EXPECT_TRUE(starts_beside_small_tasks(deployment, large, 9));
+}
+
 } // namespace jaydrift::schedule::testing
