Show work that waits for a task with a limit per worker

The limit is not part of what a pass remembers of a task without a place, so the fifth task of a step that may have one on each of four workers holds up other work of the image until the step ends.

--- a/src/jaydrift/schedule/starvation_test.cpp
+++ b/src/jaydrift/schedule/starvation_test.cpp
@@ -85,4 +85,28 @@
     EXPECT_TRUE(starts_beside_small_tasks(deployment, large, 9));
 }
 
+// Guards against work that waits since a task of the same image could not be
+// placed for a limit on its tasks per worker.
+TEST(starvation, a_limit_per_worker_does_not_hold_up_others_of_the_image)
+{
+    simulated_deployment deployment(1, 4, 44);
+    for (std::size_t i = 0; i < deployment.worker_count(); ++i)
+    {
+        deployment.worker(i).interference.emplace();
+    }
+    deployment.run_until(time_ms(3000));
+    auto limited = chain_of({5});
+    limited.steps[0].opportunistic = true;
+    limited.steps[0].image = "filler";
+    limited.steps[0].max_per_worker = 1;
+    limited.steps[0].estimate = time_ms(20000);
+    deployment.submit(0, first_id, limited);
+    deployment.run_until(time_ms(3100));
+    auto other = limited;
+    other.steps[0].max_per_worker = 0;
+    deployment.submit(0, id_of(1), other);
+    deployment.run_until(deployment.now() + longest_wait);
+    EXPECT_TRUE(state_of(deployment, id_of(1)).started);
+}
+
 } // namespace jaydrift::schedule::testing
