Show what an attempt to place a gang in vain changes

Members that found a worker are placed and, if another one finds none, made to wait again. So a gang that has never run is shown as running, the time since which it waits is that of the last attempt, and placement is due again at once: 70 passes a second on the current code instead of 10 (11 in the second of the test with a single task that fits nowhere).

--- a/src/jaydrift/schedule/starvation_test.cpp
+++ b/src/jaydrift/schedule/starvation_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 
 namespace jaydrift::schedule::testing {
@@ -109,4 +110,29 @@
     EXPECT_TRUE(state_of(deployment, id_of(1)).started);
 }
 
+// Guards against a gang without places that counts as started each time it is
+// tried: its waiting time begins again, and the next pass follows at once.
+TEST(starvation, an_attempt_to_place_a_gang_in_vain_changes_nothing)
+{
+    simulated_deployment deployment(1, 4, 45);
+    deployment.run_until(time_ms(3000));
+    auto gang = chain_of({40});
+    gang.steps[0].gang = true;
+    deployment.submit(0, first_id, gang);
+    deployment.run_until(time_ms(5000));
+    auto const& submission = state_of(deployment, first_id);
+    EXPECT_FALSE(submission.started);
+    EXPECT_EQ(submission.phase, submission_phase::queued);
+    auto const& task = submission.occurrences[0].steps[0].tasks[0];
+    EXPECT_LT(task.waiting_since, time_ms(3100));
+    std::set<time_ms> passes;
+    while (deployment.now() < time_ms(6000))
+    {
+        deployment.run_until(deployment.now() + time_ms(1));
+        passes.insert(deployment.daemon(0).shards[0].last_pass);
+    }
+    // Without a change there is a pass every 100 ms.
+    EXPECT_LE(passes.size(), 11U);
+}
+
 } // namespace jaydrift::schedule::testing
