Show a lease on an earlier clock that a later process takes

Start orders that were sent after a worker had started again, but before the owner heard of it, carry a lease on the clock of the earlier process (14904 ms, while the new clock reads 839). Carried out late, at 6718, they give the new process a lease until 12718, cut only by the worker's longest lease. The owner takes the lease to have expired at about 10000 on that clock, and starts the task elsewhere while it still runs there.

Like the ends acknowledged to a later process, an order made for one process reaches the next.

--- a/src/jaydrift/schedule/mixed_work_test.cpp
+++ b/src/jaydrift/schedule/mixed_work_test.cpp
@@ -242,4 +242,12 @@
     EXPECT_EQ(violation_with_mixed_work(118670), "");
 }
 
+// Guards against a task that runs twice: an order with a lease on the clock of
+// a worker's earlier process reaches the next one late, which then outlives the
+// lease that the owner knows of.
+TEST(mixed_work, a_lease_on_an_earlier_clock_is_not_taken_by_a_later_process)
+{
+    EXPECT_EQ(violation_with_mixed_work(204693456089963368, true), "");
+}
+
 } // namespace jaydrift::schedule::testing
