Check the guarantees in the tests of waiting work too

The tests of opportunistic work and of starvation did not look at the guarantees that the simulated deployment checks.

--- a/src/jaydrift/schedule/opportunistic_test.cpp
+++ b/src/jaydrift/schedule/opportunistic_test.cpp
@@ -1,5 +1,5 @@
+#include "checked_deployment_test.hpp"
 #include "sample_work_test.hpp"
-#include "simulated_deployment_test.hpp"
 
 #include <gtest/gtest.h>
 
@@ -68,7 +68,7 @@
 /// while a submission that no worker can run comes before it at all times.
 bool starts_beside(submission const& impossible)
 {
-    simulated_deployment deployment(1, 4, 23);
+    checked_deployment deployment(1, 4, 23);
     deployment.run_until(time_ms(3000));
     deployment.submit(0, first_id, impossible);
     deployment.run_until(time_ms(3100));
@@ -106,7 +106,7 @@
 // tasks of all workers are close to their targets, though not above them.
 TEST(opportunistic, late_work_starts_beside_serving_tasks_near_their_targets)
 {
-    simulated_deployment deployment(1, 8, 21);
+    checked_deployment deployment(1, 8, 21);
     serve(deployment, {0.82, 0.5});
     deployment.submit(0, first_id, filler(4, time_ms(500)));
     deployment.run_until(time_ms(4100));
@@ -125,7 +125,7 @@
 // latencies are expected to stay below their targets with it.
 TEST(opportunistic, late_work_starts_where_targets_are_expected_to_be_met)
 {
-    simulated_deployment deployment(1, 8, 31);
+    checked_deployment deployment(1, 8, 31);
     serve(deployment, {0.82, 0.5});
     auto work = filler(4, time_ms(500));
     work.steps[0].demand.millicores = 250;
@@ -142,7 +142,7 @@
 // with: it is expected to disturb them, and nothing shows that it does not.
 TEST(opportunistic, late_work_of_an_unknown_image_starts)
 {
-    simulated_deployment deployment(1, 8, 30);
+    checked_deployment deployment(1, 8, 30);
     serve(deployment, {0.66, 0.5});
     deployment.submit(0, first_id, filler(4, time_ms(500)));
     deployment.run_until(time_ms(4100));
@@ -161,7 +161,7 @@
     constexpr time_ms arrival_interval{250};
     constexpr time_ms settling_time{14000};
     constexpr time_ms longest_gap{3000};
-    simulated_deployment deployment(1, 8, 22);
+    checked_deployment deployment(1, 8, 22);
     serve(deployment, {0.82, 0.2});
     for (auto i = 0; i < backlog; ++i)
     {
@@ -228,7 +228,7 @@
     auto const starts_late = [](bool others) {
         constexpr time_ms arrival_interval{500};
         constexpr time_ms longest_lateness{12000};
-        simulated_deployment deployment(1, 4, 25);
+        checked_deployment deployment(1, 4, 25);
         serve(deployment, {0.75, 0.05});
         auto const small = [](time_ms estimate) {
             auto work = filler(1, estimate);
@@ -258,7 +258,7 @@
 // disturbed has gone.
 TEST(opportunistic, a_paused_run_resumes_once_the_serving_task_has_gone)
 {
-    simulated_deployment deployment(1, 1, 26);
+    checked_deployment deployment(1, 1, 26);
     serve(deployment, {0.5, 0.5});
     pause_a_run(deployment);
     deployment.cancel(0, serving_id);
@@ -271,7 +271,7 @@
 {
     // 3 s of work at a tenth of the full pace.
     constexpr time_ms time_at_smallest_pace{30000};
-    simulated_deployment deployment(1, 1, 27);
+    checked_deployment deployment(1, 1, 27);
     serve(deployment, {0.5, 0.5});
     pause_a_run(deployment);
     deployment.worker(0).interference->idle_tail = 0.85;
@@ -285,7 +285,7 @@
 // worker takes its task.
 TEST(opportunistic, a_paused_run_stays_if_no_other_worker_takes_its_task)
 {
-    simulated_deployment deployment(1, 2, 28);
+    checked_deployment deployment(1, 2, 28);
     serve(deployment, {0.5, 0.5});
     auto work = filler(1, time_ms(3000));
     work.steps[0].checkpoints = true;
@@ -312,7 +312,7 @@
     constexpr std::uint32_t tasks = 4;
     constexpr std::size_t most_starts = 4;
     constexpr time_ms wave{2000};
-    simulated_deployment deployment(1, 4, 29);
+    checked_deployment deployment(1, 4, 29);
     serve(deployment, {0.4, 0.5});
     auto work = filler(tasks, time_ms(20000));
     work.steps[0].checkpoints = true;
--- a/src/jaydrift/schedule/starvation_test.cpp
+++ b/src/jaydrift/schedule/starvation_test.cpp
@@ -1,5 +1,5 @@
+#include "checked_deployment_test.hpp"
 #include "sample_work_test.hpp"
-#include "simulated_deployment_test.hpp"
 
 #include <gtest/gtest.h>
 
@@ -55,7 +55,7 @@
 // orders as unavailable: its lease is taken to be renewed by each of them.
 TEST(starvation, tasks_of_a_worker_that_refuses_orders_start_elsewhere)
 {
-    simulated_deployment deployment(1, 3, 41);
+    checked_deployment deployment(1, 3, 41);
     deployment.run_until(time_ms(3000));
     deployment.submit(0, first_id, chain_of({18}));
     deployment.run_until(time_ms(3200));
@@ -70,7 +70,7 @@
 // each one that gets free.
 TEST(starvation, a_gang_starts_beside_a_stream_of_small_tasks)
 {
-    simulated_deployment deployment(1, 4, 42);
+    checked_deployment deployment(1, 4, 42);
     auto gang = chain_of({16});
     gang.steps[0].gang = true;
     EXPECT_TRUE(starts_beside_small_tasks(deployment, gang, 8));
@@ -80,7 +80,7 @@
 // since small tasks take each processor that gets free.
 TEST(starvation, a_large_task_starts_beside_a_stream_of_small_ones)
 {
-    simulated_deployment deployment(1, 4, 43);
+    checked_deployment deployment(1, 4, 43);
     auto large = chain_of({1});
     large.steps[0].demand.millicores = 7000;
     EXPECT_TRUE(starts_beside_small_tasks(deployment, large, 9));
@@ -90,7 +90,7 @@
 // placed for a limit on its tasks per worker.
 TEST(starvation, a_limit_per_worker_does_not_hold_up_others_of_the_image)
 {
-    simulated_deployment deployment(1, 4, 44);
+    checked_deployment deployment(1, 4, 44);
     for (std::size_t i = 0; i < deployment.worker_count(); ++i)
     {
         deployment.worker(i).interference.emplace();
@@ -114,7 +114,7 @@
 // tried: its waiting time begins again, and the next pass follows at once.
 TEST(starvation, an_attempt_to_place_a_gang_in_vain_changes_nothing)
 {
-    simulated_deployment deployment(1, 4, 45);
+    checked_deployment deployment(1, 4, 45);
     deployment.run_until(time_ms(3000));
     auto gang = chain_of({40});
     gang.steps[0].gang = true;
