Check in the soak that ready work does not wait beside free workers

An operator's report (LOST): an accepted task could run and did not, with most of the workers' room free. The soak could not see it: it had no opportunistic work, its long-running tasks had no bound on their tail latency, and accepted work had 30 s to end whatever ran.

Callers now also submit long-running tasks with a latency target and opportunistic steps. The stand-in workers report tail latencies of 30 to 45% of the target, and as a fault of 80 to 95%. After the recovery from the faults each worker gets serving tasks, the tail latencies rise for 40 s, and opportunistic work comes beside them. From 12 s (recoveryS) after the last fault or start of a daemon on, a submission that nobody cancelled and that has nothing running for 3 s, while there is room for a task twice and under half of the capacity is in use, is a violation, as in the users' LOST rule. The limit of 30 s and the check of unknown submissions hold in the new phase too. Long-running tasks need 500 millicores each, before 500 to 1500, so that under half of the room is in use.

--- a/include/jaydrift/soak/oracle.hpp
+++ b/include/jaydrift/soak/oracle.hpp
@@ -80,6 +80,17 @@
     ///
     /// @throws std::out_of_range if the submission was not planned.
     std::size_t running_tasks(std::string const& id) const;
+
+    /// Last start of a task of a submission; 0 if none has started.
+    ///
+    /// @throws std::out_of_range if the submission was not planned.
+    time_ms last_start(std::string const& id) const;
+
+    /// Returns the first step of a submission that is not done, if all steps
+    /// before it are.
+    ///
+    /// @throws std::out_of_range if the submission was not planned.
+    step_plan const* ready_step(std::string const& id) const;
     std::size_t accepted_count() const;
     std::size_t start_count() const { return starts_; }
 
@@ -103,6 +114,7 @@
         bool refused = false;
         bool ended = false;
         bool started = false;
+        time_ms last_start;
         bool cancel_sent = false;
         std::optional<time_ms> cancelled_at;
 
--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -32,13 +32,18 @@
     soak::oracle oracle;
 
     /// Phases of a run. In `recovery` faults are over and accepted work must
-    /// end. In `cancelling` the long-running submissions are cancelled, which
-    /// must be confirmed. In `stopping_tasks` all cancelled tasks must stop.
+    /// end. In `serving` all workers get serving tasks, which report high tail
+    /// latencies, and in `filling` opportunistic work comes beside them, which
+    /// must end as well. In `cancelling` the long-running submissions are
+    /// cancelled, which must be confirmed. In `stopping_tasks` all cancelled
+    /// tasks must stop.
     enum class phase : std::uint8_t
     {
         starting,
         faults,
         recovery,
+        serving,
+        filling,
         cancelling,
         stopping_tasks
     };
@@ -76,6 +81,10 @@
     std::uint64_t late_order_percent = 0;
     std::optional<time_ms> message_faults_until;
 
+    /// Until then serving tasks report tail latencies near their targets. The
+    /// end of the other faults does not end this.
+    std::optional<time_ms> high_tails_until;
+
     /// Zone in which nothing may start, and since when and until when.
     std::optional<std::string> evacuated_zone;
     time_ms evacuated_at;
@@ -86,6 +95,13 @@
     /// count from here or from the change, whichever is later.
     time_ms disturbed_at;
 
+    /// Last start of a daemon.
+    time_ms daemon_started_at;
+
+    /// Since when `waiting_check` has seen each submission wait while there is
+    /// room.
+    std::map<std::string, time_ms> waiting_since;
+
     /// Even versions have the queue "extra", odd ones do not.
     std::uint64_t config_version = 1;
 
--- a/include/jaydrift/soak/submission_plan.hpp
+++ b/include/jaydrift/soak/submission_plan.hpp
@@ -21,6 +21,13 @@
     /// Numbers of the steps that must be done before this one starts.
     std::vector<std::uint32_t> after;
     bool long_running = false;
+
+    /// Gets the processors that the other tasks of its worker leave unused.
+    bool opportunistic = false;
+    std::string image;
+
+    /// Bound on the tail latency of a long-running task; 0 if it has none.
+    time_ms latency_target;
 };
 
 /// A submission as its caller planned it.
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -55,13 +55,24 @@
     std::uint64_t failing_percent = 0;
     bool draining = false;
 
+    /// Serving tasks report tail latencies of 80 to 95% of their target, not of
+    /// 30 to 45%, whatever runs beside them.
+    bool high_tails = false;
+
+    resources const& capacity() const { return capacity_; }
+
+    /// Capacity that the runs need; opportunistic ones need only memory.
+    resources used() const;
+
 private:
     struct run
     {
         std::uint64_t number = 0;
         resources demand;
         time_ms done_at;
+        time_ms latency_target;
         bool long_running = false;
+        bool opportunistic = false;
         bool fails = false;
     };
 
@@ -84,11 +95,17 @@
                          time_ms now) const;
     http::response start(http::request const& order, oracle& oracle,
                          time_ms now);
-    http::response hold_reply(time_ms now) const;
+    http::response hold_reply(time_ms now);
+
+    /// Returns the part of the capacity that a run needs.
+    static resources room_of(run const& of);
+
+    /// Returns the tail latency of a serving task in ms, else the millicores in
+    /// use.
+    std::int64_t load(run const& of);
     void finish(std::string const& task, std::string_view outcome,
                 oracle& oracle);
     void acknowledge(std::uint64_t number, oracle& oracle);
-    resources used() const;
 
     std::string id_;
     std::string address_;
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/soak/call_ended.hpp>
 #include <jaydrift/soak/soak_state.hpp>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -20,12 +21,29 @@
 constexpr std::uint64_t submission_jitter_ms = 160;
 constexpr time_ms min_submission_interval{40};
 
+constexpr time_ms serving_target{200};
+
+/// Most submissions sent at the same time.
+constexpr std::size_t max_burst = 100;
+
 /// Every daemon must know an accepted submission after this time.
 constexpr time_ms visible_limit{3000};
 
 /// No daemon may serve a removed queue after this time.
 constexpr time_ms queue_removal_limit{2500};
 
+enum class work_kind : std::uint8_t
+{
+    ordinary,
+    long_running,
+
+    /// Long-running with a bound on its tail latency.
+    serving,
+
+    /// Its last step is opportunistic.
+    opportunistic
+};
+
 std::string submission_id(std::uint64_t number)
 {
     constexpr std::size_t length = 16;
@@ -59,6 +77,9 @@
             writer.EndArray();
         }
         codec::put_boolean(writer, "longRunning", step.long_running);
+        codec::put_boolean(writer, "fills", step.opportunistic);
+        codec::put_field(writer, "image", step.image);
+        codec::put_field(writer, "targetMs", step.latency_target.count());
         writer.EndObject();
     }
     writer.EndArray();
@@ -66,14 +87,16 @@
     return codec::text_of(buffer);
 }
 
-submission_plan random_plan(soak_state& state, std::string const& id)
+submission_plan random_plan(soak_state& state, std::string const& id,
+                            work_kind kind)
 {
     auto const below = [&state](std::uint64_t bound) {
         return static_cast<std::uint32_t>(state.random.below(bound));
     };
     submission_plan plan;
     plan.payload = "payload of " + id;
-    auto const long_running = below(10) == 0;
+    auto const long_running =
+        kind == work_kind::long_running || kind == work_kind::serving;
     auto const steps = long_running ? 1U : 1U + below(3);
     for (std::uint32_t i = 0; i < steps; ++i)
     {
@@ -82,6 +105,26 @@
         step.demand = {500 + 500 * static_cast<std::int64_t>(below(3)), 500, 0};
         step.run_time = time_ms(100 + below(900));
         step.long_running = long_running;
+        if (long_running)
+        {
+            // Small, so that under half of the workers' room is in use.
+            step.demand.millicores = 500;
+        }
+        if (kind == work_kind::serving)
+        {
+            // Tasks of different images spread over the workers.
+            step.count = 1;
+            step.image = "serves " + id;
+        }
+        if (kind == work_kind::serving || (long_running && below(4) != 0))
+        {
+            step.latency_target = serving_target;
+        }
+        if (kind == work_kind::opportunistic && i + 1 == steps)
+        {
+            step.image = "fills";
+            step.opportunistic = true;
+        }
         if (i > 0)
         {
             step.after = {i - 1};
@@ -91,6 +134,21 @@
     return plan;
 }
 
+work_kind random_kind(soak_state& state)
+{
+    switch (state.random.below(10))
+    {
+    case 0:
+        return work_kind::long_running;
+    case 1:
+        return work_kind::serving;
+    case 2:
+        return work_kind::opportunistic;
+    default:
+        return work_kind::ordinary;
+    }
+}
+
 /// Sends a call, new or repeated, to a random daemon and counts the try.
 void send(soak_state& state, open_call call, time_ms now, effect_list& effects)
 {
@@ -135,6 +193,14 @@
     send(state, std::move(call), now, effects);
 }
 
+void submit(soak_state& state, work_kind kind, time_ms now,
+            effect_list& effects)
+{
+    auto const id = submission_id(state.next_submission++);
+    state.oracle.planned(id, random_plan(state, id, kind));
+    send_new(state, open_call::purpose_kind::submit, id, now, effects);
+}
+
 std::string random_submission(soak_state& state)
 {
     return submission_id(1 + state.random.below(state.next_submission - 1));
@@ -197,8 +263,9 @@
 {
     auto const accepted = state.oracle.accepted_at(call.id);
     if (reply.status == 410
-        && state.current_phase == soak_state::phase::recovery && accepted
-        && call.sent_at - *accepted > visible_limit)
+        && (state.current_phase == soak_state::phase::recovery
+            || state.current_phase == soak_state::phase::filling)
+        && accepted && call.sent_at - *accepted > visible_limit)
     {
         state.oracle.add_violation(
             call.id + " was accepted, but a daemon does not know it");
@@ -231,9 +298,7 @@
     auto const jitter =
         static_cast<std::int64_t>(state.random.below(submission_jitter_ms));
     state.next_submission_at = now + min_submission_interval + time_ms(jitter);
-    auto const id = submission_id(state.next_submission++);
-    state.oracle.planned(id, random_plan(state, id));
-    send_new(state, purpose_kind::submit, id, now, effects);
+    submit(state, random_kind(state), now, effects);
     send_new(state, purpose_kind::show, random_submission(state), now, effects);
     constexpr std::uint64_t cancel_one_in = 20;
     if (state.random.below(cancel_one_in) == 0)
@@ -249,6 +314,23 @@
     }
 }
 
+void submit_serving(soak_state& state, time_ms now, effect_list& effects)
+{
+    for (std::size_t i = 0; i < std::min(2 * state.workers.size(), max_burst);
+         ++i)
+    {
+        submit(state, work_kind::serving, now, effects);
+    }
+}
+
+void submit_opportunistic(soak_state& state, time_ms now, effect_list& effects)
+{
+    for (std::size_t i = 0; i < std::min(state.workers.size(), max_burst); ++i)
+    {
+        submit(state, work_kind::opportunistic, now, effects);
+    }
+}
+
 void query_all(soak_state& state, time_ms now, effect_list& effects)
 {
     auto open = state.oracle.unfinished_submissions();
--- a/src/jaydrift/soak/callers.hpp
+++ b/src/jaydrift/soak/callers.hpp
@@ -16,6 +16,13 @@
 /// random submission, and probes whether a removed queue is still served.
 void tick(soak_state& state, time_ms now, effect_list& effects);
 
+/// Submits enough small serving tasks for each of a few dozen workers to get
+/// one.
+void submit_serving(soak_state& state, time_ms now, effect_list& effects);
+
+/// Submits opportunistic work, as much as there are workers.
+void submit_opportunistic(soak_state& state, time_ms now, effect_list& effects);
+
 /// Queries the state of each accepted submission that has not ended.
 void query_all(soak_state& state, time_ms now, effect_list& effects);
 
--- a/src/jaydrift/soak/faults.cpp
+++ b/src/jaydrift/soak/faults.cpp
@@ -199,10 +199,18 @@
     }
 }
 
+void set_high_tails(soak_state& state, bool high)
+{
+    for (auto& worker : state.workers)
+    {
+        worker.high_tails = high;
+    }
+}
+
 void begin_worker_fault(soak_state& state, time_ms now, effect_list& effects)
 {
     auto const worker = random_worker(state);
-    switch (state.random.below(4))
+    switch (state.random.below(5))
     {
     case 0:
         simulated_platform::crash_worker(state, worker,
@@ -222,6 +230,9 @@
               "worker " + std::to_string(worker)
                   + ": task failures switched on or off");
         return;
+    case 3:
+        raise_tails(state, now + random_time(state, 2000, 20000), now, effects);
+        return;
     default:
         begin_link_fault(state, {true, worker},
                          now + random_time(state, 500, 5000), now, effects);
@@ -328,6 +339,14 @@
     }
 }
 
+void raise_tails(soak_state& state, time_ms until, time_ms now,
+                 effect_list& effects)
+{
+    set_high_tails(state, true);
+    state.high_tails_until = until;
+    print(effects, now, "tail latencies rise");
+}
+
 void tick(soak_state& state, time_ms now, effect_list& effects)
 {
     std::erase_if(state.faulty_links, [&](auto const& each) {
@@ -374,6 +393,12 @@
         state.lost_answer_percent = 0;
         state.late_order_percent = 0;
     }
+    if (state.high_tails_until && now >= *state.high_tails_until)
+    {
+        state.high_tails_until.reset();
+        set_high_tails(state, false);
+        print(effects, now, "tail latencies fall");
+    }
     if (state.evacuated_zone && now >= state.evacuation_until)
     {
         end_evacuation(state);
@@ -385,6 +410,7 @@
         {
             daemon = {};
             daemon.running = true;
+            state.daemon_started_at = now;
             effects.push_back(start_process{i});
         }
         if (daemon.kill_at && now >= *daemon.kill_at)
--- a/src/jaydrift/soak/faults.hpp
+++ b/src/jaydrift/soak/faults.hpp
@@ -15,11 +15,17 @@
 /// Begins a random fault or change if one is due.
 void begin(soak_state& state, time_ms now, effect_list& effects);
 
+/// Lets serving tasks report tail latencies near their targets, whatever runs
+/// beside them.
+void raise_tails(soak_state& state, time_ms until, time_ms now,
+                 effect_list& effects);
+
 /// Ends the faults whose time is over, starts daemons that are due, and kills
 /// those that did not stop in time.
 void tick(soak_state& state, time_ms now, effect_list& effects);
 
-/// Ends all faults at once. An evacuated zone stays so until its time is over.
+/// Ends all faults at once, except high tail latencies. An evacuated zone stays
+/// so until its time is over.
 void end_all(soak_state& state, time_ms now, effect_list& effects);
 
 } // namespace faults
--- a/src/jaydrift/soak/oracle.cpp
+++ b/src/jaydrift/soak/oracle.cpp
@@ -124,6 +124,7 @@
     auto const& step = submission.plan.steps[name.step];
     auto& record = submission.tasks[task];
     submission.started = true;
+    submission.last_start = now;
     if (submission.refused)
     {
         add_violation(task + " started after its submission was refused");
@@ -253,6 +254,25 @@
         }));
 }
 
+time_ms oracle::last_start(std::string const& id) const
+{
+    return submissions_.at(id).last_start;
+}
+
+step_plan const* oracle::ready_step(std::string const& id) const
+{
+    auto const& submission = submissions_.at(id);
+    auto const& steps = submission.plan.steps;
+    for (std::uint32_t i = 0; i < steps.size(); ++i)
+    {
+        if (!step_done(submission, id, i))
+        {
+            return &steps[i];
+        }
+    }
+    return nullptr;
+}
+
 std::size_t oracle::accepted_count() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/jaydrift/soak/oracle_test.cpp
+++ b/src/jaydrift/soak/oracle_test.cpp
@@ -58,6 +58,23 @@
     EXPECT_EQ(oracle.violations().size(), 1U);
 }
 
+// Guards against a step that counts as waiting before its turn or after its
+// end.
+TEST(oracle, names_the_step_whose_turn_has_come)
+{
+    auto oracle = with_two_steps();
+    oracle.accepted(id, time_ms(0));
+    auto const& steps = oracle.plan(id)->steps;
+    EXPECT_EQ(oracle.ready_step(id), &steps[0]);
+    oracle.started(first_task, 1, "w", "work", time_ms(1));
+    oracle.ended(first_task, 1, true);
+    EXPECT_EQ(oracle.ready_step(id), &steps[1]);
+    EXPECT_EQ(oracle.last_start(id), time_ms(1));
+    oracle.started(second_task, 1, "w", "work", time_ms(2));
+    oracle.ended(second_task, 1, true);
+    EXPECT_EQ(oracle.ready_step(id), nullptr);
+}
+
 TEST(oracle, finds_a_step_that_starts_too_early)
 {
     auto oracle = with_two_steps();
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -4,6 +4,7 @@
 #include "faults.hpp"
 #include "other_writer.hpp"
 #include "simulated_platform.hpp"
+#include "waiting_check.hpp"
 
 #include <jaydrift/codec/base64.hpp>
 
@@ -26,6 +27,14 @@
 constexpr time_ms recovery_limit{30000};
 constexpr time_ms check_interval{500};
 
+/// Time for daemons that have recovered to accept submissions.
+constexpr time_ms submission_time{1000};
+
+/// Time for serving tasks to start and report, and how long their tail
+/// latencies stay high; longer than opportunistic work may wait.
+constexpr time_ms serving_time{2500};
+constexpr time_ms high_tails{40000};
+
 constexpr std::uint64_t restart_jitter_ms = 800;
 constexpr time_ms min_restart_delay{500};
 
@@ -48,8 +57,22 @@
     return missing;
 }
 
+/// Begins the phase after `recovery` or `filling`.
+void enter_next(soak_state& state, time_ms now, effect_list& effects)
+{
+    if (state.current_phase == soak_state::phase::recovery)
+    {
+        enter(state, soak_state::phase::serving, now);
+        faults::raise_tails(state, now + high_tails, now, effects);
+        callers::submit_serving(state, now, effects);
+        return;
+    }
+    enter(state, soak_state::phase::cancelling, now);
+    callers::cancel_all(state, now, effects);
+}
+
 /// Waits until accepted work has ended and long-running tasks run, or reports
-/// what is missing at the limit. Then cancels the long-running submissions.
+/// what is missing at the limit. Then begins the next phase.
 void check_recovery(soak_state& state, time_ms now, effect_list& effects)
 {
     if (now < state.next_check)
@@ -57,12 +80,12 @@
         return;
     }
     state.next_check = now + check_interval;
+    waiting_check::tick(state, now);
     auto const unfinished = state.oracle.unfinished_submissions();
     auto const missing = missing_tasks(state);
     if (unfinished.empty() && missing == 0)
     {
-        enter(state, soak_state::phase::cancelling, now);
-        callers::cancel_all(state, now, effects);
+        enter_next(state, now, effects);
         return;
     }
     if (now - state.phase_since < recovery_limit)
@@ -79,8 +102,7 @@
         state.oracle.add_violation(std::to_string(missing)
                                    + " long-running tasks do not run");
     }
-    enter(state, soak_state::phase::cancelling, now);
-    callers::cancel_all(state, now, effects);
+    enter_next(state, now, effects);
 }
 
 /// Waits until all long-running submissions are cancelled, or reports at the
@@ -142,7 +164,16 @@
             enter(state, soak_state::phase::recovery, now);
         }
         return;
+    case soak_state::phase::serving:
+        if (now - state.phase_since >= serving_time)
+        {
+            enter(state, soak_state::phase::filling, now);
+            callers::submit_opportunistic(state, now, effects);
+            state.next_check = now + submission_time;
+        }
+        return;
     case soak_state::phase::recovery:
+    case soak_state::phase::filling:
         return check_recovery(state, now, effects);
     case soak_state::phase::cancelling:
         return check_cancelled(state, now);
--- a/src/jaydrift/soak/simulated_platform_test.cpp
+++ b/src/jaydrift/soak/simulated_platform_test.cpp
@@ -1,4 +1,5 @@
 #include "other_writer.hpp"
+#include "waiting_check.hpp"
 
 #include <jaydrift/soak/key_value_store.hpp>
 #include <jaydrift/soak/reduce.hpp>
@@ -150,6 +151,34 @@
     EXPECT_GT(effects.size(), 900U);
 }
 
+// Guards against accepted work that waits beside free workers and is not
+// reported, and against reports before the time to recover is over.
+TEST(soak, ready_work_may_not_wait_beside_room)
+{
+    constexpr char const* id = "0000000000000001";
+    auto const first_violation = [](std::int64_t millicores) {
+        auto state =
+            initial_state(small_options(), {"127.0.0.1:1"}, time_ms(0));
+        submission_plan plan;
+        plan.steps.resize(1);
+        plan.steps[0].demand = {millicores, 500, 0};
+        state.oracle.planned(id, plan);
+        state.oracle.accepted(id, time_ms(0));
+        for (auto now = time_ms(0); now < time_ms(30000); now += time_ms(500))
+        {
+            waiting_check::tick(state, now);
+            if (!state.oracle.violations().empty())
+            {
+                return now;
+            }
+        }
+        return time_ms(0);
+    };
+    EXPECT_EQ(first_violation(4000), time_ms(15500));
+    // A worker has 8000 millicores, which is not room for two.
+    EXPECT_EQ(first_violation(4001), time_ms(0));
+}
+
 // Guards the replay of a seed: equal events must give equal faults and calls.
 TEST(soak, equal_events_give_equal_effects)
 {
--- a/src/jaydrift/soak/task_worker.cpp
+++ b/src/jaydrift/soak/task_worker.cpp
@@ -42,12 +42,18 @@
         status, {{"Content-Type", "application/json"}}, codec::text_of(buffer)};
 }
 
+resources task_worker::room_of(run const& of)
+{
+    return {of.opportunistic ? 0 : of.demand.millicores, of.demand.memory_mb,
+            of.demand.accelerators};
+}
+
 resources task_worker::used() const
 {
     resources sum;
     for (auto const& [task, each] : runs_)
     {
-        sum += each.demand;
+        sum += room_of(each);
     }
     return sum;
 }
@@ -127,11 +133,13 @@
     {
         auto const& step = plan->steps[name.step];
         added.demand = step.demand;
+        added.opportunistic = step.opportunistic;
+        added.latency_target = step.latency_target;
         added.long_running = step.long_running;
         added.done_at = now + step.run_time;
     }
     added.fails = random_.below(100) < failing_percent;
-    if (!fits(added.demand, capacity_ - used()))
+    if (!fits(room_of(added), capacity_ - used()))
     {
         return reply(409, "room", now);
     }
@@ -140,7 +148,21 @@
     return reply(200, {}, now);
 }
 
-http::response task_worker::hold_reply(time_ms now) const
+std::int64_t task_worker::load(run const& of)
+{
+    constexpr std::uint64_t high_percent = 80;
+    constexpr std::uint64_t low_percent = 30;
+    constexpr std::uint64_t percent_jitter = 16;
+    if (of.latency_target == time_ms(0))
+    {
+        return of.demand.millicores;
+    }
+    auto const percent = (high_tails ? high_percent : low_percent)
+                         + random_.below(percent_jitter);
+    return of.latency_target.count() * static_cast<std::int64_t>(percent) / 100;
+}
+
+http::response task_worker::hold_reply(time_ms now)
 {
     rapidjson::StringBuffer buffer;
     json_writer out(buffer);
@@ -165,7 +187,7 @@
                       ? long_running_percent
                       : long_running_percent - 1
                             - std::clamp<std::int64_t>(left / 10, 0, 98));
-        out.Int64(each.demand.millicores);
+        out.Int64(load(each));
         out.EndArray();
     }
     out.EndArray();
