Keep an early signal pending for daemons of the soak

The trace: 100 daemons had been killed and told to stop, daemon 4 had just been started again and had not logged a line when the soak itself sent SIGHUP. A signal between exec and the first line of main acts by default, which no program can prevent, so this case is allowed; the check is for ends that the soak did not cause.

The soak starts its daemons with SIGHUP and SIGTERM blocked, so that they stay pending until the daemon waits for them. No check changes.

--- a/src/jaydrift/soak/daemon_processes.cpp
+++ b/src/jaydrift/soak/daemon_processes.cpp
@@ -102,12 +102,15 @@
                                          O_WRONLY | O_CREAT | O_APPEND, 0600);
     }
     // A child inherits the signal mask; signals that this program blocks must
-    // reach the daemon.
+    // reach the daemon. Those that it waits for stay pending until it does, or
+    // one that comes before `main` would end it.
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
-    sigset_t none;
-    sigemptyset(&none);
-    posix_spawnattr_setsigmask(&attributes, &none);
+    sigset_t blocked;
+    sigemptyset(&blocked);
+    sigaddset(&blocked, SIGHUP);
+    sigaddset(&blocked, SIGTERM);
+    posix_spawnattr_setsigmask(&attributes, &blocked);
     posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
     std::string program = settings_.program;
     std::string no_metrics = "--metrics-port=0";
