--- a/src/jaydrift/schedule/odd_records_test.cpp
+++ b/src/jaydrift/schedule/odd_records_test.cpp
@@ -1,3 +1,4 @@
+#include "sample_work_test.hpp"
 #include "simulated_deployment_test.hpp"
 
 #include <jaydrift/schedule/limits.hpp>
