Believe a worker's reply rather than an entry with another start

If another writer put an entry with a later start in the place of a worker's own one for a moment, the worker was lost for good: its own entries and all its replies counted as those of an earlier process. Its start is now taken from its reply: the order in flight was sent after the start in the entry was read, so an earlier process cannot answer it.

--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -245,8 +245,8 @@
     worker.next_hold_at = ctx.now;
 }
 
-/// Handles the reply to the hold order in flight. Replies of an earlier
-/// process of the worker are ignored.
+/// Handles the reply to the hold order in flight, which was sent after the last
+/// restart of the worker's process that is known.
 void hold_replied(shard_context& ctx, worker_state& worker,
                   pending_worker_call const& sent, worker_replied const& reply)
 {
@@ -265,10 +265,8 @@
     if (reply.process_started_at
         && *reply.process_started_at != worker.entry.process_started_at)
     {
-        if (*reply.process_started_at < worker.entry.process_started_at)
-        {
-            return;
-        }
+        // The order was sent to the process that the entry tells of, so a reply
+        // from an earlier one shows that the entry is wrong.
         process_restarted(ctx, worker, *reply.process_started_at);
     }
     worker.process_confirmed = true;
