Let the lease of a worker expire that refuses its hold orders

Tasks waited without bound that the owner held to be running: a worker that answers hold orders with a refusal, such as 503, counted as answering, so each order was taken to renew its lease, and its runs were never reported nor dropped. A refused hold order now counts as unanswered.

starvation.tasks_of_a_worker_that_refuses_orders_start_elsewhere failed before (no run for over 110 s) and passes.

--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -169,11 +169,16 @@
     }
 }
 
-/// Counts an order that had no reply.
-void note_silence(shard_context& ctx, worker_state& worker,
+/// Counts an order that had no reply. A hold order that was refused counts as
+/// well: the worker does not tell what it runs, so its lease must not be
+/// renewed for ever.
+void note_silence(shard_context& ctx, worker_state& worker, order_kind kind,
                   worker_status status)
 {
-    if (status == worker_status::lost || status == worker_status::not_sent)
+    auto const refused_hold =
+        kind == order_kind::hold && status != worker_status::ok;
+    if (status == worker_status::lost || status == worker_status::not_sent
+        || refused_hold)
     {
         worker.process_confirmed = false;
         if (worker.unanswered_orders++ == 0)
@@ -630,7 +635,7 @@
         return;
     }
     auto& worker = found_worker->second;
-    note_silence(shard_ctx, worker, reply.status);
+    note_silence(shard_ctx, worker, sent.kind, reply.status);
     if (worker.process_confirmed && sent.kind != order_kind::hold)
     {
         note_answer(shard_ctx, worker, reply);
