--- a/src/jaydrift/schedule/mixed_work_test.cpp
+++ b/src/jaydrift/schedule/mixed_work_test.cpp
@@ -41,7 +41,7 @@
     step.long_running = true;
     step.latency_target = time_ms(1000);
     step.max_per_worker = random.below(2) == 0 ? 1 : 0;
-    step.demand.millicores = between(random, 1, 3) * 1000;
+    step.demand.millicores = std::int64_t{between(random, 1, 3)} * 1000;
     step.image = "server-" + std::to_string(random.below(2));
     return work;
 }
@@ -53,7 +53,7 @@
     for (auto& step : work.steps)
     {
         step.estimate = random_time(random, 100, 1500);
-        step.demand.millicores = between(random, 1, 4) * 500;
+        step.demand.millicores = std::int64_t{between(random, 1, 4)} * 500;
     }
     switch (random.below(repeats ? 5 : 4))
     {
