--- a/src/jaydrift/schedule/deployment_test.cpp
+++ b/src/jaydrift/schedule/deployment_test.cpp
@@ -29,7 +29,7 @@
 /// text.
 std::string violation_under_faults(std::uint64_t seed, std::uint32_t shards = 1)
 {
-    simulated_deployment deployment(3, 5 * shards, seed, shards);
+    simulated_deployment deployment(3, 5UL * shards, seed, shards);
     random_source random(seed);
     deployment.run_until(time_ms(2500));
     auto submitted = 0;
