Leave a gang that found no place as it was

An attempt to place a gang gave its first members places and took them back: the gang was shown as running, its tasks seemed to have waited since the last attempt, and a submission whose gang was tried in each pass never counted as idle for long. The members are now set back to what they were.

starvation.an_attempt_to_place_a_gang_in_vain_changes_nothing failed before and passes. waiting.an_incomplete_gang_is_logged named the one member that had not been tried as the longest waiting; all have waited as long, so the line names the first.

--- a/include/jaydrift/schedule/submissions.hpp
+++ b/include/jaydrift/schedule/submissions.hpp
@@ -62,6 +62,10 @@
 /// Counts a task as placed. Does not set its `place`.
 void placed(submission_state& submission, task_id const& id);
 
+/// Takes away the place of a task whose start was not ordered. The task has
+/// waited all the while.
+void withdraw_place(submission_state& submission, task_id const& id);
+
 /// Marks a task as done. This may make later steps ready or complete the
 /// submission.
 void finish_task(shard_context& ctx, submission_state& submission,
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -249,6 +249,8 @@
     // it finds room, as a single task would; pacing slows it down.
     auto const starved =
         spec.opportunistic && minimum_runs::is_starved(ctx, submission);
+    auto const started_before = submission.started;
+    auto const phase_before = submission.phase;
     std::vector<std::pair<run_id, worker_state*>> members;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
@@ -273,7 +275,6 @@
         members.emplace_back(run_id{id, number}, choice.worker);
     }
     auto const complete = members.size() == step.tasks.size();
-    auto const placement_was_due = ctx.shard.placement_due;
     for (auto const& [id, worker] : members)
     {
         if (complete)
@@ -285,15 +286,18 @@
         else
         {
             workers::remove_run(*worker, id);
-            submissions::requeue(ctx, submission, id.task);
+            submissions::withdraw_place(submission, id.task);
         }
     }
-    // Members that found a worker don't change anything by waiting again.
-    ctx.shard.placement_due = placement_was_due;
     if (complete)
     {
         record_log::changed(ctx, submission);
     }
+    else
+    {
+        submission.started = started_before;
+        submission.phase = phase_before;
+    }
 }
 
 /// Notes that tasks of a submission have found no place. Work in time that is
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -409,6 +409,18 @@
     }
 }
 
+void withdraw_place(submission_state& submission, task_id const& id)
+{
+    auto& step = step_of(submission, id);
+    step.tasks[id.index].place.reset();
+    --submission.placed_tasks;
+    ++step.waiting_tasks;
+    if (step.ready && !ended(submission.phase))
+    {
+        ++submission.waiting_tasks;
+    }
+}
+
 void finish_task(shard_context& ctx, submission_state& submission,
                  task_id const& id)
 {
