Let tasks of a due occurrence wait for workers that are not accounted for

An occurrence that was due while another daemon took over could run twice: the earlier owner had added and started it, its worker was cut off, and the new owner added it again as one that nobody can have started. Its tasks now wait like others that an earlier owner may have started.

Found by mixed_work.an_occurrence_does_not_start_twice_across_a_change_of_owner, which failed before and passes.

--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -163,6 +163,15 @@
     {
         add_occurrence(submission, ctx.now);
         ctx.shard.placement_due = true;
+        // It was due, so an earlier owner may have added and started it.
+        auto const maybe_running = recovery::any_worker_unaccounted(ctx);
+        for (auto& step : submission.occurrences.back().steps)
+        {
+            for (auto& task : step.tasks)
+            {
+                task.maybe_running = maybe_running;
+            }
+        }
     }
 }
 
