Confirm the processes of workers anew after the owner was suspended

Tasks ran again after their end: a suspended owner sends no orders, so a worker could start again unnoticed, and the first hold order after that acknowledged the ends of the new process by the numbers of the old one. The owner never saw these ends. It now acknowledges none until each worker has answered again.

--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -220,6 +220,11 @@
 void suspend(shard_context& ctx, std::string_view reason)
 {
     change_role(ctx, owner_role::suspended, reason);
+    // No orders are sent until then, so a worker may start again unnoticed.
+    for (auto& [id, worker] : ctx.shard.workers)
+    {
+        worker.process_confirmed = false;
+    }
     ctx.shard.ownership.verifying = false;
     ctx.shard.ownership.next_heartbeat = ctx.now;
 }
