Bound the long-running work of the soak

The daemon's log line: "5 tasks wait, reason processors; of 8 workers 8 usable, 8 with memory, 0 with processors".

Callers submit no more long-running work while two such submissions for each worker have not ended. The check is unchanged.

--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -22,6 +22,7 @@
 constexpr time_ms min_submission_interval{40};
 
 constexpr time_ms serving_target{200};
+constexpr std::size_t long_running_per_worker = 2;
 
 /// Most submissions sent at the same time.
 constexpr std::size_t max_burst = 100;
@@ -136,12 +137,15 @@
 
 work_kind random_kind(soak_state& state)
 {
+    // More of them would fill the workers in a long run.
+    auto const long_running = state.oracle.long_running_submissions().size()
+                              < long_running_per_worker * state.workers.size();
     switch (state.random.below(10))
     {
     case 0:
-        return work_kind::long_running;
+        return long_running ? work_kind::long_running : work_kind::ordinary;
     case 1:
-        return work_kind::serving;
+        return long_running ? work_kind::serving : work_kind::ordinary;
     case 2:
         return work_kind::opportunistic;
     default:
