Gather the limits of the tail latency and name what the review stumbled over

The limits of the relative tail latency stood in four files, although that one is below another was the cause of the incident. They are in tail_limits.hpp now, with the order that must hold. Time limits of orders no longer have the name of the limit of a pace. The line about a skipped step compares steps as the pass does; the differences that it named before cannot occur any more.

--- a/include/jaydrift/schedule/minimum_runs.hpp
+++ b/include/jaydrift/schedule/minimum_runs.hpp
@@ -22,11 +22,6 @@
 /// run.
 inline constexpr time_ms max_idle_time{1500};
 
-/// Tail latency of serving neighbours, relative to their target, up to which
-/// such a run may go on at full pace if no other work waits that can still meet
-/// its objective.
-inline constexpr double tolerance = 0.9;
-
 /// Returns whether tasks of the submission wait and nothing of it has run for
 /// `max_idle_time`. Once that is so, the submission gets its next run without a
 /// pause.
--- a/include/jaydrift/schedule/placement_request.hpp
+++ b/include/jaydrift/schedule/placement_request.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/pace.hpp>
+#include <jaydrift/schedule/tail_limits.hpp>
 #include <jaydrift/schedule/task_id.hpp>
 
 #include <cstdint>
@@ -13,10 +14,6 @@
 
 struct step_spec;
 
-/// Tail latency of serving neighbours, relative to their target, up to which an
-/// opportunistic task may start before its objective has passed.
-inline constexpr double first_tolerance = 0.7;
-
 /// A task that needs a worker.
 struct placement_request
 {
@@ -33,7 +30,7 @@
 
     /// Tail latency of serving neighbours, relative to their target, up to
     /// which the task may start.
-    double tolerance = first_tolerance;
+    double tolerance = tail_limits::start_in_time;
 
     /// Highest pace of the run. At `minimum_pace`, the tolerance does not
     /// count.
--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -71,7 +71,8 @@
     /// If no task has a place and some wait: the time since which that is so.
     time_ms idle_since;
 
-    /// Nothing ran for long; set until a task is placed at full pace.
+    /// Nothing ran for long; set until a task is started in the order of
+    /// submissions.
     bool starved = false;
 
     /// No paused run is stopped to go on elsewhere before this time, so that
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -86,8 +86,8 @@
     /// Last time that the pace of opportunistic runs was adjusted.
     time_ms pace_checked_at;
 
-    /// A run was raised to full pace after the last report, which does not show
-    /// its effect yet.
+    /// The pace of a run was raised after the last report, which does not show
+    /// the effect yet.
     bool pace_raised = false;
 
     /// `acknowledged_end` is known to count the ends of the process that runs
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/tail_limits.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -19,15 +20,6 @@
 
 namespace {
 
-/// Tail latency relative to its target above which neighbours are slowed down.
-constexpr double slow_down_above = 0.95;
-
-/// Relative tail latency that is expected after a change of the paces.
-constexpr double target_tail = 0.8;
-
-/// Relative tail latency below which neighbours are sped up again.
-constexpr double speed_up_below = 0.75;
-
 /// Reports are averages over half a second, so acting more often would react
 /// twice to the same disturbance.
 constexpr time_ms action_interval{450};
@@ -45,9 +37,6 @@
 /// then.
 constexpr time_ms move_interval{1000};
 
-/// Relative tail latency up to which a neighbour resumes after a long pause.
-constexpr double resume_tail = 0.9;
-
 /// A run of a serving task and its last tail latency relative to the target;
 /// `run` is null if there is none.
 struct serving_task
@@ -117,7 +106,7 @@
 }
 
 /// Slows down the neighbours that disturb most until the expected tail latency
-/// is `target_tail`; those at the lowest pace come last. If the model holds
+/// is `after_slow_down`; those at the lowest pace come last. If the model holds
 /// none responsible, or that is not enough, the pace of the remaining ones is
 /// halved.
 void slow_down(shard_context& ctx, worker_state& worker,
@@ -129,7 +118,7 @@
                   return std::tie(a.run->pace_limit, a.weight)
                          > std::tie(b.run->pace_limit, b.weight);
               });
-    auto excess = std::log(worst.relative_tail / target_tail);
+    auto excess = std::log(worst.relative_tail / tail_limits::after_slow_down);
     auto any_responsible = false;
     for (auto const& each : neighbours)
     {
@@ -157,7 +146,7 @@
 }
 
 /// Speeds up the neighbours that disturb least, as long as the expected tail
-/// latency stays below `target_tail`.
+/// latency stays below `after_slow_down`.
 void speed_up(shard_context& ctx, worker_state& worker,
               serving_task const& worst)
 {
@@ -166,9 +155,10 @@
               [](auto const& a, auto const& b) { return a.weight < b.weight; });
     // The logarithm is not defined for a serving task without a reported tail
     // latency.
-    auto slack = worst.relative_tail > 0
-                     ? std::log(target_tail / worst.relative_tail)
-                     : 1.0;
+    auto slack =
+        worst.relative_tail > 0
+            ? std::log(tail_limits::after_slow_down / worst.relative_tail)
+            : 1.0;
     for (auto const& each : neighbours)
     {
         auto const limit = each.run->pace_limit;
@@ -274,11 +264,11 @@
 
 /// Ends the pauses of opportunistic runs that have lasted for long: some of
 /// them are stopped, to go on on another worker; the others resume as far as
-/// the expected tail latency stays below `resume_tail`.
+/// the expected tail latency stays below `resume`.
 void end_long_pauses(shard_context& ctx, worker_state& worker,
                      serving_task const& worst)
 {
-    auto slack = std::log(resume_tail / worst.relative_tail);
+    auto slack = std::log(tail_limits::resume / worst.relative_tail);
     for (auto const& each : neighbours_of(ctx, worker, *worst.run))
     {
         if (!paused_for(ctx, *each.run, move_delay))
@@ -371,11 +361,11 @@
     }
     interference::learn(ctx, worker);
     note_pauses(ctx, worker);
-    if (worst.relative_tail > slow_down_above)
+    if (worst.relative_tail > tail_limits::slow_down_above)
     {
         slow_down(ctx, worker, worst);
     }
-    else if (worst.relative_tail < speed_up_below)
+    else if (worst.relative_tail < tail_limits::speed_up_below)
     {
         speed_up(ctx, worker, worst);
     }
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -9,6 +9,7 @@
 #include <jaydrift/schedule/refused_requests.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/tail_limits.hpp>
 #include <jaydrift/schedule/task_placement.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
@@ -109,7 +110,7 @@
                     submission_state const& submission)
 {
     return pass.work_in_time_waits
-               ? first_tolerance
+               ? tail_limits::start_in_time
                : worker_choice::tolerance_of(pass.ctx, submission);
 }
 
@@ -530,8 +531,8 @@
         {
             minimum_runs::raise(ctx, *submission,
                                 pass.work_in_time_waits
-                                    ? first_tolerance
-                                    : minimum_runs::tolerance);
+                                    ? tail_limits::start_in_time
+                                    : tail_limits::raise);
         }
         if (pass.starts >= starts_per_pass)
         {
--- a/src/jaydrift/schedule/refused_requests_test.cpp
+++ b/src/jaydrift/schedule/refused_requests_test.cpp
@@ -26,7 +26,7 @@
 std::string const nowhere;
 
 placement_request request_of(step_spec const& spec,
-                             double tolerance = first_tolerance,
+                             double tolerance = tail_limits::start_in_time,
                              std::string_view service = "svc")
 {
     return {{id_of(1), 0, 0, 0}, spec, service,  nowhere,
--- a/src/jaydrift/schedule/waiting_tasks.cpp
+++ b/src/jaydrift/schedule/waiting_tasks.cpp
@@ -123,58 +123,28 @@
     return result;
 }
 
-/// Returns the step whose refusal made the pass skip this one; null if it is
-/// not known any more.
+/// Returns the step whose refusal made the pass skip this one, as
+/// `refused_requests` compares them; null if it is not known any more.
 waiting_step const* refused_before(std::vector<waiting_step> const& all,
                                    waiting_step const& skipped)
 {
+    auto const& spec = skipped.spec();
     auto const found =
-        std::find_if(all.begin(), all.end(), [&skipped](auto const& each) {
-            auto const& spec = each.spec();
-            return is_refusal(each.reason)
-                   && (is_urgent(skipped.spec())
-                           ? is_urgent(spec)
-                           : spec.opportunistic
-                                 && spec.image == skipped.spec().image)
-                   && each.spec().demand.millicores
-                          <= skipped.spec().demand.millicores;
+        std::find_if(all.begin(), all.end(), [&](auto const& each) {
+            auto const& other = each.spec();
+            return is_refusal(each.reason) && other.max_per_worker == 0
+                   && each.submission->service == skipped.submission->service
+                   && (other.required_label.empty()
+                       || other.required_label == spec.required_label)
+                   && fits(other.demand, spec.demand)
+                   && (is_urgent(spec)
+                           ? is_urgent(other)
+                           : other.opportunistic && other.image == spec.image);
         });
     return found == all.end() ? nullptr : &*found;
 }
 
-/// Names the properties in which the request of a refused step asks for more
-/// than that of the step that was skipped because of it.
-std::string difference_text(shard_context const& ctx,
-                            waiting_step const& refused,
-                            waiting_step const& skipped)
-{
-    auto const& more = refused.spec();
-    auto const& less = skipped.spec();
-    std::string result;
-    auto const add = [&result](bool differs, std::string_view property) {
-        if (differs)
-        {
-            result += result.empty() ? ", which differs in " : " and ";
-            result += property;
-        }
-    };
-    add(refused.submission->service != skipped.submission->service, "service");
-    add(!more.required_label.empty()
-            && more.required_label != less.required_label,
-        "label");
-    add(more.demand.memory_mb > less.demand.memory_mb
-            || more.demand.accelerators > less.demand.accelerators,
-        "memory");
-    add(more.max_per_worker > 0, "limit per worker");
-    add(less.opportunistic
-            && worker_choice::tolerance_of(ctx, *refused.submission)
-                   < worker_choice::tolerance_of(ctx, *skipped.submission),
-        "tolerance");
-    return result;
-}
-
-std::string reason_text(shard_context const& ctx,
-                        std::vector<waiting_step> const& all,
+std::string reason_text(std::vector<waiting_step> const& all,
                         waiting_step const& waiting)
 {
     std::string result(name_of(waiting.reason));
@@ -184,7 +154,6 @@
         result += " after "
                   + (refused ? refused->name() + ", "
                                    + std::string(name_of(refused->reason))
-                                   + difference_text(ctx, *refused, waiting)
                              : "another step");
     }
     return result;
@@ -226,7 +195,7 @@
     auto text = waiting.name() + ": " + std::to_string(step.waiting_tasks)
                 + " tasks wait, task " + std::to_string(waiting.first_task)
                 + " for " + std::to_string(waited.count()) + " ms, reason "
-                + reason_text(ctx, all, waiting) + "; " + survey_text(survey);
+                + reason_text(all, waiting) + "; " + survey_text(survey);
     if (survey.lowest_tail)
     {
         text += "; lowest expected tail " + percent(*survey.lowest_tail)
--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -22,9 +22,8 @@
 /// left over.
 constexpr double min_leftover_share = 0.5;
 
-/// Highest tolerance, reached `tolerance_ramp` after the objective; from the
-/// objective on, the tolerance rises evenly.
-constexpr double last_tolerance = 0.8;
+/// Time from the objective on in which the tolerance rises evenly to
+/// `tail_limits::start_late`.
 constexpr time_ms tolerance_ramp{10000};
 
 /// Added to a worker's score for a long-running task, times the result of
@@ -195,12 +194,13 @@
     auto const late = ctx.now - submission.objective;
     if (late <= time_ms(0))
     {
-        return first_tolerance;
+        return tail_limits::start_in_time;
     }
     auto const share =
         std::min(1.0, static_cast<double>(late.count())
                           / static_cast<double>(tolerance_ramp.count()));
-    return first_tolerance + share * (last_tolerance - first_tolerance);
+    return tail_limits::start_in_time
+           + share * (tail_limits::start_late - tail_limits::start_in_time);
 }
 
 bool may_work_at(shard_context const& ctx, worker_state& worker,
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -37,9 +37,9 @@
 
 /// Time limits of orders; that of a hold order counts from the end of its wait.
 constexpr time_ms hold_margin{800};
-constexpr time_ms start_limit{1000};
-constexpr time_ms stop_limit{800};
-constexpr time_ms pace_limit{800};
+constexpr time_ms start_order_limit{1000};
+constexpr time_ms stop_order_limit{800};
+constexpr time_ms pace_order_limit{800};
 
 /// Time until a stop order without success is repeated.
 constexpr time_ms stop_pause{300};
@@ -140,7 +140,8 @@
         return;
     }
     run.stop_in_flight = true;
-    send(ctx, worker, order_kind::stop, id, 0, stop_order{id}, stop_limit);
+    send(ctx, worker, order_kind::stop, id, 0, stop_order{id},
+         stop_order_limit);
 }
 
 /// Adds the demand of a run to the sums of its worker, or takes it away if
@@ -587,7 +588,7 @@
     send(ctx, worker, order_kind::start, run, 0,
          start_order{run, submission.work.payload, grant_lease(ctx, worker),
                      task.checkpoint},
-         start_limit);
+         start_order_limit);
 }
 
 void stop(shard_context& ctx, worker_state& worker, run_id const& run)
@@ -608,7 +609,7 @@
     auto& known = worker.runs.at(run);
     known.pace_in_flight = true;
     send(ctx, worker, order_kind::pace, run, percent, pace_order{run, percent},
-         pace_limit);
+         pace_order_limit);
 }
 
 void replied(context& ctx, worker_replied const& reply)
