--- a/include/jaydrift/schedule/minimum_runs.hpp
+++ b/include/jaydrift/schedule/minimum_runs.hpp
@@ -14,8 +14,7 @@
 /// order of submissions, up to a limit of the disturbance, the last ones may
 /// never have their turn. So a submission of which nothing runs gets one run at
 /// `minimum_pace` wherever there is memory, which firm tasks can have back. The
-/// pace is raised once the
-/// submission has its turn.
+/// pace is raised once the submission has its turn.
 namespace minimum_runs {
 
 /// Time after which a submission with a ready task and nothing running gets a
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -24,6 +24,7 @@
 /// twice to the same disturbance.
 constexpr time_ms action_interval{450};
 
+/// A run is sped up by this many percent of the full pace at a time.
 constexpr std::uint32_t speed_up_step = 30;
 
 /// A neighbour whose weight is lower is not held responsible.
@@ -262,43 +263,56 @@
     }
 }
 
-/// Ends the pauses of opportunistic runs that have lasted for long: some of
-/// them are stopped, to go on on another worker; the others resume as far as
-/// the expected tail latency stays below `resume`.
+/// Stops a paused run if its task should go on on another worker. Returns
+/// whether it did.
+bool move_elsewhere(shard_context& ctx, worker_state& worker,
+                    neighbour const& each, serving_task const& worst)
+{
+    auto* const submission = submissions::find(ctx, each.id.task.submission);
+    auto* const task = submission
+                           ? submissions::find_task(*submission, each.id.task)
+                           : nullptr;
+    if (!task || !should_move(ctx, *submission, *task, each.id, *each.run))
+    {
+        return false;
+    }
+    ++task->moves;
+    submission->next_move_at = ctx.now + move_interval;
+    log_move(ctx, worker, each, worst);
+    workers::stop(ctx, worker, each.id);
+    return true;
+}
+
+/// Lets a paused run work at the pace that is expected to raise the logarithm
+/// of the tail latency by `slack`, and takes that from `slack`.
+void resume(shard_context& ctx, worker_state& worker, neighbour const& each,
+            double& slack)
+{
+    auto const capacity = static_cast<double>(
+        std::max<std::int64_t>(1, worker.entry.capacity.millicores));
+    auto const growth_at_full_pace =
+        std::max(min_responsible_weight, each.weight)
+        * static_cast<double>(each.run->demand.millicores) / capacity;
+    auto const pace = std::clamp(slack / growth_at_full_pace * full_pace,
+                                 static_cast<double>(minimum_pace),
+                                 static_cast<double>(each.run->pace_limit));
+    slack -= growth_at_full_pace * pace / full_pace;
+    set_pace(ctx, worker, each, pace);
+}
+
+/// Ends the pauses of opportunistic runs that have lasted for long: some runs
+/// are moved to another worker, the others resume as far as the expected tail
+/// latency allows.
 void end_long_pauses(shard_context& ctx, worker_state& worker,
                      serving_task const& worst)
 {
     auto slack = std::log(tail_limits::resume / worst.relative_tail);
     for (auto const& each : neighbours_of(ctx, worker, *worst.run))
     {
-        if (!paused_for(ctx, *each.run, move_delay))
-        {
-            continue;
-        }
-        auto* const submission =
-            submissions::find(ctx, each.id.task.submission);
-        auto* const task =
-            submission ? submissions::find_task(*submission, each.id.task)
-                       : nullptr;
-        if (task && should_move(ctx, *submission, *task, each.id, *each.run))
-        {
-            ++task->moves;
-            submission->next_move_at = ctx.now + move_interval;
-            log_move(ctx, worker, each, worst);
-            workers::stop(ctx, worker, each.id);
-        }
-        else if (slack > 0)
+        if (paused_for(ctx, *each.run, move_delay)
+            && !move_elsewhere(ctx, worker, each, worst) && slack > 0)
         {
-            auto const caused =
-                std::max(min_responsible_weight, each.weight)
-                * static_cast<double>(each.run->demand.millicores)
-                / static_cast<double>(std::max<std::int64_t>(
-                    1, worker.entry.capacity.millicores));
-            auto const pace = std::clamp(
-                slack / caused * full_pace, static_cast<double>(minimum_pace),
-                static_cast<double>(each.run->pace_limit));
-            slack -= caused * pace / full_pace;
-            set_pace(ctx, worker, each, pace);
+            resume(ctx, worker, each, slack);
         }
     }
 }
