--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -9,14 +9,12 @@
 
 namespace jaydrift::schedule {
 
-struct context;
 struct run_state;
 struct shard_context;
 struct daemon_state;
 struct step_spec;
 struct submission_state;
 struct worker_entry;
-struct worker_replied;
 struct worker_state;
 
 /// Leases of the workers and the runs on them.
@@ -28,6 +26,12 @@
 /// Handles the removal of a worker's entry from the store.
 void entry_removed(shard_context& ctx, std::string_view id);
 
+/// Handles a restart of the worker's process. Its runs are kept until the first
+/// reply to a hold order tells which of them are gone: some may have been
+/// started in the new process before this daemon heard of it.
+void process_restarted(shard_context& ctx, worker_state& worker,
+                       time_ms process_started_at);
+
 /// Returns the state of a new run of a step, with the demand that `add_run`
 /// counts.
 run_state reservation(submission_state const& submission, std::uint32_t step);
@@ -58,10 +62,6 @@
 void pace(shard_context& ctx, worker_state& worker, run_id const& run,
           std::uint32_t percent);
 
-/// Handles the end of an order. A higher fencing token makes this daemon step
-/// down as the owner of the shard.
-void replied(context& ctx, worker_replied const& reply);
-
 /// Sends hold orders that are due, repeats stop orders and drops the runs of
 /// workers whose lease has expired.
 void tick(shard_context& ctx);
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -14,6 +14,7 @@
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
+#include <jaydrift/schedule/worker_replies.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <utility>
@@ -71,7 +72,7 @@
     }
     void operator()(worker_replied const& input) const
     {
-        workers::replied(ctx, input);
+        worker_replies::received(ctx, input);
     }
     void operator()(message_arrived const& input) const
     {
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -1,8 +1,5 @@
 #include <jaydrift/schedule/workers.hpp>
 
-#include <jaydrift/schedule/event.hpp>
-#include <jaydrift/schedule/ownership.hpp>
-#include <jaydrift/schedule/pacing.hpp>
 #include <jaydrift/schedule/run_reports.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -41,34 +38,10 @@
 constexpr time_ms stop_order_limit{800};
 constexpr time_ms pace_order_limit{800};
 
-/// Time until a stop order without success is repeated.
-constexpr time_ms stop_pause{300};
-
-/// Time between two hold orders after a reply with ends of runs, so that one
-/// reply holds several of them.
-constexpr time_ms hold_pause{40};
-
-/// A worker with ends that are not acknowledged answers at once, so while they
-/// are being stored it is asked again only after this.
-constexpr time_ms unstored_pause{150};
-
-/// A worker that does not answer is asked again after this, times the number of
-/// orders without a reply up to the maximum.
-constexpr time_ms silent_pause{200};
-constexpr std::uint32_t max_silent_pauses = 5;
-
 /// A worker without an entry is forgotten after this. Entries that expired in a
 /// store outage are back within two seconds of its end.
 constexpr time_ms relisting_time{3000};
 
-/// No task starts on a worker for this long after it refused a start for lack
-/// of room, or because it is unavailable.
-constexpr time_ms no_room_pause{200};
-constexpr time_ms unavailable_pause{500};
-
-/// A task whose start was refused waits this long before the next one.
-constexpr time_ms refused_start_pause{20};
-
 /// Returns the end of a new lease on the worker's clock and notes it, since the
 /// worker may hold it from now on.
 /// @pre The worker's clock is known.
@@ -170,243 +143,6 @@
     }
 }
 
-/// Counts an order that had no reply. A hold order that was refused counts as
-/// well: the worker does not tell what it runs, so its lease must not be
-/// renewed for ever.
-void note_silence(shard_context& ctx, worker_state& worker, order_kind kind,
-                  worker_status status)
-{
-    auto const refused_hold =
-        kind == order_kind::hold && status != worker_status::ok;
-    if (status == worker_status::lost || status == worker_status::not_sent
-        || refused_hold)
-    {
-        worker.process_confirmed = false;
-        if (worker.unanswered_orders++ == 0)
-        {
-            ctx.log(log_level::warning, "worker",
-                    worker.entry.id + " does not answer, last answer "
-                        + std::to_string(
-                            (ctx.now - worker.clock_received_at).count())
-                        + " ms ago");
-        }
-        auto const pauses = static_cast<std::int64_t>(
-            std::min(worker.unanswered_orders, max_silent_pauses));
-        worker.next_hold_at =
-            std::max(worker.next_hold_at,
-                     ctx.now + time_ms(silent_pause.count() * pauses));
-    }
-}
-
-/// Takes over the clock reading of a reply.
-void note_answer(shard_context& ctx, worker_state& worker,
-                 worker_replied const& reply)
-{
-    if (!reply.clock)
-    {
-        return;
-    }
-    if (worker.unanswered_orders > 0)
-    {
-        ctx.log(log_level::info, "worker", worker.entry.id + " answers again");
-        ctx.shard.placement_due = true;
-    }
-    worker.unanswered_orders = 0;
-    // Replies on different connections may arrive in any order.
-    if (!worker.clock || *reply.clock >= *worker.clock)
-    {
-        worker.clock = reply.clock;
-        worker.clock_received_at = ctx.now;
-    }
-}
-
-/// Handles a restart of the worker's process. Its runs are kept until the first
-/// reply to a hold order tells which of them are gone: some may have been
-/// started in the new process before this daemon heard of it.
-void process_restarted(shard_context& ctx, worker_state& worker,
-                       time_ms process_started_at)
-{
-    ctx.log(log_level::info, "worker",
-            worker.entry.id + " started again, "
-                + std::to_string(worker.runs.size()) + " runs may be gone");
-    for (auto& [id, run] : worker.runs)
-    {
-        run.stop_confirmed_at.reset();
-        run.next_stop_at = ctx.now;
-    }
-    worker.process_confirmed = false;
-    worker.runs_gone_at = ctx.now + lease_on_slowest_clock(ctx.state);
-    worker.entry.process_started_at = process_started_at;
-    worker.clock.reset();
-    worker.fenced = false;
-    worker.unaccounted = false;
-    worker.last_handled_end = 0;
-    worker.acknowledged_end = 0;
-    worker.pending_ends.clear();
-    worker.lease_until = {};
-    worker.failed_submissions_in_a_row = 0;
-    worker.last_quarantine = {};
-    worker.blocked_until = ctx.now;
-    worker.hold_in_flight.reset();
-    worker.next_hold_at = ctx.now;
-}
-
-/// Handles the reply to the hold order in flight, which was sent after the last
-/// restart of the worker's process that is known.
-void hold_replied(shard_context& ctx, worker_state& worker,
-                  pending_worker_call const& sent, worker_replied const& reply)
-{
-    worker.hold_in_flight.reset();
-    worker.next_hold_at = ctx.now;
-    if (reply.status != worker_status::ok)
-    {
-        worker.next_hold_at = ctx.now + silent_pause;
-        return;
-    }
-    if (reply.process_started_at
-        && worker.entry.process_started_at == time_ms(0))
-    {
-        worker.entry.process_started_at = *reply.process_started_at;
-    }
-    if (reply.process_started_at
-        && *reply.process_started_at != worker.entry.process_started_at)
-    {
-        // The order was sent to the process that the entry tells of, so a reply
-        // from an earlier one shows that the entry is wrong.
-        process_restarted(ctx, worker, *reply.process_started_at);
-    }
-    worker.process_confirmed = true;
-    note_answer(ctx, worker, reply);
-    if (!worker.fenced)
-    {
-        worker.fenced = true;
-        // An earlier owner may have granted a lease of the longest length just
-        // before.
-        worker.lease_until = *worker.clock + ctx.state.options.max_lease;
-        ctx.shard.placement_due = true;
-    }
-    run_reports::received(ctx, worker, reply, sent.sent_at);
-    worker.unaccounted = false;
-    if (!worker.pending_ends.empty() || reply.unreadable_ends > 0)
-    {
-        worker.next_hold_at = ctx.now + unstored_pause;
-    }
-    else if (!reply.ended.empty())
-    {
-        worker.next_hold_at = ctx.now + hold_pause;
-    }
-}
-
-/// Removes a run that the worker has not started and will not start. Its task
-/// waits again, for `pause` at least.
-void withdraw(shard_context& ctx, worker_state& worker, run_id const& id,
-              time_ms pause)
-{
-    remove_run(worker, id);
-    auto* const submission = submissions::find(ctx, id.task.submission);
-    auto* const task =
-        submission ? submissions::find_task(*submission, id.task) : nullptr;
-    if (task && task->place && task->place->run == id.number)
-    {
-        task->not_before = ctx.now + pause;
-        // Nothing has run, so the submission is idle for as long as before.
-        auto const idle_since = submission->idle_since;
-        submissions::requeue(ctx, *submission, id.task);
-        submission->idle_since = idle_since;
-    }
-}
-
-void start_replied(shard_context& ctx, worker_state& worker, run_id const& id,
-                   worker_replied const& reply)
-{
-    auto const found = worker.runs.find(id);
-    if (found == worker.runs.end())
-    {
-        return;
-    }
-    auto& run = found->second;
-    switch (reply.status)
-    {
-    case worker_status::ok:
-        if (run.phase == run_phase::starting)
-        {
-            run.phase = run_phase::running;
-        }
-        run.confirmed_at = ctx.now;
-        run.progress_at = ctx.now;
-        ctx.observe("start_ms", ctx.now - run.started_at);
-        pacing::started(ctx, worker, id);
-        return;
-    case worker_status::lost:
-        ctx.log(log_level::warning, "worker",
-                "no answer to the start of " + id.task.submission + " on "
-                    + worker.entry.id + ", stopping run "
-                    + std::to_string(id.number));
-        stop(ctx, worker, id);
-        return;
-    case worker_status::no_room:
-        worker.blocked_until = ctx.now + no_room_pause;
-        worker.next_hold_at = ctx.now;
-        ctx.count("starts_refused_total", "no_room");
-        break;
-    case worker_status::unavailable:
-    case worker_status::wrong_instance:
-        worker.blocked_until = ctx.now + unavailable_pause;
-        ctx.count("starts_refused_total", "unavailable");
-        break;
-    default:
-        ctx.count("starts_refused_total", "other");
-        ctx.log(log_level::info, "worker",
-                worker.entry.id + " refused the start of " + id.task.submission
-                    + ", status "
-                    + std::to_string(static_cast<int>(reply.status)));
-        break;
-    }
-    withdraw(ctx, worker, id, refused_start_pause);
-}
-
-void stop_replied(shard_context& ctx, worker_state& worker, run_id const& id,
-                  worker_replied const& reply)
-{
-    auto const found = worker.runs.find(id);
-    if (found == worker.runs.end())
-    {
-        return;
-    }
-    auto& run = found->second;
-    run.stop_in_flight = false;
-    if (reply.status == worker_status::ok)
-    {
-        run.stop_confirmed_at = ctx.now;
-    }
-    else
-    {
-        run.next_stop_at = ctx.now + stop_pause;
-    }
-}
-
-void pace_replied(shard_context const& ctx, worker_state& worker,
-                  pending_worker_call const& sent, worker_replied const& reply)
-{
-    auto const found = worker.runs.find(sent.run);
-    if (found == worker.runs.end())
-    {
-        return;
-    }
-    auto& run = found->second;
-    run.pace_in_flight = false;
-    if (reply.status != worker_status::ok)
-    {
-        return;
-    }
-    if (sent.pace_percent > run.pace_percent)
-    {
-        // The time at the lower pace does not tell whether the run hangs.
-        run.progress_at = ctx.now;
-    }
-    run.pace_percent = sent.pace_percent;
-}
-
 /// Drops the runs of a worker that has not answered this owner, once the leases
 /// of the earlier owner have expired. A missing entry does not prove that they
 /// are gone: a worker that is cut off from the store loses its entry and works
@@ -523,6 +259,34 @@
     ctx.shard.placement_due = true;
 }
 
+void process_restarted(shard_context& ctx, worker_state& worker,
+                       time_ms process_started_at)
+{
+    ctx.log(log_level::info, "worker",
+            worker.entry.id + " started again, "
+                + std::to_string(worker.runs.size()) + " runs may be gone");
+    for (auto& [id, run] : worker.runs)
+    {
+        run.stop_confirmed_at.reset();
+        run.next_stop_at = ctx.now;
+    }
+    worker.process_confirmed = false;
+    worker.runs_gone_at = ctx.now + lease_on_slowest_clock(ctx.state);
+    worker.entry.process_started_at = process_started_at;
+    worker.clock.reset();
+    worker.fenced = false;
+    worker.unaccounted = false;
+    worker.last_handled_end = 0;
+    worker.acknowledged_end = 0;
+    worker.pending_ends.clear();
+    worker.lease_until = {};
+    worker.failed_submissions_in_a_row = 0;
+    worker.last_quarantine = {};
+    worker.blocked_until = ctx.now;
+    worker.hold_in_flight.reset();
+    worker.next_hold_at = ctx.now;
+}
+
 void entry_removed(shard_context& ctx, std::string_view id)
 {
     auto const found = ctx.shard.workers.find(id);
@@ -612,52 +376,6 @@
          pace_order_limit);
 }
 
-void replied(context& ctx, worker_replied const& reply)
-{
-    auto const found = ctx.state.worker_calls.find(reply.call);
-    if (found == ctx.state.worker_calls.end())
-    {
-        return;
-    }
-    auto const sent = std::move(found->second);
-    ctx.state.worker_calls.erase(found);
-    shard_context shard_ctx(ctx, ctx.state.shards[sent.shard]);
-    if (reply.status == worker_status::stale_token)
-    {
-        shard_ctx.log(log_level::warning, "ownership",
-                      sent.worker + " has seen a higher fencing token than "
-                          + std::to_string(shard_ctx.shard.ownership.revision));
-        ownership::step_down(shard_ctx);
-        return;
-    }
-    auto const found_worker = shard_ctx.shard.workers.find(sent.worker);
-    if (found_worker == shard_ctx.shard.workers.end())
-    {
-        return;
-    }
-    auto& worker = found_worker->second;
-    note_silence(shard_ctx, worker, sent.kind, reply.status);
-    if (worker.process_confirmed && sent.kind != order_kind::hold)
-    {
-        note_answer(shard_ctx, worker, reply);
-    }
-    switch (sent.kind)
-    {
-    case order_kind::hold:
-        if (worker.hold_in_flight == reply.call)
-        {
-            hold_replied(shard_ctx, worker, sent, reply);
-        }
-        return;
-    case order_kind::start:
-        return start_replied(shard_ctx, worker, sent.run, reply);
-    case order_kind::stop:
-        return stop_replied(shard_ctx, worker, sent.run, reply);
-    case order_kind::pace:
-        return pace_replied(shard_ctx, worker, sent, reply);
-    }
-}
-
 void tick(shard_context& ctx)
 {
     auto const role = ctx.shard.ownership.role;
