Tell how old the view of each area of the store is

Operators could not tell that the owner worked with entries of workers that were 10 to 18 s old: neither a failed watch nor the age of a view left a line or a metric.

A failed read or watch now leaves a line with its duration, the part of the reply that had arrived and the age and revision of the view; a view older than 2.5 s leaves one, and one when it is current again. The gauge view_age_ms and two counters go with them. The progress of a reply comes from the connection, which reads the header apart from the body. No decision changes.

area_watch.reports_a_view_that_is_out_of_date and http.a_lost_call_tells_how_much_of_the_response_arrived pass; there was nothing to compile them against before.

--- a/include/jaydrift/http/call_result.hpp
+++ b/include/jaydrift/http/call_result.hpp
@@ -1,6 +1,7 @@
 #ifndef JAYDRIFT_HTTP_CALL_RESULT_HPP
 #define JAYDRIFT_HTTP_CALL_RESULT_HPP
 
+#include <jaydrift/core/reply_progress.hpp>
 #include <jaydrift/http/response.hpp>
 
 #include <cstdint>
@@ -28,6 +29,9 @@
 
     /// Filled if the call was answered.
     response reply;
+
+    /// How much of the response arrived, also if the call was lost.
+    reply_progress progress = {};
 };
 
 } // namespace jaydrift::http
--- a/include/jaydrift/schedule/store_replied.hpp
+++ b/include/jaydrift/schedule/store_replied.hpp
@@ -1,6 +1,7 @@
 #ifndef JAYDRIFT_SCHEDULE_STORE_REPLIED_HPP
 #define JAYDRIFT_SCHEDULE_STORE_REPLIED_HPP
 
+#include <jaydrift/core/reply_progress.hpp>
 #include <jaydrift/schedule/store_item.hpp>
 #include <jaydrift/schedule/store_status.hpp>
 
@@ -27,6 +28,10 @@
 
     /// Records whose key or revision cannot be read.
     std::size_t unreadable_items = 0;
+
+    /// How much of the reply arrived, also if the call was lost; of a read in
+    /// several parts, that of the last part.
+    reply_progress progress = {};
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/store_session_state.hpp
+++ b/include/jaydrift/schedule/store_session_state.hpp
@@ -19,10 +19,16 @@
 
     /// Calls in flight, by number.
     std::map<std::uint64_t, pending_store_call> calls;
+
+    /// Highest revision of the store that a reply has shown.
+    std::uint64_t highest_revision = 0;
     watch_state operators;
     watch_state coordination;
     watch_state workers;
 
+    /// Time of the next update of the gauges of the views' ages.
+    time_ms next_age_gauges;
+
     /// Time of the first of the calls that failed in a row; absent after a
     /// success.
     std::optional<time_ms> failing_since;
--- a/include/jaydrift/schedule/watch_state.hpp
+++ b/include/jaydrift/schedule/watch_state.hpp
@@ -16,8 +16,18 @@
     bool loaded = false;
     std::uint64_t revision = 0;
 
-    /// Number of the read or watch in flight.
+    /// Number of the read or watch in flight, when it was sent, and the highest
+    /// revision of the store that was known then.
     std::optional<std::uint64_t> call;
+    time_ms sent_at;
+    std::uint64_t known_when_sent = 0;
+
+    /// The view shows all changes that this daemon could have learned of by
+    /// then.
+    time_ms current_at;
+
+    /// A line has reported that the view is out of date.
+    bool reported_stale = false;
 
     /// Earliest time of the next call.
     time_ms retry_at;
--- a/src/jaydrift/http/connection.cpp
+++ b/src/jaydrift/http/connection.cpp
@@ -40,6 +40,8 @@
     message_.body() = std::move(call_->message.body);
     message_.prepare_payload();
     write_started_ = false;
+    parser_.reset();
+    header_at_.reset();
     if (connected_ && closed_by_server())
     {
         error_code ignored;
@@ -85,6 +87,7 @@
 void connection::write()
 {
     write_started_ = true;
+    sent_at_ = std::chrono::steady_clock::now();
     beast_http::async_write(
         socket_, message_,
         [self = shared_from_this()](error_code const& error, std::size_t) {
@@ -93,15 +96,15 @@
                 self->fail();
                 return;
             }
-            self->read();
+            self->read_header();
         });
 }
 
-void connection::read()
+void connection::read_header()
 {
     parser_.emplace();
     parser_->body_limit(max_body_bytes);
-    beast_http::async_read(
+    beast_http::async_read_header(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](error_code const& error, std::size_t) {
             if (error || self->closed_)
@@ -109,22 +112,60 @@
                 self->fail();
                 return;
             }
-            auto message = self->parser_->release();
-            call_result result;
-            result.outcome = call_result::outcome_kind::answered;
-            result.reply.status = message.result_int();
-            for (auto const& field : message)
+            self->header_at_ = std::chrono::steady_clock::now();
+            self->read_body();
+        });
+}
+
+void connection::read_body()
+{
+    beast_http::async_read(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](error_code const& error, std::size_t) {
+            if (error || self->closed_)
             {
-                result.reply.headers.emplace_back(
-                    std::string(field.name_string()),
-                    std::string(field.value()));
+                self->fail();
+                return;
             }
-            auto const keep_alive = message.keep_alive();
-            result.reply.body = std::move(message.body());
-            self->finish(std::move(result), keep_alive);
+            self->take_response();
         });
 }
 
+void connection::take_response()
+{
+    call_result result;
+    result.outcome = call_result::outcome_kind::answered;
+    result.progress = progress();
+    auto message = parser_->release();
+    result.reply.status = message.result_int();
+    for (auto const& field : message)
+    {
+        result.reply.headers.emplace_back(std::string(field.name_string()),
+                                          std::string(field.value()));
+    }
+    auto const keep_alive = message.keep_alive();
+    result.reply.body = std::move(message.body());
+    finish(std::move(result), keep_alive);
+}
+
+reply_progress connection::progress() const
+{
+    reply_progress result;
+    if (header_at_)
+    {
+        result.header_after =
+            time_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                        *header_at_ - sent_at_)
+                        .count());
+        result.received_bytes = parser_->get().body().size();
+        if (auto const length = parser_->content_length())
+        {
+            result.length_bytes = *length;
+        }
+    }
+    return result;
+}
+
 void connection::finish(call_result result, bool keep_alive)
 {
     if (!keep_alive)
@@ -151,6 +192,7 @@
     call_result result;
     result.outcome = write_started_ ? call_result::outcome_kind::lost
                                     : call_result::outcome_kind::not_sent;
+    result.progress = progress();
     finish(std::move(result), false);
 }
 
--- a/src/jaydrift/http/connection.hpp
+++ b/src/jaydrift/http/connection.hpp
@@ -52,11 +52,15 @@
 
     void connect();
     void write();
-    void read();
+    void read_header();
+    void read_body();
+    void take_response();
     /// Hands over the result; closes the socket unless it can be used again.
     void finish(call_result result, bool keep_alive);
     /// Ends the call as `lost`, or as `not_sent` if sending had not begun.
     void fail();
+    /// Tells how much of the response to the latest call has arrived.
+    reply_progress progress() const;
     /// Tells whether the server has closed the open connection, or has sent
     /// bytes that belong to no call.
     bool closed_by_server();
@@ -68,6 +72,8 @@
     boost::beast::http::request<boost::beast::http::string_body> message_;
     std::optional<response_parser> parser_;
     std::optional<pending_call> call_;
+    std::chrono::steady_clock::time_point sent_at_;
+    std::optional<std::chrono::steady_clock::time_point> header_at_;
     bool connected_ = false;
     /// Part of the request of the latest call may have been sent.
     bool write_started_ = false;
--- a/src/jaydrift/http/http_test.cpp
+++ b/src/jaydrift/http/http_test.cpp
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 namespace jaydrift::http {
@@ -94,6 +96,33 @@
     EXPECT_EQ(result->outcome, call_result::outcome_kind::lost);
 }
 
+// Guards against a lost call of which nobody can tell whether the server was
+// silent or its response arrived slowly.
+TEST(http, a_lost_call_tells_how_much_of_the_response_arrived)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    boost::asio::ip::tcp::socket socket(context);
+    std::string const part = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc";
+    acceptor.async_accept(socket, [&](boost::system::error_code const& error) {
+        ASSERT_FALSE(error);
+        boost::asio::write(socket, boost::asio::buffer(part));
+    });
+    client http_client(context);
+    std::optional<call_result> result;
+    http_client.call(
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), "pool",
+        1, post("a"), time_ms(200),
+        [&result](call_result ended) { result = std::move(ended); });
+    run_until(context, [&result] { return result.has_value(); });
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->outcome, call_result::outcome_kind::lost);
+    EXPECT_TRUE(result->progress.header_after);
+    EXPECT_EQ(result->progress.received_bytes, 3U);
+    EXPECT_EQ(result->progress.length_bytes, 10U);
+}
+
 // Guards against a call that waits for ever because another call gets no
 // response on the only connection of the pool.
 TEST(http, a_call_that_got_no_connection_is_not_sent)
--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -7,6 +7,8 @@
 #include <jaydrift/schedule/store_session.hpp>
 
 #include <span>
+#include <string>
+#include <string_view>
 
 namespace jaydrift::schedule::area_watch {
 
@@ -29,9 +31,20 @@
 
 /// Time between a failed call and the next one to the same area.
 constexpr time_ms retry_pause{150};
+
+/// A view that is older is reported in the log. Without changes, its age goes
+/// up to `watch_wait` and the time of a call.
+constexpr time_ms stale_after{2500};
+
+/// Time between two updates of the gauges of the views' ages.
+constexpr time_ms gauge_interval{1000};
+
 /// How one area is read and watched, and who handles its records.
 struct area_handlers
 {
+    /// Its name in log lines and metrics.
+    std::string_view name;
+
     /// The state of its watch.
     watch_state store_session_state::*watch;
     store_area area;
@@ -48,21 +61,24 @@
     time_ms pause;
 };
 
-constexpr area_handlers operators{&store_session_state::operators,
+constexpr area_handlers operators{"operators",
+                                  &store_session_state::operators,
                                   store_area::operators,
                                   store_purpose::read_operators,
                                   store_purpose::watch_operators,
                                   areas::operators_read,
                                   areas::operators_changed,
                                   time_ms(0)};
-constexpr area_handlers coordination{&store_session_state::coordination,
+constexpr area_handlers coordination{"coordination",
+                                     &store_session_state::coordination,
                                      store_area::coordination,
                                      store_purpose::read_coordination,
                                      store_purpose::watch_coordination,
                                      areas::coordination_read,
                                      areas::coordination_changed,
                                      watch_pause};
-constexpr area_handlers worker_entries{&store_session_state::workers,
+constexpr area_handlers worker_entries{"workers",
+                                       &store_session_state::workers,
                                        store_area::workers,
                                        store_purpose::read_workers,
                                        store_purpose::watch_workers,
@@ -70,6 +86,110 @@
                                        areas::workers_changed,
                                        watch_pause};
 
+constexpr area_handlers const* all_areas[] = {&operators, &coordination,
+                                              &worker_entries};
+
+time_ms age(context const& ctx, watch_state const& watch)
+{
+    return ctx.now - watch.current_at;
+}
+
+std::string milliseconds(time_ms value)
+{
+    return std::to_string(value.count()) + " ms";
+}
+
+/// Describes the view of an area: its revision, the highest one known of the
+/// store, and its age.
+std::string view_text(context const& ctx, area_handlers const& handlers)
+{
+    auto const& watch = ctx.state.store.*handlers.watch;
+    return "the view of " + std::string(handlers.name) + " is "
+           + milliseconds(age(ctx, watch)) + " old, at revision "
+           + std::to_string(watch.revision) + " of "
+           + std::to_string(ctx.state.store.highest_revision) + " or more";
+}
+
+/// Describes how much of a reply has arrived.
+std::string progress_text(reply_progress const& progress)
+{
+    if (!progress.header_after)
+    {
+        return "no byte of a reply";
+    }
+    return std::to_string(progress.received_bytes)
+           + (progress.length_bytes
+                  ? " of " + std::to_string(*progress.length_bytes)
+                  : std::string())
+           + " bytes of a reply, the first after "
+           + milliseconds(*progress.header_after);
+}
+
+/// Logs that a read or watch has failed.
+void report_failure(context& ctx, area_handlers const& handlers,
+                    store_replied const& reply)
+{
+    auto const& watch = ctx.state.store.*handlers.watch;
+    ctx.count(watch.loaded ? "watch_failures_total" : "read_failures_total",
+              handlers.name);
+    ctx.log(log_level::warning, "store",
+            (watch.loaded ? "the watch of " : "the read of ")
+                + std::string(handlers.name) + " failed after "
+                + milliseconds(ctx.now - watch.sent_at) + " with "
+                + progress_text(reply.progress) + "; "
+                + view_text(ctx, handlers));
+}
+
+/// Notes the age of a view after a reply: a watch without changes, and any
+/// reply that reaches the highest revision known when it was asked for, shows
+/// the area as it was then.
+void note_age(context& ctx, area_handlers const& handlers,
+              store_replied const& reply)
+{
+    auto& watch = ctx.state.store.*handlers.watch;
+    if (!reply.items.empty() && reply.revision < watch.known_when_sent)
+    {
+        return;
+    }
+    auto const before = age(ctx, watch);
+    watch.current_at = watch.sent_at;
+    if (watch.reported_stale && age(ctx, watch) < stale_after)
+    {
+        watch.reported_stale = false;
+        ctx.log(log_level::info, "store",
+                "the view of " + std::string(handlers.name) + " is current"
+                    + " again, at revision " + std::to_string(reply.revision)
+                    + "; it was " + milliseconds(before) + " old");
+    }
+}
+
+/// Logs once that a view is out of date.
+void report_stale(context& ctx, area_handlers const& handlers)
+{
+    auto& watch = ctx.state.store.*handlers.watch;
+    if (watch.loaded && !watch.reported_stale && age(ctx, watch) >= stale_after)
+    {
+        watch.reported_stale = true;
+        ctx.log(log_level::warning, "store", view_text(ctx, handlers));
+    }
+}
+
+void show_ages(context& ctx)
+{
+    auto& session = ctx.state.store;
+    if (ctx.now < session.next_age_gauges)
+    {
+        return;
+    }
+    session.next_age_gauges = ctx.now + gauge_interval;
+    for (auto const* const handlers : all_areas)
+    {
+        auto const& watch = session.*handlers->watch;
+        ctx.gauge("view_age_ms", handlers->name,
+                  watch.loaded ? age(ctx, watch).count() : 0);
+    }
+}
+
 /// Reads or watches the area if no call is in flight and the next one is due.
 void call_if_due(context& ctx, area_handlers const& handlers)
 {
@@ -78,6 +198,8 @@
     {
         return;
     }
+    watch.sent_at = ctx.now;
+    watch.known_when_sent = ctx.state.store.highest_revision;
     watch.call =
         watch.loaded
             ? call(
@@ -107,17 +229,20 @@
     }
     else if (reply.status != store_status::ok)
     {
+        report_failure(ctx, handlers, reply);
         watch.retry_at = ctx.now + retry_pause;
         ++watch.failures;
     }
     else if (!watch.loaded)
     {
+        note_age(ctx, handlers, reply);
         watch.loaded = true;
         watch.revision = reply.revision;
         handlers.on_read(ctx, reply.items);
     }
     else
     {
+        note_age(ctx, handlers, reply);
         watch.revision = reply.revision;
         for (auto const& item : reply.items)
         {
@@ -139,8 +264,7 @@
 
 void replied(context& ctx, store_purpose purpose, store_replied const& reply)
 {
-    for (auto const* const handlers :
-         {&operators, &coordination, &worker_entries})
+    for (auto const* const handlers : all_areas)
     {
         if (purpose == handlers->read_purpose
             || purpose == handlers->watch_purpose)
@@ -164,6 +288,11 @@
         ctx.state.store.workers = {};
         ctx.state.worker_entries.clear();
     }
+    for (auto const* const handlers : all_areas)
+    {
+        report_stale(ctx, *handlers);
+    }
+    show_ages(ctx);
 }
 
 } // namespace jaydrift::schedule::area_watch
--- /dev/null
+++ b/src/jaydrift/schedule/area_watch_test.cpp
@@ -0,0 +1,164 @@
+#include <jaydrift/schedule/daemon_state.hpp>
+#include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/reduce.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace jaydrift::schedule {
+
+namespace {
+
+constexpr time_ms tick_interval{50};
+
+/// A daemon whose calls about the operators' area the test answers. Its other
+/// calls stay open.
+class operators_view
+{
+public:
+    operators_view()
+    {
+        settings options;
+        options.node = "d0";
+        options.address = "10.0.0.1:7000";
+        state_ = initial_state(options, now_);
+        run(time_ms(0));
+    }
+
+    /// Lets time pass.
+    void run(time_ms duration)
+    {
+        for (auto const end = now_ + duration; now_ <= end;
+             now_ += tick_interval)
+        {
+            handle(timer_due{now_});
+        }
+    }
+
+    /// Answers the call in flight.
+    void answer(store_replied reply)
+    {
+        ASSERT_TRUE(call_);
+        reply.call = call_->call;
+        call_.reset();
+        handle(reply);
+    }
+
+    /// Answers the call in flight with a number of changes up to a revision.
+    void answer_with(std::size_t changes, std::uint64_t revision)
+    {
+        store_replied reply;
+        reply.status = store_status::ok;
+        reply.revision = revision;
+        for (std::size_t i = 0; i < changes; ++i)
+        {
+            auto const name = "zone-" + std::to_string(i);
+            reply.items.push_back({{record_kind::zone_closure, name},
+                                   revision,
+                                   false,
+                                   zone_closure{name}});
+        }
+        answer(reply);
+    }
+
+    std::optional<store_call> const& call() const { return call_; }
+    bool waits_for_watch() const
+    {
+        return call_ && std::holds_alternative<watch_area>(call_->request);
+    }
+
+    /// Returns the lines with this text.
+    std::vector<std::string> lines(std::string_view text) const
+    {
+        std::vector<std::string> result;
+        std::copy_if(lines_.begin(), lines_.end(), std::back_inserter(result),
+                     [text](std::string const& line) {
+                         return line.find(text) != std::string::npos;
+                     });
+        return result;
+    }
+
+    /// Last value of the gauge of the age of the operators' area.
+    std::int64_t age = -1;
+
+private:
+    void handle(event const& input)
+    {
+        for (auto const& output : reduce(state_, input, now_))
+        {
+            note(output);
+        }
+    }
+
+    void note(effect const& output)
+    {
+        if (auto const* const call = std::get_if<store_call>(&output))
+        {
+            auto const* const read = std::get_if<read_area>(&call->request);
+            auto const* const watch = std::get_if<watch_area>(&call->request);
+            if ((read && read->area == store_area::operators)
+                || (watch && watch->area == store_area::operators))
+            {
+                call_ = *call;
+            }
+        }
+        else if (auto const* const line = std::get_if<log_line>(&output))
+        {
+            lines_.push_back(line->text);
+        }
+        else if (auto const* const gauge = std::get_if<gauge_update>(&output))
+        {
+            if (gauge->name == "view_age_ms" && gauge->type == "operators")
+            {
+                age = gauge->value;
+            }
+        }
+    }
+
+    time_ms now_{1000};
+    daemon_state state_;
+    std::optional<store_call> call_;
+    std::vector<std::string> lines_;
+};
+
+/// A reply of which only a part has arrived.
+store_replied broken_off()
+{
+    store_replied reply;
+    reply.status = store_status::lost;
+    reply.progress = {time_ms(30), 75701, 133530};
+    return reply;
+}
+
+} // namespace
+
+// Guards against decisions on a view whose age nobody knows: a watch that kept
+// failing left no line and no metric.
+TEST(area_watch, reports_a_view_that_is_out_of_date)
+{
+    operators_view view;
+    view.answer_with(0, 10);
+    view.run(time_ms(1700));
+    view.answer(broken_off());
+    EXPECT_EQ(view.lines("75701 of 133530 bytes of a reply, the first after 30")
+                  .size(),
+              1U);
+    EXPECT_EQ(view.lines("old, at revision 10").size(), 1U);
+    view.run(time_ms(3000));
+    EXPECT_EQ(view.lines("the view of operators is 2").size(), 1U);
+    EXPECT_GE(view.age, 3500);
+    // This reply shows the area as it was when the call was sent.
+    view.answer_with(1, 20);
+    EXPECT_TRUE(view.lines("the view of operators is current again").empty());
+    view.answer_with(0, 20);
+    EXPECT_EQ(view.lines("the view of operators is current again").size(), 1U);
+    view.run(time_ms(1000));
+    EXPECT_LE(view.age, 1100);
+}
+
+} // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -139,6 +139,8 @@
     auto const [purpose, shard, sent_at] = found->second;
     ctx.state.store.calls.erase(found);
     update_failing_since(ctx, reply, sent_at);
+    ctx.state.store.highest_revision =
+        std::max(ctx.state.store.highest_revision, reply.revision);
     if (reply.unreadable_items > 0)
     {
         ctx.log(log_level::warning, "store",
