Keep log lines about tasks from displacing lines about state

Cause: all lines below warning shared a limit of 300 a second, and all warnings one of 100.

Change: a line says whether it is about state or about a single submission, step, task, run or call (`log_subject`). Only the class of lines changes, no decision.

--- a/include/jaydrift/schedule/context.hpp
+++ b/include/jaydrift/schedule/context.hpp
@@ -2,6 +2,7 @@
 #define JAYDRIFT_SCHEDULE_CONTEXT_HPP
 
 #include <jaydrift/core/log_level.hpp>
+#include <jaydrift/core/log_subject.hpp>
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/daemon_state.hpp>
 #include <jaydrift/schedule/effect.hpp>
@@ -23,10 +24,20 @@
 
     void emit(effect output) { effects.push_back(std::move(output)); }
 
-    /// Writes a log line; `part` is its prefix, such as `ownership`.
+    /// Writes a log line about the state of the daemon, the store or a worker;
+    /// `part` is its prefix, such as `ownership`.
     void log(log_level level, std::string_view part, std::string text)
     {
-        emit(log_line{level, std::string(part), std::move(text)});
+        emit(log_line{level, log_subject::state, std::string(part),
+                      std::move(text)});
+    }
+
+    /// Writes a log line about a single submission, step, task, run or call.
+    /// These lines have a limit of their own, see `process::rate_limited_log`.
+    void log_work(log_level level, std::string_view part, std::string text)
+    {
+        emit(log_line{level, log_subject::work, std::string(part),
+                      std::move(text)});
     }
 
     /// Increments the counter `name`; `type` is its label and may be empty.
--- a/include/jaydrift/schedule/log_line.hpp
+++ b/include/jaydrift/schedule/log_line.hpp
@@ -2,6 +2,7 @@
 #define JAYDRIFT_SCHEDULE_LOG_LINE_HPP
 
 #include <jaydrift/core/log_level.hpp>
+#include <jaydrift/core/log_subject.hpp>
 
 #include <string>
 
@@ -11,6 +12,7 @@
 struct log_line
 {
     log_level level = log_level::info;
+    log_subject subject = log_subject::state;
 
     /// Prefix of the line: the part of the daemon, such as `ownership`.
     std::string part;
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -80,11 +80,11 @@
     if (reply.result == answer::code::unavailable
         || reply.result == answer::code::unknown)
     {
-        ctx.log(log_level::info, "call",
-                found->second.request.path + " answered "
-                    + std::string(name_of(reply.result)) + " after "
-                    + std::to_string(age.count()) + " ms"
-                    + owners_of(ctx, found->second));
+        ctx.log_work(log_level::info, "call",
+                     found->second.request.path + " answered "
+                         + std::string(name_of(reply.result)) + " after "
+                         + std::to_string(age.count()) + " ms"
+                         + owners_of(ctx, found->second));
     }
     ctx.emit(answer_call{call, reply});
     ctx.state.calls.erase(found);
@@ -226,11 +226,12 @@
         // The label and the text are the same for each reason; the duration is
         // meaningful only if the record log waits for the store.
         ctx.count("submissions_refused_total", "overloaded");
-        ctx.log(log_level::info, "call",
-                id + " refused, the store has not answered for "
-                    + std::to_string(
-                        (ctx.now - ctx.shard.record_log.first_sent).count())
-                    + " ms");
+        ctx.log_work(
+            log_level::info, "call",
+            id + " refused, the store has not answered for "
+                + std::to_string(
+                    (ctx.now - ctx.shard.record_log.first_sent).count())
+                + " ms");
         finish(ctx, call, answer::code::unavailable);
         return;
     }
@@ -246,9 +247,9 @@
     relocation::accepted(ctx, work);
     record_log::changed_with_waiting_caller(ctx, submission);
     wait_for_log(ctx, call, submission);
-    ctx.log(log_level::info, "call",
-            id + " arrived in queue " + target.name + ", "
-                + std::to_string(ctx.shard.active.size()) + " active");
+    ctx.log_work(log_level::info, "call",
+                 id + " arrived in queue " + target.name + ", "
+                     + std::to_string(ctx.shard.active.size()) + " active");
 }
 
 /// The shard does not know the submission. It may belong to its second shard,
--- a/src/jaydrift/schedule/memory_reclaim.cpp
+++ b/src/jaydrift/schedule/memory_reclaim.cpp
@@ -104,11 +104,12 @@
             stopped.push_back(id);
         }
     }
-    ctx.log(log_level::info, "placement",
-            request.id.submission + " step " + std::to_string(request.id.step)
-                + ": no worker has memory, stopping "
-                + std::to_string(stopped.size()) + " slow runs on "
-                + best->entry.id);
+    ctx.log_work(log_level::info, "placement",
+                 request.id.submission + " step "
+                     + std::to_string(request.id.step)
+                     + ": no worker has memory, stopping "
+                     + std::to_string(stopped.size()) + " slow runs on "
+                     + best->entry.id);
     for (auto const& id : stopped)
     {
         ctx.count("runs_stopped_total", "memory");
--- a/src/jaydrift/schedule/minimum_runs.cpp
+++ b/src/jaydrift/schedule/minimum_runs.cpp
@@ -69,12 +69,12 @@
                             minimum_pace);
     submission.minimum_run = id;
     workers::start(ctx, *choice.worker, {id, number});
-    ctx.log(log_level::info, "placement",
-            submission.id + " step " + std::to_string(id.step)
-                + ": nothing has run for "
-                + std::to_string((ctx.now - submission.idle_since).count())
-                + " ms, started task " + std::to_string(id.index) + " on "
-                + choice.worker->entry.id + " at the lowest pace");
+    ctx.log_work(log_level::info, "placement",
+                 submission.id + " step " + std::to_string(id.step)
+                     + ": nothing has run for "
+                     + std::to_string((ctx.now - submission.idle_since).count())
+                     + " ms, started task " + std::to_string(id.index) + " on "
+                     + choice.worker->entry.id + " at the lowest pace");
     ctx.count("minimum_runs_total", "started");
     record_log::changed(ctx, submission);
     return true;
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -235,15 +235,16 @@
     auto const& task = each.id.task;
     constexpr double percent = 100.0;
     ctx.count("runs_stopped_total", "paused");
-    ctx.log(log_level::info, "pacing",
-            task.submission + '.' + std::to_string(task.occurrence) + '.'
-                + std::to_string(task.step) + '.' + std::to_string(task.index)
-                + " run " + std::to_string(each.id.number) + " stopped on "
-                + worker.entry.id + " after "
-                + std::to_string((ctx.now - *each.run->paused_since).count())
-                + " ms at pace 0, tail of " + worst.run->image + " there "
-                + std::to_string(std::lround(worst.relative_tail * percent))
-                + " % of its target");
+    ctx.log_work(
+        log_level::info, "pacing",
+        task.submission + '.' + std::to_string(task.occurrence) + '.'
+            + std::to_string(task.step) + '.' + std::to_string(task.index)
+            + " run " + std::to_string(each.id.number) + " stopped on "
+            + worker.entry.id + " after "
+            + std::to_string((ctx.now - *each.run->paused_since).count())
+            + " ms at pace 0, tail of " + worst.run->image + " there "
+            + std::to_string(std::lround(worst.relative_tail * percent))
+            + " % of its target");
 }
 
 /// Notes since when the opportunistic runs of the worker are paused.
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -385,12 +385,13 @@
     }
     if (started > 0)
     {
-        ctx.log(log_level::info, "placement",
-                submission.id + " step " + std::to_string(step_index)
-                    + ": started " + std::to_string(started) + " tasks, "
-                    + std::to_string(step.waiting_tasks) + " wait, due in "
-                    + std::to_string((submission.objective - ctx.now).count())
-                    + " ms");
+        ctx.log_work(
+            log_level::info, "placement",
+            submission.id + " step " + std::to_string(step_index) + ": started "
+                + std::to_string(started) + " tasks, "
+                + std::to_string(step.waiting_tasks) + " wait, due in "
+                + std::to_string((submission.objective - ctx.now).count())
+                + " ms");
         record_log::changed(ctx, submission);
     }
 }
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -120,10 +120,10 @@
 {
     if (record.second_shard >= ctx.state.shards.size())
     {
-        ctx.log(log_level::error, "ownership",
-                "the relocation of " + record.id + " to shard "
-                    + std::to_string(record.second_shard)
-                    + " is ignored, there is no such shard");
+        ctx.log_work(log_level::error, "ownership",
+                     "the relocation of " + record.id + " to shard "
+                         + std::to_string(record.second_shard)
+                         + " is ignored, there is no such shard");
         ctx.count("unreadable_records_total", "relocation");
         return;
     }
--- a/src/jaydrift/schedule/relocation.cpp
+++ b/src/jaydrift/schedule/relocation.cpp
@@ -204,11 +204,11 @@
     ctx.shard.record_log.new_relocations.emplace_back(id);
     record_log::flush_soon(ctx);
     ctx.count("submissions_relocated_total", "");
-    ctx.log(log_level::info, "call",
-            std::string(id) + " left to shard " + std::to_string(second)
-                + ", load there: firm " + std::to_string(there.firm)
-                + ", opportunistic " + std::to_string(there.opportunistic)
-                + " per mille");
+    ctx.log_work(log_level::info, "call",
+                 std::string(id) + " left to shard " + std::to_string(second)
+                     + ", load there: firm " + std::to_string(there.firm)
+                     + ", opportunistic " + std::to_string(there.opportunistic)
+                     + " per mille");
 }
 
 void stored(shard_context& ctx, std::string_view id)
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -144,17 +144,17 @@
     ctx.count("runs_ended_total", "failed");
     if (spec.long_running)
     {
-        ctx.log(log_level::info, "worker",
-                "long-running run " + std::to_string(run) + " of "
-                    + submission.id + " failed on " + worker.entry.id);
+        ctx.log_work(log_level::info, "worker",
+                     "long-running run " + std::to_string(run) + " of "
+                         + submission.id + " failed on " + worker.entry.id);
         return;
     }
     task.failed_runs.push_back(run);
-    ctx.log(log_level::info, "worker",
-            "run " + std::to_string(run) + " of " + submission.id
-                + " failed on " + worker.entry.id + ", attempt "
-                + std::to_string(task.failed_runs.size()) + " of "
-                + std::to_string(submission.max_attempts));
+    ctx.log_work(log_level::info, "worker",
+                 "run " + std::to_string(run) + " of " + submission.id
+                     + " failed on " + worker.entry.id + ", attempt "
+                     + std::to_string(task.failed_runs.size()) + " of "
+                     + std::to_string(submission.max_attempts));
     if (task.failed_runs.size() >= submission.max_attempts)
     {
         submissions::fail(ctx, submission);
@@ -312,10 +312,10 @@
     run.confirmed_at = ctx.now;
     workers::add_run(worker, reported.run, std::move(run));
     workers::stop(ctx, worker, reported.run);
-    ctx.log(log_level::info, "worker",
-            "stopping run " + std::to_string(reported.run.number) + " of "
-                + reported.run.task.submission + " on " + worker.entry.id
-                + ", it is no longer needed");
+    ctx.log_work(log_level::info, "worker",
+                 "stopping run " + std::to_string(reported.run.number) + " of "
+                     + reported.run.task.submission + " on " + worker.entry.id
+                     + ", it is no longer needed");
 }
 
 /// Applies the report about a running run.
@@ -434,10 +434,10 @@
     }
     for (auto const& id : hanging)
     {
-        ctx.log(log_level::info, "worker",
-                "run " + std::to_string(id.number) + " of " + id.task.submission
-                    + " makes no progress on " + worker.entry.id
-                    + ", stopping it");
+        ctx.log_work(log_level::info, "worker",
+                     "run " + std::to_string(id.number) + " of "
+                         + id.task.submission + " makes no progress on "
+                         + worker.entry.id + ", stopping it");
         if (auto* const submission = submissions::find(ctx, id.task.submission))
         {
             if (auto* const task = submissions::find_task(*submission, id.task))
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -336,10 +336,11 @@
             if (occurrence_index >= total_occurrences(submission->work)
                 || !has_room_for_occurrence(*submission))
             {
-                ctx.log(log_level::error, "ownership",
-                        "the progress of " + record.id
-                            + " has more occurrences than the submission, they"
-                              " are ignored");
+                ctx.log_work(
+                    log_level::error, "ownership",
+                    "the progress of " + record.id
+                        + " has more occurrences than the submission, they"
+                          " are ignored");
                 ctx.count("unreadable_records_total", "occurrences");
                 break;
             }
@@ -473,7 +474,8 @@
     if (complete && !ended(submission.phase))
     {
         end(ctx, submission, submission_phase::completed);
-        ctx.log(log_level::info, "submission", submission.id + " completed");
+        ctx.log_work(log_level::info, "submission",
+                     submission.id + " completed");
         ctx.observe("submission_ms", ctx.wall_time() - submission.accepted_at);
     }
 }
@@ -482,16 +484,16 @@
 {
     end(ctx, submission, submission_phase::cancelled);
     stop_runs(ctx, submission);
-    ctx.log(log_level::info, "submission",
-            submission.id + " cancelled by its caller");
+    ctx.log_work(log_level::info, "submission",
+                 submission.id + " cancelled by its caller");
 }
 
 void fail(shard_context& ctx, submission_state& submission)
 {
     end(ctx, submission, submission_phase::failed);
     stop_runs(ctx, submission);
-    ctx.log(log_level::info, "submission",
-            submission.id + " failed, a task used up its attempts");
+    ctx.log_work(log_level::info, "submission",
+                 submission.id + " failed, a task used up its attempts");
 }
 
 void tick(shard_context& ctx)
--- a/src/jaydrift/schedule/waiting_tasks.cpp
+++ b/src/jaydrift/schedule/waiting_tasks.cpp
@@ -201,8 +201,8 @@
         text += "; lowest expected tail " + percent(*survey.lowest_tail)
                 + " of its target, tolerance " + percent(request.tolerance);
     }
-    ctx.log(survey.with_memory > 0 ? log_level::warning : log_level::info,
-            "placement", std::move(text));
+    ctx.log_work(survey.with_memory > 0 ? log_level::warning : log_level::info,
+                 "placement", std::move(text));
     step.next_wait_line = ctx.now + waited;
 }
 
@@ -232,9 +232,9 @@
     }
     if (due.size() > reported)
     {
-        ctx.log(log_level::warning, "placement",
-                std::to_string(due.size() - reported)
-                    + " more steps have waited for long");
+        ctx.log_work(log_level::warning, "placement",
+                     std::to_string(due.size() - reported)
+                         + " more steps have waited for long");
     }
 }
 
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -179,10 +179,10 @@
         pacing::started(ctx, worker, id);
         return;
     case worker_status::lost:
-        ctx.log(log_level::warning, "worker",
-                "no answer to the start of " + id.task.submission + " on "
-                    + worker.entry.id + ", stopping run "
-                    + std::to_string(id.number));
+        ctx.log_work(log_level::warning, "worker",
+                     "no answer to the start of " + id.task.submission + " on "
+                         + worker.entry.id + ", stopping run "
+                         + std::to_string(id.number));
         workers::stop(ctx, worker, id);
         return;
     case worker_status::no_room:
@@ -197,10 +197,10 @@
         break;
     default:
         ctx.count("starts_refused_total", "other");
-        ctx.log(log_level::info, "worker",
-                worker.entry.id + " refused the start of " + id.task.submission
-                    + ", status "
-                    + std::to_string(static_cast<int>(reply.status)));
+        ctx.log_work(log_level::info, "worker",
+                     worker.entry.id + " refused the start of "
+                         + id.task.submission + ", status "
+                         + std::to_string(static_cast<int>(reply.status)));
         break;
     }
     withdraw(ctx, worker, id, refused_start_pause);
