Measure how long events wait for the control thread

Cause: nothing told whether an event waited in the queue of the control thread or arrived late, so a slow owner could not be told from a slow store or link.

Change: the queue notes when an event is added, and the control loop passes its wait and the length of the queue to an interpreter that asks for them. Only observation, no decision changes.

--- a/include/jaydrift/core/bounded_queue.hpp
+++ b/include/jaydrift/core/bounded_queue.hpp
@@ -64,9 +64,15 @@
         return item;
     }
 
+    std::size_t size() const
+    {
+        std::lock_guard const lock(mutex_);
+        return items_.size();
+    }
+
 private:
     std::size_t const capacity_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::deque<Item> items_;
 };
--- a/include/jaydrift/process/control_loop.hpp
+++ b/include/jaydrift/process/control_loop.hpp
@@ -36,7 +36,10 @@
 /// thread and must not block. After each step, `state_changed` is called first,
 /// to publish parts of the state to other threads, then `execute` once per
 /// effect. An interpreter that sends effects on in groups also has
-/// `step_finished`, which is called last.
+/// `step_finished`, which is called last. One that measures the delay of events
+/// has `event_taken`, which is called before the step of an event from the
+/// queue, with the time that the event waited and the number of those that are
+/// still queued.
 template<class Interpreter, class Traits>
 concept effect_interpreter = requires(Interpreter& interpreter,
                                       typename Traits::effect output,
@@ -48,7 +51,8 @@
 
 /// Runs a reducer on one thread, the control thread, which owns the state.
 template<reducer_traits Traits, clock Clock,
-         effect_interpreter<Traits> Interpreter>
+         effect_interpreter<Traits> Interpreter,
+         class Queue = event_queue<typename Traits::event>>
 class control_loop
 {
 public:
@@ -57,7 +61,7 @@
 
     /// The clock, the interpreter and the queue must outlive the loop.
     control_loop(state initial, Clock& time_source, Interpreter& interpreter,
-                 event_queue<event>& events)
+                 Queue& events)
         : state_(std::move(initial)), clock_(time_source),
           interpreter_(interpreter), events_(events)
     {
@@ -78,7 +82,14 @@
     {
         if (auto const input = events_.pop(wait_limit()))
         {
-            step(*input);
+            if constexpr (requires {
+                              interpreter_.event_taken(input->waited,
+                                                       events_.size());
+                          })
+            {
+                interpreter_.event_taken(input->waited, events_.size());
+            }
+            step(input->value);
         }
         // Also after an event, so that a busy queue does not delay timers.
         auto const now = clock_.now();
@@ -131,7 +142,7 @@
     state state_;
     Clock& clock_;
     Interpreter& interpreter_;
-    event_queue<event>& events_;
+    Queue& events_;
     std::optional<time_ms> last_timer_event_;
 };
 
--- a/src/jaydrift/app/daemon_interpreter_test.cpp
+++ b/src/jaydrift/app/daemon_interpreter_test.cpp
@@ -50,7 +50,7 @@
     {
         auto input = events.pop(0_ms);
         EXPECT_TRUE(input.has_value());
-        return std::get<Event>(std::move(*input));
+        return std::get<Event>(std::move(input->value));
     }
 
     /// Returns a responder that appends its answer to `answers`.
--- a/src/jaydrift/process/control_loop_test.cpp
+++ b/src/jaydrift/process/control_loop_test.cpp
@@ -44,9 +44,19 @@
     static int timer_event() { return timer_event_value; }
 };
 
+/// A clock that shares the time of a virtual clock.
+struct shared_clock
+{
+    time_ms now() const { return source->now(); }
+
+    virtual_clock const* source;
+};
+
+using test_queue = event_queue<int, shared_clock>;
+
 struct test_interpreter
 {
-    explicit test_interpreter(event_queue<int>& queue) : events(queue) {}
+    explicit test_interpreter(test_queue& queue) : events(queue) {}
 
     void execute(int output)
     {
@@ -58,17 +68,25 @@
     }
     void state_changed(test_state const& state) { steps = state.steps; }
 
-    event_queue<int>& events;
+    void event_taken(time_ms waited, std::size_t queued)
+    {
+        waits.push_back(waited);
+        queue_lengths.push_back(queued);
+    }
+
+    test_queue& events;
     std::vector<int> executed;
+    std::vector<time_ms> waits;
+    std::vector<std::size_t> queue_lengths;
     int steps = 0;
 };
 
 struct control_loop_test : testing::Test
 {
-    event_queue<int> events{2};
     virtual_clock clock;
+    test_queue events{2, {&clock}};
     test_interpreter interpreter{events};
-    control_loop<test_traits, virtual_clock, test_interpreter> loop{
+    control_loop<test_traits, virtual_clock, test_interpreter, test_queue> loop{
         {}, clock, interpreter, events};
 };
 
@@ -134,6 +152,30 @@
     EXPECT_FALSE(events.post(5));
 }
 
+// Guards against a control thread that falls behind without a trace: events
+// wait in the queue while their decisions are made on old facts.
+TEST_F(control_loop_test, tells_how_long_an_event_waited)
+{
+    ASSERT_TRUE(events.post(0));
+    clock.advance(40_ms);
+    events.deliver(0);
+    clock.advance(300_ms);
+    loop.run_once();
+    loop.run_once();
+    EXPECT_EQ(interpreter.waits, (std::vector{340_ms, 300_ms}));
+    EXPECT_EQ(interpreter.queue_lengths, (std::vector<std::size_t>{1, 0}));
+}
+
+// Guards against a wait that is reported for timers, which are not queued.
+TEST_F(control_loop_test, a_timer_does_not_wait_in_the_queue)
+{
+    ASSERT_TRUE(events.post(50));
+    clock.advance(100_ms);
+    loop.run_once();
+    EXPECT_EQ(interpreter.executed, (std::vector{50, timer_event_value}));
+    EXPECT_EQ(interpreter.waits, (std::vector{100_ms}));
+}
+
 // Guards against a control thread that handles events after `finish` or never
 // ends.
 TEST_F(control_loop_test, ends_after_the_event_that_finishes_it)
