Log every change of a worker's state

Cause: six changes left no line: a worker that is first seen while it drains, one that begins to drain while the daemon recovers, is suspended or yields (its long-running tasks stay there), one that a new owner finds draining, the end of a drain, a worker that is listed again, and one whose runs are given up since it never answered a new owner.

Change: a line for each. No decision changes.

--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -26,6 +26,9 @@
 /// Handles the removal of a worker's entry from the store.
 void entry_removed(shard_context& ctx, std::string_view id);
 
+/// Logs the workers that drain when this daemon begins to serve the shard.
+void report_draining(shard_context& ctx);
+
 /// Handles a restart of the worker's process. Its runs are kept until the first
 /// reply to a hold order tells which of them are gone: some may have been
 /// started in the new process before this daemon heard of it.
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -151,6 +151,15 @@
 {
     if (ctx.now >= worker.runs_gone_at)
     {
+        // No time is set before the end of the recovery.
+        auto const is_set = worker.runs_gone_at > time_ms(0);
+        if (is_set && (worker.unaccounted || !worker.runs.empty()))
+        {
+            ctx.log(
+                log_level::warning, "worker",
+                worker.entry.id + " did not answer before all leases expired, "
+                    + std::to_string(worker.runs.size()) + " runs are gone");
+        }
         worker.unaccounted = false;
         run_reports::all_lost(ctx, worker);
     }
@@ -200,19 +209,36 @@
            && ctx.now - worker.unlisted_at >= relisting_time;
 }
 
+/// Returns the long-running tasks of a worker that have not been ordered to
+/// stop.
+std::vector<run_id> long_running_tasks(worker_state const& worker)
+{
+    std::vector<run_id> result;
+    for (auto const& [id, run] : worker.runs)
+    {
+        if (run.long_running && run.phase != run_phase::stopping)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 /// Orders all long-running tasks of a worker that begins to drain to stop, so
 /// that they move before the worker ends them. Only an owner that sees the
 /// worker begin does so: if the entry changes while no daemon has the role
 /// `owner`, the tasks stay on the worker.
 void drain_long_running_tasks(shard_context& ctx, worker_state& worker)
 {
-    std::vector<run_id> moving;
-    for (auto const& [id, run] : worker.runs)
+    auto const moving = long_running_tasks(worker);
+    if (ctx.shard.ownership.role != owner_role::owner)
     {
-        if (run.long_running && run.phase != run_phase::stopping)
-        {
-            moving.push_back(id);
-        }
+        ctx.log(log_level::info, "worker",
+                worker.entry.id + " is draining, "
+                    + std::to_string(moving.size())
+                    + " long-running tasks stay since this daemon does not "
+                      "serve the shard");
+        return;
     }
     ctx.log(log_level::info, "worker",
             worker.entry.id + " is draining, moving "
@@ -237,7 +263,8 @@
         {
             // A new owner logs the number of workers instead.
             ctx.log(log_level::info, "worker",
-                    entry.id + " listed in the store");
+                    entry.id + " listed in the store"
+                        + (entry.draining ? ", draining" : ""));
         }
     }
     if (entry.process_started_at < worker.entry.process_started_at)
@@ -249,13 +276,21 @@
     {
         process_restarted(ctx, worker, entry.process_started_at);
     }
-    auto const drains = entry.draining && !worker.entry.draining;
-    worker.entry = entry;
+    if (!worker.listed)
+    {
+        ctx.log(log_level::info, "worker",
+                entry.id + " listed in the store again");
+    }
+    auto const drained = std::exchange(worker.entry, entry).draining;
     worker.listed = true;
-    if (drains && ctx.shard.ownership.role == owner_role::owner)
+    if (entry.draining && !drained)
     {
         drain_long_running_tasks(ctx, worker);
     }
+    else if (drained && !entry.draining)
+    {
+        ctx.log(log_level::info, "worker", entry.id + " is no longer draining");
+    }
     ctx.shard.placement_due = true;
 }
 
@@ -301,6 +336,20 @@
     }
 }
 
+void report_draining(shard_context& ctx)
+{
+    for (auto const& [id, worker] : ctx.shard.workers)
+    {
+        if (worker.entry.draining)
+        {
+            ctx.log(log_level::info, "worker",
+                    id + " was draining before, "
+                        + std::to_string(long_running_tasks(worker).size())
+                        + " long-running tasks stay");
+        }
+    }
+}
+
 run_state reservation(submission_state const& submission, std::uint32_t step)
 {
     auto const& spec = submission.work.steps[step];
