--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -25,7 +25,6 @@
 constexpr std::uint64_t late_spread_ms = 6000;
 
 constexpr char const* host = "jobs.example";
-constexpr char const* prefix = "/batch/";
 
 std::string address_of(std::size_t daemon)
 {
@@ -37,7 +36,7 @@
     configuration config;
     config.version = 1;
     config.queues.push_back(
-        {"batch", host, prefix, "svc", 0, 3, 2.0, time_ms(1000)});
+        {"batch", host, "/batch/", "svc", 0, 3, 2.0, time_ms(1000)});
     return config;
 }
 
@@ -524,6 +523,12 @@
     return false;
 }
 
+bool simulated_deployment::runs(task_id const& task) const
+{
+    auto const found = history_.find(task);
+    return found != history_.end() && !found->second.running.empty();
+}
+
 std::size_t simulated_deployment::starts(task_id const& task) const
 {
     auto const found = history_.find(task);
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -64,6 +64,9 @@
     /// Returns whether a worker runs a task of the submission.
     bool runs_any(std::string const& submission) const;
 
+    /// Returns whether a worker runs the task.
+    bool runs(task_id const& task) const;
+
     /// Returns how often a task has started on a worker.
     std::size_t starts(task_id const& task) const;
 
@@ -84,6 +87,9 @@
     std::set<std::size_t> cut_daemons;
     std::set<std::size_t> cut_workers;
 
+    /// Start of the path of calls from now on, which names a queue.
+    std::string prefix = "/batch/";
+
     /// Regions of daemons that start from now on; "north" if absent.
     std::map<std::size_t, std::string> regions;
 
--- a/src/jaydrift/schedule/simulated_worker_test.hpp
+++ b/src/jaydrift/schedule/simulated_worker_test.hpp
@@ -51,6 +51,7 @@
     void restart(time_ms now);
 
     worker_entry const& entry() const { return entry_; }
+    worker_entry& entry() { return entry_; }
 
     /// Share of runs that fail, in percent.
     std::uint64_t failing_percent = 0;
