Let the soak's store limit its replies and its history, as the users' one does

The soak could not show a daemon that falls behind the store: a watch brought all changes in one reply, the history was kept until a fault dropped it, and the entries of workers changed only when a worker started.

A reply to a watch now has 500 changes at most and continues from the revision of the last one, history is dropped after 20 s, and a worker writes its entry again about every 1.5 s with a new sequence.

--- a/include/jaydrift/soak/key_value_store.hpp
+++ b/include/jaydrift/soak/key_value_store.hpp
@@ -1,15 +1,16 @@
 #ifndef JAYDRIFT_SOAK_KEY_VALUE_STORE_HPP
 #define JAYDRIFT_SOAK_KEY_VALUE_STORE_HPP
 
+#include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/http/request.hpp>
 #include <jaydrift/http/response.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace jaydrift::soak {
 
@@ -29,7 +30,11 @@
 
     /// Drops the history that watches read. A watch that starts at an earlier
     /// revision gets status 410.
-    void compact();
+    void compact() { compact(revision_); }
+
+    /// Drops the history that is older than the store keeps it. To be called
+    /// again and again; `now` must not go back.
+    void expire_history(time_ms now);
 
     std::uint64_t revision() const { return revision_; }
 
@@ -51,6 +56,16 @@
         std::optional<item> written;
     };
 
+    /// The store's revision at a time.
+    struct mark
+    {
+        time_ms at;
+        std::uint64_t revision = 0;
+    };
+
+    /// Drops the history up to a revision.
+    void compact(std::uint64_t revision);
+
     /// Both write at the present revision.
     void apply_put(std::string const& key, std::string value);
     void apply_removal(std::string const& key);
@@ -60,7 +75,10 @@
     http::response transact(std::string_view body);
 
     std::map<std::string, item, std::less<>> items_;
-    std::vector<change> history_;
+
+    /// Changes by revision.
+    std::deque<change> history_;
+    std::deque<mark> marks_;
     std::uint64_t revision_ = 1;
 
     /// `history_` has only changes after this revision.
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -48,6 +48,10 @@
     /// The record that the worker publishes in the store, as JSON.
     std::string record() const;
 
+    /// Returns whether a heartbeat is due, which publishes the record again,
+    /// and sets the time of the next one.
+    bool heartbeat(time_ms now);
+
     /// True while an end of a run has not been acknowledged by a daemon.
     bool has_unacknowledged_ends() const { return !ended_.empty(); }
 
@@ -117,6 +121,11 @@
     bool up_ = true;
     time_ms process_started_at_;
 
+    /// Number of the last heartbeat of the process.
+    std::uint64_t sequence_ = 0;
+    time_ms heartbeat_interval_;
+    time_ms next_heartbeat_;
+
     /// Highest fencing token seen.
     std::uint64_t token_ = 0;
 
--- a/src/jaydrift/soak/key_value_store.cpp
+++ b/src/jaydrift/soak/key_value_store.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/codec/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -15,6 +16,14 @@
 /// Items in a page of a range.
 constexpr std::size_t page_items = 200;
 
+/// Changes in a reply to a watch. More are sent if they have the revision of
+/// the last one.
+constexpr std::size_t max_watch_events = 500;
+
+/// How long the history is kept, and how often its age is looked at.
+constexpr time_ms history_retention{20000};
+constexpr time_ms mark_interval{500};
+
 int hex_digit(char digit)
 {
     return digit >= 'a'   ? digit - 'a' + 10
@@ -174,14 +183,25 @@
     out.StartObject();
     codec::put_key(out, "events");
     out.StartArray();
-    auto found = false;
-    for (auto const& each : history_)
+    std::size_t count = 0;
+    auto at = revision_;
+    auto next = std::partition_point(
+        history_.begin(), history_.end(),
+        [after](auto const& each) { return each.revision <= after; });
+    for (std::uint64_t last = 0; next != history_.end(); ++next)
     {
-        if (each.revision <= after || !each.key.starts_with(prefix))
+        auto const& each = *next;
+        if (!each.key.starts_with(prefix))
         {
             continue;
         }
-        found = true;
+        if (count >= max_watch_events && each.revision != last)
+        {
+            at = last;
+            break;
+        }
+        ++count;
+        last = each.revision;
         out.StartObject();
         if (each.written)
         {
@@ -196,9 +216,9 @@
         out.EndObject();
     }
     out.EndArray();
-    write_revision(out, "atRev", revision_);
+    write_revision(out, "atRev", at);
     out.EndObject();
-    if (!found)
+    if (count == 0)
     {
         return std::nullopt;
     }
@@ -291,10 +311,26 @@
     apply_removal(key);
 }
 
-void key_value_store::compact()
+void key_value_store::compact(std::uint64_t revision)
 {
-    history_.clear();
-    compacted_revision_ = revision_;
+    std::erase_if(history_, [revision](auto const& each) {
+        return each.revision <= revision;
+    });
+    compacted_revision_ = std::max(compacted_revision_, revision);
+}
+
+void key_value_store::expire_history(time_ms now)
+{
+    if (!marks_.empty() && now - marks_.back().at < mark_interval)
+    {
+        return;
+    }
+    marks_.push_back({now, revision_});
+    if (now - marks_.front().at > history_retention)
+    {
+        compact(marks_.front().revision);
+        marks_.pop_front();
+    }
 }
 
 } // namespace jaydrift::soak
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -220,20 +220,26 @@
 
 void tick(soak_state& state, time_ms now, effect_list& effects)
 {
-    for (auto& worker : state.workers)
+    state.store.expire_history(now);
+    for (std::size_t i = 0; i < state.workers.size(); ++i)
     {
-        if (worker.up())
+        auto& worker = state.workers[i];
+        if (!worker.up())
         {
-            worker.advance(state.oracle, now);
+            continue;
+        }
+        worker.advance(state.oracle, now);
+        if (worker.heartbeat(now) && !state.store_outage_until)
+        {
+            publish_worker(state, i);
         }
     }
     // Requests that still wait stay in the sequence of their arrival.
-    auto const waiting = std::exchange(state.requests, {});
-    for (auto const& each : waiting)
+    for (auto& each : std::exchange(state.requests, {}))
     {
         if (!try_answer(state, each, now, effects))
         {
-            state.requests.push_back(each);
+            state.requests.push_back(std::move(each));
         }
     }
 }
--- a/src/jaydrift/soak/simulated_platform_test.cpp
+++ b/src/jaydrift/soak/simulated_platform_test.cpp
@@ -1,4 +1,5 @@
 #include "other_writer.hpp"
+#include "simulated_platform.hpp"
 #include "waiting_check.hpp"
 
 #include <jaydrift/soak/key_value_store.hpp>
@@ -7,6 +8,8 @@
 #include <jaydrift/codec/json.hpp>
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -48,6 +51,30 @@
     return settings;
 }
 
+http::request watch_of(std::string const& prefix, std::uint64_t after)
+{
+    http::request message;
+    message.target =
+        "/api/kv-watch?prefix=" + prefix + "&after=" + std::to_string(after);
+    return message;
+}
+
+/// Returns the number of events of a watch, and the revision from which it
+/// continues.
+std::pair<std::size_t, std::uint64_t> read_watch(key_value_store& store,
+                                                 std::string const& prefix,
+                                                 std::uint64_t after)
+{
+    auto const reply = store.handle(watch_of(prefix, after));
+    if (!reply)
+    {
+        return {0, after};
+    }
+    auto const root = codec::parse_object(reply->body);
+    return {codec::array(root, "events")->Size(),
+            static_cast<std::uint64_t>(codec::integer(root, "atRev"))};
+}
+
 } // namespace
 
 // Guards against a transaction that is applied though an item has changed.
@@ -95,6 +122,80 @@
     EXPECT_FALSE(codec::boolean(codec::parse_object(second->body), "hasMore"));
 }
 
+// Guards against a store that hides how far a daemon is behind, since one reply
+// brings all changes, or that skips changes between two replies.
+TEST(key_value_store, a_watch_brings_a_limited_number_of_changes)
+{
+    key_value_store store;
+    auto const start = store.revision();
+    for (auto i = 0; i < 700; ++i)
+    {
+        store.put("a/" + std::to_string(i), "");
+        store.put("b/", "");
+    }
+    auto const [count, at] = read_watch(store, "a/", start);
+    EXPECT_EQ(count, 500U);
+    EXPECT_LT(at, store.revision());
+    auto const [rest, end] = read_watch(store, "a/", at);
+    EXPECT_EQ(rest, 200U);
+    EXPECT_EQ(end, store.revision());
+}
+
+// Guards against a transaction of which a watch shows only a part.
+TEST(key_value_store, a_limited_reply_has_all_changes_of_a_revision)
+{
+    key_value_store store;
+    auto const start = store.revision();
+    for (auto i = 0; i < 499; ++i)
+    {
+        store.put("a/" + std::to_string(i), "");
+    }
+    store.handle(transaction(
+        R"({"puts":[{"key":"a/x","value":""},{"key":"a/y","value":""}]})"));
+    store.put("a/z", "");
+    auto const [count, at] = read_watch(store, "a/", start);
+    EXPECT_EQ(count, 501U);
+    EXPECT_EQ(read_watch(store, "a/", at).first, 1U);
+}
+
+// Guards against a store that keeps its history for ever, so that a daemon that
+// falls behind never has to read all again, or drops what is still recent.
+TEST(key_value_store, history_is_kept_for_a_while)
+{
+    key_value_store store;
+    auto const start = store.revision();
+    store.put("a/", "");
+    for (auto now = time_ms(0); now <= time_ms(20000); now += time_ms(10))
+    {
+        store.expire_history(now);
+    }
+    EXPECT_EQ(store.handle(watch_of("a/", start))->status, 200U);
+    for (auto now = time_ms(20000); now <= time_ms(21000); now += time_ms(10))
+    {
+        store.expire_history(now);
+    }
+    EXPECT_EQ(store.handle(watch_of("a/", start))->status, 410U);
+    EXPECT_FALSE(store.handle(watch_of("a/", store.revision())));
+}
+
+// Guards against workers whose entries rest, so that a watch has nothing to do.
+TEST(simulated_platform, a_heartbeat_changes_the_entry_of_a_worker)
+{
+    auto state = initial_state(small_options(), {"127.0.0.1:1"}, time_ms(0));
+    effect_list effects;
+    auto const start = state.store.revision();
+    for (auto now = time_ms(0); now < time_ms(15000); now += time_ms(10))
+    {
+        simulated_platform::tick(state, now, effects);
+    }
+    EXPECT_NEAR(
+        static_cast<double>(read_watch(state.store, "servers/", start).first),
+        10, 1);
+    auto const before = state.workers[0].record();
+    EXPECT_TRUE(state.workers[0].heartbeat(time_ms(20000)));
+    EXPECT_NE(state.workers[0].record(), before);
+}
+
 // Guards against a simulated worker that hides faults of the daemons by taking
 // orders of former owners or starting stopped runs.
 TEST(task_worker, refuses_lower_fencing_tokens_and_old_runs)
--- a/src/jaydrift/soak/task_worker.cpp
+++ b/src/jaydrift/soak/task_worker.cpp
@@ -19,12 +19,18 @@
 /// Ends in one reply to a hold; later ones follow when these are acknowledged.
 constexpr std::size_t max_listed_ends = 500;
 
+constexpr time_ms min_heartbeat_interval{1400};
+constexpr std::uint64_t heartbeat_jitter_ms = 200;
+
 } // namespace
 
 task_worker::task_worker(std::string id, std::string address, std::string zone,
                          std::uint64_t seed)
     : id_(std::move(id)), address_(std::move(address)), zone_(std::move(zone)),
-      random_(seed), process_started_at_(time_ms(1))
+      random_(seed), process_started_at_(time_ms(1)),
+      heartbeat_interval_(
+          min_heartbeat_interval
+          + time_ms(static_cast<std::int64_t>(seed % heartbeat_jitter_ms)))
 {
 }
 
@@ -271,7 +277,20 @@
 void task_worker::restart(time_ms now)
 {
     up_ = true;
+    draining = false;
     process_started_at_ = now;
+    sequence_ = 0;
+}
+
+bool task_worker::heartbeat(time_ms now)
+{
+    if (now < next_heartbeat_)
+    {
+        return false;
+    }
+    ++sequence_;
+    next_heartbeat_ = now + heartbeat_interval_;
+    return true;
 }
 
 std::string task_worker::record() const
@@ -283,6 +302,9 @@
     codec::put_field(out, "address", address_);
     codec::put_field(out, "zone", zone_);
     codec::put_field(out, "state", draining ? "draining" : "ready");
+    codec::put_field(out, "version", 1);
+    codec::put_key(out, "sequence");
+    out.Uint64(sequence_);
     codec::put_key(out, "capacity");
     out.StartObject();
     codec::put_field(out, "cpu", capacity_.millicores);
