Let the soak's links carry answers at a limited rate

A slow link delayed each chunk by the same time or cut all bytes. The mode `slow` limits the bytes a second that answers take on each connection.

--- a/include/jaydrift/soak/link_mode.hpp
+++ b/include/jaydrift/soak/link_mode.hpp
@@ -19,7 +19,10 @@
     silent,
 
     /// Requests arrive, but answers do not.
-    one_way
+    one_way,
+
+    /// Answers arrive at a limited rate on each connection.
+    slow
 };
 
 } // namespace jaydrift::soak
--- a/include/jaydrift/soak/set_link.hpp
+++ b/include/jaydrift/soak/set_link.hpp
@@ -4,6 +4,8 @@
 #include <jaydrift/soak/link_id.hpp>
 #include <jaydrift/soak/link_mode.hpp>
 
+#include <cstddef>
+
 namespace jaydrift::soak {
 
 /// Effect: sets the mode of the proxy of a link.
@@ -11,6 +13,9 @@
 {
     link_id link;
     link_mode mode = link_mode::pass;
+
+    /// Limit for each connection if the mode is `slow`.
+    std::size_t bytes_per_second = 0;
 };
 
 } // namespace jaydrift::soak
--- a/src/jaydrift/soak/proxy.cpp
+++ b/src/jaydrift/soak/proxy.cpp
@@ -19,6 +19,7 @@
 using boost::system::error_code;
 
 constexpr std::size_t chunk_bytes = 16384;
+constexpr std::size_t ms_per_second = 1000;
 constexpr std::chrono::milliseconds added_delay{300};
 
 } // namespace
@@ -50,14 +51,15 @@
             });
     }
 
-    void set(link_mode mode)
+    void set(link_mode mode, std::size_t bytes_per_second)
     {
         mode_ = mode;
+        bytes_per_second_ = bytes_per_second;
         for (auto const& each : connections_)
         {
             if (auto const open = each.lock())
             {
-                open->apply(mode);
+                open->apply(mode, bytes_per_second);
             }
         }
     }
@@ -66,7 +68,7 @@
     {
         error_code ignored;
         acceptor_.close(ignored);
-        set(link_mode::reset);
+        set(link_mode::reset, 0);
     }
 
 private:
@@ -99,7 +101,7 @@
         }
 
         /// `silent` and `one_way` last until the connection closes.
-        void apply(link_mode mode)
+        void apply(link_mode mode, std::size_t bytes_per_second)
         {
             if (mode == link_mode::reset)
             {
@@ -108,6 +110,7 @@
             silent_ = silent_ || mode == link_mode::silent;
             one_way_ = one_way_ || mode == link_mode::one_way;
             mode_ = mode;
+            bytes_per_second_ = bytes_per_second;
         }
 
     private:
@@ -133,9 +136,7 @@
                         self->pump(from, to, bytes, timer, to_target);
                         return;
                     }
-                    timer.expires_after(self->mode_ == link_mode::delay
-                                            ? added_delay
-                                            : std::chrono::milliseconds(0));
+                    timer.expires_after(self->delay_of(size, to_target));
                     timer.async_wait([self, &from, &to, &bytes, &timer,
                                       to_target, size](error_code const&) {
                         self->forward(from, to, bytes, timer, to_target, size);
@@ -143,6 +144,19 @@
                 });
         }
 
+        /// Returns how long bytes of a read are kept before they are forwarded.
+        std::chrono::milliseconds delay_of(std::size_t size,
+                                           bool to_target) const
+        {
+            if (mode_ == link_mode::slow && !to_target)
+            {
+                return std::chrono::milliseconds(size * ms_per_second
+                                                 / bytes_per_second_);
+            }
+            return mode_ == link_mode::delay ? added_delay
+                                             : std::chrono::milliseconds(0);
+        }
+
         void forward(tcp::socket& from, tcp::socket& to, buffer& bytes,
                      boost::asio::steady_timer& timer, bool to_target,
                      std::size_t size)
@@ -185,6 +199,7 @@
         buffer up_{};
         buffer down_{};
         link_mode mode_ = link_mode::pass;
+        std::size_t bytes_per_second_ = 0;
         bool silent_ = false;
         bool one_way_ = false;
     };
@@ -197,13 +212,14 @@
             std::make_shared<connection>(std::move(socket), context_);
         connections_.push_back(added);
         added->start(target_, mode_);
-        added->apply(mode_);
+        added->apply(mode_, bytes_per_second_);
     }
 
     boost::asio::io_context& context_;
     tcp::acceptor acceptor_;
     tcp::endpoint target_;
     link_mode mode_ = link_mode::pass;
+    std::size_t bytes_per_second_ = 0;
     std::list<std::weak_ptr<connection>> connections_;
 };
 
@@ -217,6 +233,9 @@
 
 unsigned short proxy::port() const { return state_->port(); }
 
-void proxy::set(link_mode mode) { state_->set(mode); }
+void proxy::set(link_mode mode, std::size_t bytes_per_second)
+{
+    state_->set(mode, bytes_per_second);
+}
 
 } // namespace jaydrift::soak
--- a/src/jaydrift/soak/proxy.hpp
+++ b/src/jaydrift/soak/proxy.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/soak/link_mode.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -31,7 +32,9 @@
 
     /// Sets the mode of open and new connections. A connection that was silent
     /// or one-way stays so: bytes are missing from its stream.
-    void set(link_mode mode);
+    /// `bytes_per_second` is the limit of the answers of each connection in
+    /// the mode `slow`, and must be above 0 there.
+    void set(link_mode mode, std::size_t bytes_per_second = 0);
 
 private:
     class state;
--- a/src/jaydrift/soak/traffic_thread.cpp
+++ b/src/jaydrift/soak/traffic_thread.cpp
@@ -193,7 +193,7 @@
 
     void run(set_link const& output)
     {
-        proxies_.at(output.link)->set(output.mode);
+        proxies_.at(output.link)->set(output.mode, output.bytes_per_second);
     }
 
     void run(print_line const& output) { std::cout << output.text << '\n'; }
