Let workers of the soak drain beside congested links to the store

The soak had no worker that drains, and no link that is slow but open, so it could not show an owner whose view of the workers is old.

Beside the other faults, some workers now drain and leave and some links to the store are slow; these draw from a random source of their own. A phase after the faults congests all links to the store for six seconds, then lets them carry somewhat more than the workers write while a quarter of the workers drain. A start on a worker more than 4 s after its entry said draining, and after the last fault or end of the congestion, is a violation.

--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -11,6 +11,7 @@
 #include <jaydrift/soak/options.hpp>
 #include <jaydrift/soak/oracle.hpp>
 #include <jaydrift/soak/task_worker.hpp>
+#include <jaydrift/soak/worker_drain.hpp>
 
 #include <cstdint>
 #include <map>
@@ -31,16 +32,18 @@
     std::vector<daemon_view> daemons;
     soak::oracle oracle;
 
-    /// Phases of a run. In `recovery` faults are over and accepted work must
-    /// end. In `serving` all workers get serving tasks, which report high tail
-    /// latencies, and in `filling` opportunistic work comes beside them, which
-    /// must end as well. In `cancelling` the long-running submissions are
-    /// cancelled, which must be confirmed. In `stopping_tasks` all cancelled
-    /// tasks must stop.
+    /// Phases of a run. In `scaling_in` the faults are over except for slow
+    /// links to the store, and workers drain and leave. In `recovery` accepted
+    /// work must end. In `serving` all workers get serving tasks, which report
+    /// high tail latencies, and in `filling` opportunistic work comes beside
+    /// them, which must end as well. In `cancelling` the long-running
+    /// submissions are cancelled, which must be confirmed. In `stopping_tasks`
+    /// all cancelled tasks must stop.
     enum class phase : std::uint8_t
     {
         starting,
         faults,
+        scaling_in,
         recovery,
         serving,
         filling,
@@ -66,6 +69,20 @@
     /// When daemons that are stopped in turn get SIGTERM.
     std::map<std::size_t, time_ms> daemon_stops;
 
+    /// Workers that drain, by their numbers.
+    std::map<std::size_t, worker_drain> draining;
+
+    /// Stages of the phase `scaling_in`, which only `scale_in` reads.
+    enum class scale_in_stage : std::uint8_t
+    {
+        calm,
+        congested,
+        draining
+    };
+    scale_in_stage current_scale_in = scale_in_stage::calm;
+    random_source scale_in_random;
+    time_ms next_scale_in;
+
     /// Kind of the last fault, and how many more of this kind follow it in
     /// quick succession.
     std::uint64_t fault_kind = 0;
--- a/src/jaydrift/soak/faults.cpp
+++ b/src/jaydrift/soak/faults.cpp
@@ -1,5 +1,6 @@
 #include "faults.hpp"
 
+#include "fault_helpers.hpp"
 #include "simulated_platform.hpp"
 
 #include <jaydrift/soak/soak_state.hpp>
@@ -30,20 +31,6 @@
 constexpr time_ms stop_grace{6000};
 constexpr std::uint64_t worker_failing_percent = 30;
 
-/// Returns a random time from `low` up to, but not including, `high` (ms).
-time_ms random_time(soak_state& state, std::int64_t low, std::int64_t high)
-{
-    return time_ms(low
-                   + static_cast<std::int64_t>(state.random.below(
-                       static_cast<std::uint64_t>(high - low))));
-}
-
-/// Prints a line that begins with the time in ms.
-void print(effect_list& effects, time_ms now, std::string const& text)
-{
-    effects.push_back(print_line{std::to_string(now.count()) + " " + text});
-}
-
 std::size_t random_daemon(soak_state& state)
 {
     return state.random.below(state.daemons.size());
@@ -106,7 +93,7 @@
     for (std::size_t i = 0; i < state.daemons.size(); ++i)
     {
         state.daemon_stops[i] = at;
-        at += random_time(state, 0, max_stop_interval_ms);
+        at += random_time(state.random, 0, max_stop_interval_ms);
     }
 }
 
@@ -181,12 +168,13 @@
     switch (state.random.below(4))
     {
     case 0:
-        state.store_outage_until = now + random_time(state, 500, 4000);
+        state.store_outage_until = now + random_time(state.random, 500, 4000);
         print(effects, now, "store out");
         return;
     case 1:
         state.lost_answer_percent = 10 + state.random.below(40);
-        state.message_faults_until = now + random_time(state, 1000, 4000);
+        state.message_faults_until =
+            now + random_time(state.random, 1000, 4000);
         print(effects, now, "some answers of the store to writes are lost");
         return;
     case 2:
@@ -195,7 +183,8 @@
         return;
     default:
         begin_link_fault(state, {false, random_daemon(state)},
-                         now + random_time(state, 500, 5000), now, effects);
+                         now + random_time(state.random, 500, 5000), now,
+                         effects);
     }
 }
 
@@ -213,13 +202,14 @@
     switch (state.random.below(5))
     {
     case 0:
-        simulated_platform::crash_worker(state, worker,
-                                         now + random_time(state, 300, 2000));
+        simulated_platform::crash_worker(
+            state, worker, now + random_time(state.random, 300, 2000));
         print(effects, now, "worker " + std::to_string(worker) + " crashes");
         return;
     case 1:
         state.late_order_percent = 2 + state.random.below(8);
-        state.message_faults_until = now + random_time(state, 1000, 4000);
+        state.message_faults_until =
+            now + random_time(state.random, 1000, 4000);
         print(effects, now, "some orders to workers are carried out late");
         return;
     case 2:
@@ -231,11 +221,13 @@
                   + ": task failures switched on or off");
         return;
     case 3:
-        raise_tails(state, now + random_time(state, 2000, 20000), now, effects);
+        raise_tails(state, now + random_time(state.random, 2000, 20000), now,
+                    effects);
         return;
     default:
         begin_link_fault(state, {true, worker},
-                         now + random_time(state, 500, 5000), now, effects);
+                         now + random_time(state.random, 500, 5000), now,
+                         effects);
     }
 }
 
@@ -250,7 +242,8 @@
         print(effects, now, name + " killed");
         return;
     case 1:
-        pause(state, number, now + random_time(state, 300, 4000), effects);
+        pause(state, number, now + random_time(state.random, 300, 4000),
+              effects);
         print(effects, now, name + " paused");
         return;
     case 2:
@@ -299,8 +292,9 @@
     state.next_fault =
         now
         + (state.faults_left_in_series > 0
-               ? random_time(state, 0, max_series_interval_ms)
-               : min_fault_interval + random_time(state, 0, fault_jitter_ms));
+               ? random_time(state.random, 0, max_series_interval_ms)
+               : min_fault_interval
+                     + random_time(state.random, 0, fault_jitter_ms));
 }
 
 } // namespace
@@ -320,7 +314,7 @@
     }
     if (kind == 1)
     {
-        evacuate_zone(state, now + random_time(state, 3000, 9000), now,
+        evacuate_zone(state, now + random_time(state.random, 3000, 9000), now,
                       effects);
         return;
     }
@@ -443,6 +437,10 @@
         until = now;
     }
     state.daemon_stops.clear();
+    for (auto& [worker, drain] : state.draining)
+    {
+        drain.leave = now;
+    }
     for (auto& worker : state.workers)
     {
         worker.failing_percent = 0;
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -3,6 +3,7 @@
 #include "callers.hpp"
 #include "faults.hpp"
 #include "other_writer.hpp"
+#include "scale_in.hpp"
 #include "simulated_platform.hpp"
 #include "waiting_check.hpp"
 
@@ -145,6 +146,7 @@
     state.next_tick = now + tick_interval;
     simulated_platform::tick(state, now, effects);
     faults::tick(state, now, effects);
+    scale_in::tick(state, now, effects);
     switch (state.current_phase)
     {
     case soak_state::phase::starting:
@@ -158,7 +160,16 @@
         callers::tick(state, now, effects);
         faults::begin(state, now, effects);
         other_writer::tick(state, now, effects);
+        scale_in::begin(state, now, effects);
         if (now - state.phase_since >= state.settings.length)
+        {
+            faults::end_all(state, now, effects);
+            enter(state, soak_state::phase::scaling_in, now);
+        }
+        return;
+    case soak_state::phase::scaling_in:
+        callers::tick(state, now, effects);
+        if (scale_in::run(state, now, effects))
         {
             faults::end_all(state, now, effects);
             enter(state, soak_state::phase::recovery, now);
@@ -228,6 +239,7 @@
     state.settings = std::move(settings);
     state.random = random_source(state.settings.seed);
     state.other_writer_random = random_source(~state.settings.seed);
+    state.scale_in_random = random_source(state.settings.seed + 1);
     state.phase_since = now;
     state.next_tick = now;
     state.disturbed_at = now;
--- /dev/null
+++ b/src/jaydrift/soak/scale_in.hpp
@@ -0,0 +1,38 @@
+#ifndef JAYDRIFT_SOAK_SCALE_IN_HPP
+#define JAYDRIFT_SOAK_SCALE_IN_HPP
+
+#include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/soak/effect.hpp>
+
+#include <cstddef>
+
+namespace jaydrift::soak {
+
+struct soak_state;
+
+/// Workers that drain and leave, and congested links from daemons to the store.
+/// They draw from a random source of their own, so that the other faults of a
+/// seed stay the same.
+namespace scale_in {
+
+/// Begins a scale-in or congests a link if one is due.
+void begin(soak_state& state, time_ms now, effect_list& effects);
+
+/// Lets draining workers leave when their time has come. They start again
+/// later.
+void tick(soak_state& state, time_ms now, effect_list& effects);
+
+/// Continues the scale-in that follows the other faults: all links to the store
+/// are congested, and workers drain while the backlog is still being read.
+/// Returns true when it is over.
+bool run(soak_state& state, time_ms now, effect_list& effects);
+
+/// Reports a start on a worker that has been draining for longer than the users
+/// allow.
+void check_start(soak_state& state, std::size_t worker, time_ms now);
+
+} // namespace scale_in
+
+} // namespace jaydrift::soak
+
+#endif // JAYDRIFT_SOAK_SCALE_IN_HPP
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -1,5 +1,7 @@
 #include "simulated_platform.hpp"
 
+#include "scale_in.hpp"
+
 #include <jaydrift/codec/base64.hpp>
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/codec/json.hpp>
@@ -75,13 +77,18 @@
     state.requests.push_back({input.number, {}, message, now + wait, false});
 }
 
+/// `late` is set for an order that was held back on its way.
 http::response handle_order(soak_state& state, std::size_t worker,
-                            http::request const& order, time_ms now)
+                            http::request const& order, bool late, time_ms now)
 {
     try
     {
         auto const starts = state.oracle.start_count();
         auto reply = state.workers[worker].handle(order, state.oracle, now);
+        if (state.oracle.start_count() > starts && !late)
+        {
+            scale_in::check_start(state, worker, now);
+        }
         if (state.oracle.start_count() > starts && state.evacuated_zone
             && state.workers[worker].zone() == *state.evacuated_zone
             && now - std::max(state.evacuated_at, state.disturbed_at)
@@ -115,7 +122,7 @@
             {0, number, order, random_late_time(state, now), true});
         return;
     }
-    auto reply = handle_order(state, number, order, now);
+    auto reply = handle_order(state, number, order, false, now);
     if (is_hold && reply.status == 200
         && !state.workers[number].has_unacknowledged_ends())
     {
@@ -155,7 +162,8 @@
         {
             return false;
         }
-        auto reply = handle_order(state, *waiting.worker, waiting.message, now);
+        auto reply = handle_order(state, *waiting.worker, waiting.message,
+                                  waiting.unanswered, now);
         if (!waiting.unanswered)
         {
             effects.push_back(respond{waiting.number, std::move(reply)});
