Give daemons of the soak time to catch up before workers drain

The other writer's entries are taken away while the links are slow and written again afterwards, workers drain 2.5 s after the congestion, which is longer and narrower, and a slow link among the other faults counts as one.

--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -77,6 +77,7 @@
     {
         calm,
         congested,
+        slow,
         draining
     };
     scale_in_stage current_scale_in = scale_in_stage::calm;
--- a/src/jaydrift/soak/other_writer.cpp
+++ b/src/jaydrift/soak/other_writer.cpp
@@ -246,4 +246,21 @@
     entries.erase(chosen);
 }
 
+void suspend(soak_state& state)
+{
+    for (auto const& [key, area] : state.odd_entries)
+    {
+        state.store.remove(key);
+    }
+}
+
+void resume(soak_state& state, time_ms now, effect_list& effects)
+{
+    auto const text = std::to_string(now.count()) + " odd entry ";
+    for (auto const& [key, area] : state.odd_entries)
+    {
+        write(state, key, areas[area].fields, text, effects);
+    }
+}
+
 } // namespace jaydrift::soak::other_writer
--- a/src/jaydrift/soak/other_writer.hpp
+++ b/src/jaydrift/soak/other_writer.hpp
@@ -16,6 +16,13 @@
 /// Writes, replaces or removes one odd entry if a change is due.
 void tick(soak_state& state, time_ms now, effect_list& effects);
 
+/// Removes all odd entries from the store. Some have hundreds of kilobytes,
+/// which a slow link would carry for longer than the limits of other checks.
+void suspend(soak_state& state);
+
+/// Writes an odd value under each key that `suspend` removed.
+void resume(soak_state& state, time_ms now, effect_list& effects);
+
 } // namespace other_writer
 
 } // namespace jaydrift::soak
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -164,6 +164,7 @@
         if (now - state.phase_since >= state.settings.length)
         {
             faults::end_all(state, now, effects);
+            other_writer::suspend(state);
             enter(state, soak_state::phase::scaling_in, now);
         }
         return;
@@ -172,6 +173,7 @@
         if (scale_in::run(state, now, effects))
         {
             faults::end_all(state, now, effects);
+            other_writer::resume(state, now, effects);
             enter(state, soak_state::phase::recovery, now);
         }
         return;
--- a/src/jaydrift/soak/scale_in.cpp
+++ b/src/jaydrift/soak/scale_in.cpp
@@ -22,7 +22,7 @@
 constexpr std::int64_t min_serving_ms = 2500;
 constexpr std::int64_t max_serving_ms = 8000;
 constexpr std::int64_t min_slow_ms = 1000;
-constexpr std::int64_t max_slow_ms = 6000;
+constexpr std::int64_t max_slow_ms = 4000;
 
 /// One congested link in this many is slower than what the workers write.
 constexpr std::uint64_t congested_one_in = 3;
@@ -30,18 +30,20 @@
 /// One worker in this many drains.
 constexpr std::size_t drained_one_in = 4;
 
-/// Times of `run` since its start: congestion begins, workers drain, end. The
-/// first leaves time to recover from earlier faults.
-constexpr time_ms congestion_start{4000};
-constexpr time_ms drain_start{10000};
-constexpr time_ms end{19000};
-constexpr time_ms serving_time{8000};
+/// Times of `run` since its start: congestion begins and ends, workers drain,
+/// end. There is time to recover from earlier faults, and time for a daemon to
+/// read all entries again between the congestion and the drain.
+constexpr time_ms congestion_start{3000};
+constexpr time_ms congestion_end{10000};
+constexpr time_ms drain_start{12500};
+constexpr time_ms end{20000};
+constexpr time_ms serving_time{7000};
 constexpr time_ms absence{1500};
 
 /// Rates of links in percent of what the workers' heartbeats take. A daemon
-/// that reads all entries again needs some 1.4 s at the lowest rate above 100.
-constexpr std::uint64_t congested_percent = 30;
-constexpr std::uint64_t min_slow_percent = 110;
+/// that reads all entries again needs 1.25 s at the lowest rate above 100.
+constexpr std::uint64_t congested_percent = 25;
+constexpr std::uint64_t min_slow_percent = 120;
 constexpr std::uint64_t slow_percent_jitter = 40;
 constexpr std::size_t min_bytes_per_second = 4096;
 
@@ -134,6 +136,7 @@
         now + random_time(state.scale_in_random, min_slow_ms, max_slow_ms);
     if (!state.faulty_links.contains({false, daemon}))
     {
+        state.disturbed_at = now;
         slow_link(state, daemon, percent, until, now, effects);
     }
 }
@@ -171,15 +174,19 @@
             slow_link(state, i, congested_percent, until, now, effects);
         }
     }
-    if (state.current_scale_in == stage::congested && elapsed >= drain_start)
+    if (state.current_scale_in == stage::congested && elapsed >= congestion_end)
     {
-        state.current_scale_in = stage::draining;
+        state.current_scale_in = stage::slow;
         state.disturbed_at = now;
         auto const percent = random_percent(state);
         for (std::size_t i = 0; i < state.daemons.size(); ++i)
         {
             slow_link(state, i, percent, until, now, effects);
         }
+    }
+    if (state.current_scale_in == stage::slow && elapsed >= drain_start)
+    {
+        state.current_scale_in = stage::draining;
         drain_workers(state, now + serving_time, now, effects);
     }
     return elapsed >= end;
--- a/src/jaydrift/soak/scale_in.hpp
+++ b/src/jaydrift/soak/scale_in.hpp
@@ -23,7 +23,7 @@
 void tick(soak_state& state, time_ms now, effect_list& effects);
 
 /// Continues the scale-in that follows the other faults: all links to the store
-/// are congested, and workers drain while the backlog is still being read.
+/// are congested for a while, and workers drain soon after.
 /// Returns true when it is over.
 bool run(soak_state& state, time_ms now, effect_list& effects);
 
