Read large HTTP bodies in large pieces

Callers' tasks started on draining workers and long-running tasks did not run again, since the owner's watch of the worker entries failed at its time limit with most of the reply unread and was sent again from the same revision.

Cause: Beast reads at most the capacity of its buffer at once, and 512 bytes if that is smaller. The buffer of a new connection is empty and never grows, since the body is taken out after each read. So a body of 226 KB, 500 entries of workers, took 443 reads, and each read takes a turn of the event loop.

http.large_bodies_take_few_turns_of_the_event_loop failed before with 448 and 447 turns for 226 KB, where 100 are allowed, and passes now.

--- a/src/jaydrift/http/connection.cpp
+++ b/src/jaydrift/http/connection.cpp
@@ -1,5 +1,7 @@
 #include "connection.hpp"
 
+#include "read_buffer.hpp"
+
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -104,6 +106,7 @@
 {
     parser_.emplace();
     parser_->body_limit(max_body_bytes);
+    reserve_for_message(buffer_, boost::none);
     beast_http::async_read_header(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](error_code const& error, std::size_t) {
@@ -119,6 +122,7 @@
 
 void connection::read_body()
 {
+    reserve_for_message(buffer_, parser_->content_length_remaining());
     beast_http::async_read(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](error_code const& error, std::size_t) {
--- a/src/jaydrift/http/http_test.cpp
+++ b/src/jaydrift/http/http_test.cpp
@@ -2,7 +2,9 @@
 #include <jaydrift/http/datagram_socket.hpp>
 #include <jaydrift/http/server.hpp>
 
+#include <atomic>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -123,6 +125,45 @@
     EXPECT_EQ(result->progress.length_bytes, 10U);
 }
 
+// Guards against large bodies that are read in small pieces: a busy event loop
+// then takes seconds for them, and a call that reads them fails again and
+// again.
+TEST(http, large_bodies_take_few_turns_of_the_event_loop)
+{
+    constexpr std::size_t body_bytes = 226000;
+    constexpr std::size_t max_turns = 100;
+    boost::asio::io_context server_context;
+    std::size_t server_turns = 0;
+    std::atomic<bool> answered = false;
+    server echo(server_context, any_port,
+                [](request message, server::responder const& respond) {
+                    respond({200, {}, std::move(message.body)});
+                });
+    std::thread serving([&] {
+        run_until(server_context, [&] {
+            ++server_turns;
+            return answered.load();
+        });
+    });
+    boost::asio::io_context context;
+    client http_client(context);
+    std::size_t turns = 0;
+    http_client.call(address_of(echo), "pool", 1,
+                     post(std::string(body_bytes, 'x')), time_ms(9000),
+                     [&](call_result const& result) {
+                         EXPECT_EQ(result.reply.body.size(), body_bytes);
+                         answered = true;
+                     });
+    run_until(context, [&] {
+        ++turns;
+        return answered.load();
+    });
+    serving.join();
+    EXPECT_TRUE(answered);
+    EXPECT_LT(turns, max_turns);
+    EXPECT_LT(server_turns, max_turns);
+}
+
 // Guards against a call that waits for ever because another call gets no
 // response on the only connection of the pool.
 TEST(http, a_call_that_got_no_connection_is_not_sent)
--- a/src/jaydrift/http/server.cpp
+++ b/src/jaydrift/http/server.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/http/server.hpp>
 
 #include "endpoint.hpp"
+#include "read_buffer.hpp"
 
 #include <chrono>
 #include <list>
@@ -87,11 +88,18 @@
             parser_->header_limit(max_header_bytes);
             parser_->body_limit(max_body_bytes);
             reading_since_ = steady::now();
-            beast_http::async_read(socket_, buffer_, *parser_,
-                                   [self = shared_from_this()](
-                                       error_code const& error, std::size_t) {
-                                       self->received(error);
-                                   });
+            reserve_for_message(buffer_, boost::none);
+            beast_http::async_read_header(
+                socket_, buffer_, *parser_,
+                [self = shared_from_this()](error_code const& error,
+                                            std::size_t) {
+                    if (error)
+                    {
+                        self->received(error);
+                        return;
+                    }
+                    self->read_body();
+                });
         }
 
         /// Closes the connection if a request has not arrived in time.
@@ -110,6 +118,16 @@
         }
 
     private:
+        void read_body()
+        {
+            reserve_for_message(buffer_, parser_->content_length_remaining());
+            beast_http::async_read(socket_, buffer_, *parser_,
+                                   [self = shared_from_this()](
+                                       error_code const& error, std::size_t) {
+                                       self->received(error);
+                                   });
+        }
+
         void received(error_code const& error)
         {
             reading_since_.reset();
