Let events that wait go before the next pass over the waiting tasks

Callers got no answer for seconds (504), cancelled tasks ran on for up to 28 s, and long-running tasks that had lost their place were started late, while the owner had half of its core left or was near its limit.

Cause: a pass over the waiting tasks followed every event once 5 ms had gone by since the last one began, and every pass included opportunistic tasks once 40 ms had. It also kept the core from the traffic thread, so replies of the store were read late and the owner took the store to be gone.

Passes now come with the timer. The control loop handles the events that were queued when the timer's last step ended before the timer is due again, and tells the reducer how long that step took; a pass begins when at least as much time as the last one took has gone by since its end, a full one after twice as much.

control_loop_test.events_queued_during_a_timer_step_come_before_the_next failed with the earlier rule; placement_policy.passes_take_at_most_half_of_the_time guards the spacing.

--- a/include/jaydrift/app/daemon_traits.hpp
+++ b/include/jaydrift/app/daemon_traits.hpp
@@ -27,7 +27,7 @@
         return decide::next_timer(current);
     }
 
-    static event timer_event() { return decide::timer_due{}; }
+    static event timer_event(time_ms) { return decide::timer_due{}; }
 };
 
 } // namespace jaydrift::app
--- a/include/jaydrift/app/standin_traits.hpp
+++ b/include/jaydrift/app/standin_traits.hpp
@@ -27,7 +27,7 @@
         return standin::next_timer(current);
     }
 
-    static event timer_event() { return standin::timer_due{}; }
+    static event timer_event(time_ms) { return standin::timer_due{}; }
 };
 
 } // namespace jaydrift::app
--- a/include/jaydrift/process/control_loop.hpp
+++ b/include/jaydrift/process/control_loop.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <concepts>
+#include <cstddef>
 #include <optional>
 #include <utility>
 
@@ -15,7 +16,8 @@
 /// Describes a reducer: its types `state`, `event` and `effect`, and its
 /// functions. `reduce` changes the state and returns a range of effects;
 /// `next_timer` returns when the reducer next needs the event that
-/// `timer_event` returns.
+/// `timer_event` returns; its argument is the time that the step of the timer
+/// event before took.
 template<class Traits>
 concept reducer_traits = requires(typename Traits::state& state,
                                   typename Traits::state const& const_state,
@@ -28,7 +30,7 @@
         Traits::next_timer(const_state)
         } -> std::same_as<time_ms>;
     {
-        Traits::timer_event()
+        Traits::timer_event(now)
         } -> std::convertible_to<typename Traits::event>;
 };
 
@@ -77,7 +79,9 @@
     }
 
     /// Waits for an event or a timer, at most a minute. Handles the event, if
-    /// any, and then the timer if it is due.
+    /// any, and then the timer if it is due and the events that were queued
+    /// when its last step ended have been handled. So neither a long step of
+    /// the timer nor a busy queue starves the other.
     void run_once()
     {
         if (auto const input = events_.pop(wait_limit()))
@@ -90,13 +94,16 @@
                 interpreter_.event_taken(input->waited, events_.size());
             }
             step(input->value);
+            events_before_timer_ -= events_before_timer_ > 0 ? 1 : 0;
         }
-        // Also after an event, so that a busy queue does not delay timers.
         auto const now = clock_.now();
-        if (!events_.finished() && now >= next_timer())
+        if (!events_.finished() && events_before_timer_ == 0
+            && now >= next_timer())
         {
             last_timer_event_ = now;
-            step(Traits::timer_event());
+            step(Traits::timer_event(last_timer_took_));
+            last_timer_took_ = clock_.now() - now;
+            events_before_timer_ = events_.size();
         }
     }
 
@@ -144,6 +151,11 @@
     Interpreter& interpreter_;
     Queue& events_;
     std::optional<time_ms> last_timer_event_;
+    time_ms last_timer_took_;
+
+    /// Events that were queued when the last step of the timer ended and have
+    /// not been handled yet.
+    std::size_t events_before_timer_ = 0;
 };
 
 } // namespace jaydrift::process
--- a/include/jaydrift/schedule/daemon_state.hpp
+++ b/include/jaydrift/schedule/daemon_state.hpp
@@ -29,8 +29,9 @@
     settings options;
     random_source random;
 
-    /// Time of the last event.
+    /// Time of the last event, and of the last `timer_due`.
     time_ms last_event_at;
+    time_ms last_timer_at;
 
     /// Wall clock time minus the time of events.
     time_ms wall_offset;
--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -56,11 +56,13 @@
     /// Something has changed that may allow a task to start.
     bool placement_due = false;
 
-    /// Time of the last pass over the waiting tasks.
+    /// Time of the last pass over the waiting tasks, and how long it took.
     time_ms last_pass;
+    time_ms last_pass_took;
 
-    /// Time of the last pass that considered opportunistic steps too.
+    /// The same of the last pass that considered opportunistic steps too.
     time_ms last_full_pass;
+    time_ms last_full_pass_took;
 
     /// Time of the next pass if nothing changes before.
     time_ms next_pass;
--- a/include/jaydrift/schedule/timer_due.hpp
+++ b/include/jaydrift/schedule/timer_due.hpp
@@ -10,6 +10,9 @@
 {
     /// Wall clock time, for due times and for times in records.
     time_ms wall_time;
+
+    /// Time that the reducer took for the timer event before.
+    time_ms previous_took{0};
 };
 
 } // namespace jaydrift::schedule
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -35,7 +35,7 @@
     {
         return soak::next_timer(current);
     }
-    static event timer_event() { return soak::tick_due{}; }
+    static event timer_event(time_ms) { return soak::tick_due{}; }
 };
 
 /// Carries out effects, prints the last violation of each step that found any,
--- a/src/jaydrift/process/control_loop_test.cpp
+++ b/src/jaydrift/process/control_loop_test.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/process/control_loop.hpp>
 
+#include <functional>
 #include <limits>
 #include <thread>
 #include <vector>
@@ -17,6 +18,13 @@
 constexpr int timer_event_value = -1;
 constexpr int stop_event = -2;
 
+/// A timer event tells how many milliseconds the one before took.
+constexpr int timer_event_after(int previous_ms)
+{
+    constexpr int factor = 100;
+    return timer_event_value - factor * previous_ms;
+}
+
 struct test_state
 {
     time_ms due{std::numeric_limits<std::int64_t>::max()};
@@ -41,7 +49,10 @@
         return {input};
     }
     static time_ms next_timer(state const& current) { return current.due; }
-    static int timer_event() { return timer_event_value; }
+    static int timer_event(time_ms previous_took)
+    {
+        return timer_event_after(static_cast<int>(previous_took.count()));
+    }
 };
 
 /// A clock that shares the time of a virtual clock.
@@ -65,6 +76,10 @@
         {
             events.finish();
         }
+        if (output == timer_event_value && during_timer_step)
+        {
+            during_timer_step();
+        }
     }
     void state_changed(test_state const& state) { steps = state.steps; }
 
@@ -79,6 +94,9 @@
     std::vector<time_ms> waits;
     std::vector<std::size_t> queue_lengths;
     int steps = 0;
+
+    /// Called within each step of the timer.
+    std::function<void()> during_timer_step;
 };
 
 struct control_loop_test : testing::Test
@@ -137,6 +155,26 @@
               (std::vector{50, timer_event_value, 50, timer_event_value}));
 }
 
+// Guards against long steps of the timer that leave time for one event each:
+// the queue then grows without bound.
+TEST_F(control_loop_test,
+       events_queued_during_a_timer_step_come_before_the_next)
+{
+    ASSERT_TRUE(events.post(1));
+    interpreter.during_timer_step = [this] {
+        clock.advance(60_ms);
+        events.deliver(1);
+        events.deliver(1);
+    };
+    clock.advance(10_ms);
+    loop.run_once();
+    loop.run_once();
+    EXPECT_EQ(interpreter.executed, (std::vector{1, timer_event_value, 1}));
+    loop.run_once();
+    EXPECT_EQ(interpreter.executed,
+              (std::vector{1, timer_event_value, 1, 1, timer_event_after(60)}));
+}
+
 // Guards against a full queue that blocks or grows instead of refusing events
 // from outside, and against lost replies to the reducer's own calls.
 TEST_F(control_loop_test, a_full_queue_sheds_calls_but_no_replies)
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -27,14 +27,20 @@
 
 namespace {
 
-/// Shortest time between full passes, which include opportunistic tasks. They
-/// are rarer, since each such task asks the interference model about every
-/// worker.
+/// Shortest time from the beginning of a full pass, which includes
+/// opportunistic tasks, to that of the next one. They are rarer, since each
+/// such task asks the interference model about every worker.
 constexpr time_ms full_pass_interval{40};
 
-/// Shortest time between two passes over the waiting tasks.
+/// The same of any two passes over the waiting tasks.
 constexpr time_ms pass_interval{5};
 
+/// A pass begins only when this many times the duration of the one before have
+/// gone by since that one began, so that passes take at most half of the
+/// control thread's time however long one takes; full passes less.
+constexpr std::int64_t pass_spacing = 2;
+constexpr std::int64_t full_pass_spacing = 3;
+
 /// Time after which there is a pass also without a change.
 constexpr time_ms idle_pass_interval{100};
 
@@ -494,14 +500,38 @@
     return result;
 }
 
+/// Returns the earliest time of the next full pass.
+time_ms next_full_pass_at(shard_state const& shard)
+{
+    return shard.last_full_pass
+           + std::max(full_pass_interval,
+                      shard.last_full_pass_took * full_pass_spacing);
+}
+
 } // namespace
 
+time_ms next_pass_at(shard_state const& shard)
+{
+    auto const earliest =
+        shard.last_pass
+        + std::max(pass_interval, shard.last_pass_took * pass_spacing);
+    return shard.placement_due ? earliest : std::max(earliest, shard.next_pass);
+}
+
+void note_duration(shard_state& shard, time_ms last_pass_took)
+{
+    shard.last_pass_took = last_pass_took;
+    if (shard.last_full_pass == shard.last_pass)
+    {
+        shard.last_full_pass_took = last_pass_took;
+    }
+}
+
 void tick(shard_context& ctx)
 {
     auto& shard = ctx.shard;
     if (shard.ownership.role != owner_role::owner || !ctx.state.config
-        || ctx.now - shard.last_pass < pass_interval
-        || (!shard.placement_due && ctx.now < shard.next_pass))
+        || ctx.now < next_pass_at(shard))
     {
         return;
     }
@@ -509,7 +539,7 @@
     shard.placement_due = false;
     placement_pass pass{ctx,
                         recovery::any_worker_unaccounted(ctx),
-                        ctx.now - shard.last_full_pass >= full_pass_interval,
+                        ctx.now >= next_full_pass_at(shard),
                         ctx.now + idle_pass_interval,
                         0,
                         {},
@@ -523,7 +553,7 @@
     else
     {
         // The change that led to this pass may concern opportunistic tasks.
-        pass.next_pass = shard.last_full_pass + full_pass_interval;
+        pass.next_pass = next_full_pass_at(shard);
     }
     auto const waiting = waiting_by_rank(ctx, pass.full);
     for (auto* const submission : waiting)
--- a/src/jaydrift/schedule/placement_policy_test.cpp
+++ b/src/jaydrift/schedule/placement_policy_test.cpp
@@ -12,6 +12,8 @@
 
 namespace jaydrift::schedule::testing {
 
+using placement_policy::note_duration;
+
 namespace {
 
 /// An owner of one shard with one worker, without anything else than passes.
@@ -112,4 +114,26 @@
     EXPECT_EQ(owner.now(), pause_end);
 }
 
+// Guards against passes that take nearly all of the control thread's time once
+// one takes longer than the interval between them: orders, replies and calls
+// then wait for seconds.
+TEST(placement_policy, passes_take_at_most_half_of_the_time)
+{
+    constexpr int duration_ms = 60;
+    constexpr int observed_ms = 1200;
+    passing_owner owner;
+    auto passes = 0;
+    for (auto left = observed_ms; left > 0; --left)
+    {
+        owner.shard().placement_due = true;
+        if (owner.advance())
+        {
+            ++passes;
+            note_duration(owner.shard(), time_ms(duration_ms));
+        }
+    }
+    EXPECT_GE(passes, 2);
+    EXPECT_LE(passes * duration_ms, observed_ms / 2);
+}
+
 } // namespace jaydrift::schedule::testing
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -17,6 +17,7 @@
 #include <jaydrift/schedule/worker_replies.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -57,6 +58,14 @@
     void operator()(timer_due const& input) const
     {
         ctx.state.wall_offset = input.wall_time - ctx.now;
+        for (auto& shard : ctx.state.shards)
+        {
+            if (shard.last_pass == ctx.state.last_timer_at)
+            {
+                placement_policy::note_duration(shard, input.previous_took);
+            }
+        }
+        ctx.state.last_timer_at = ctx.now;
     }
     void operator()(call_arrived const& input) const
     {
@@ -129,18 +138,35 @@
     {
         tick(ctx);
     }
-    // After every event, since each may allow tasks to start or change records.
+    // Passes over the waiting tasks are the longest steps. With the timer, they
+    // come after the events that arrived during the one before.
+    auto const on_timer = std::holds_alternative<timer_due>(input);
     for (auto& shard : state.shards)
     {
         shard_context shard_ctx(ctx, shard);
-        placement_policy::tick(shard_ctx);
-        waiting_tasks::tick(shard_ctx);
+        if (on_timer)
+        {
+            placement_policy::tick(shard_ctx);
+            waiting_tasks::tick(shard_ctx);
+        }
+        // After every event, since each may change records.
         record_log::tick(shard_ctx);
     }
     state.last_event_at = now;
     return result;
 }
 
-time_ms next_timer(daemon_state const& state) { return state.next_tick; }
+time_ms next_timer(daemon_state const& state)
+{
+    auto result = state.next_tick;
+    for (auto const& shard : state.shards)
+    {
+        if (shard.ownership.role == owner_role::owner && state.config)
+        {
+            result = std::min(result, placement_policy::next_pass_at(shard));
+        }
+    }
+    return result;
+}
 
 } // namespace jaydrift::schedule
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -5,12 +5,14 @@
 #include <jaydrift/schedule/reduce.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace jaydrift::schedule::testing {
 
 namespace {
 
+constexpr time_ms never{std::numeric_limits<std::int64_t>::max()};
 constexpr time_ms network_delay{2};
 constexpr time_ms store_delay{4};
 constexpr time_ms half_store_delay{2};
@@ -130,9 +132,9 @@
     process.state =
         std::make_unique<schedule::daemon_state>(initial_state(options, now_));
     process.up = true;
-    auto const incarnation = ++process.incarnation;
-    after(time_ms(0),
-          [this, daemon, incarnation] { tick(daemon, incarnation); });
+    ++process.incarnation;
+    process.timer_at = now_;
+    schedule_timer(daemon);
 }
 
 void simulated_deployment::stop(std::size_t daemon)
@@ -192,13 +194,30 @@
 void simulated_deployment::tick(std::size_t daemon, std::uint64_t incarnation)
 {
     auto& process = daemons_[daemon];
-    if (!process.up || process.incarnation != incarnation)
+    // The timer may have been set to an earlier time meanwhile.
+    if (process.up && process.incarnation == incarnation
+        && process.timer_at == now_)
     {
-        return;
+        process.timer_at = never;
+        handle(daemon, timer_due{now_});
+    }
+}
+
+void simulated_deployment::set_timer(std::size_t daemon)
+{
+    auto& process = daemons_[daemon];
+    auto const next = std::max(now_ + time_ms(1), next_timer(*process.state));
+    if (process.up && next < process.timer_at)
+    {
+        process.timer_at = next;
+        schedule_timer(daemon);
     }
-    handle(daemon, timer_due{now_});
-    auto const next = next_timer(*process.state);
-    after(std::max(time_ms(1), next - now_),
+}
+
+void simulated_deployment::schedule_timer(std::size_t daemon)
+{
+    auto const incarnation = daemons_[daemon].incarnation;
+    after(daemons_[daemon].timer_at - now_,
           [this, daemon, incarnation] { tick(daemon, incarnation); });
 }
 
@@ -221,6 +240,7 @@
         std::visit([&](auto const& effect) { carry_out(daemon, effect); },
                    output);
     }
+    set_timer(daemon);
     auto const broken = broken_invariant(*daemons_[daemon].state);
     if (!broken.empty() && violations.empty())
     {
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -120,6 +120,9 @@
         std::unique_ptr<schedule::daemon_state> state;
         std::uint64_t incarnation = 0;
         bool up = false;
+
+        /// Time of the next timer event.
+        time_ms timer_at;
     };
 
     /// What the workers have told of a task: its runs by number, with their
@@ -156,6 +159,10 @@
     void handle(std::size_t daemon, event const& input);
     void tick(std::size_t daemon, std::uint64_t incarnation);
 
+    /// Sets the timer of a daemon to the time at which its reducer needs it.
+    void set_timer(std::size_t daemon);
+    void schedule_timer(std::size_t daemon);
+
     void carry_out(std::size_t daemon, store_call const& effect);
     void carry_out(std::size_t daemon, worker_call const& effect);
     void carry_out(std::size_t daemon, send_message const& effect);
