Read an area again when its changes arrive too slowly or are too many

Tasks started on draining workers (DRAIN), and long-running tasks stayed there until the workers left (LOST), since the owner's view of the workers was 10 to 18 s old.

Cause: a view is brought up to date by replaying changes. 350 workers write some 280 entries a second that mostly say the same; one reply brings 500 changes at most; and a reply that took longer than the time limit was dropped and asked for again from the same revision, with all changes since. Once slower than the writers, the view fell further behind until the store had forgotten the changes.

A read of the whole area is bounded by the number of records, whatever was written meanwhile. So the area is read again after a watch whose reply arrived only in part, and after one with more changes than there are records and later ones to come. A silent store leads to no read: after an outage all daemons would read everything at once.

area_watch.reads_the_area_again_if_the_changes_arrive_too_slowly and reads_the_area_again_if_there_are_more_changes_than_records failed without the two conditions.

--- a/include/jaydrift/schedule/watch_state.hpp
+++ b/include/jaydrift/schedule/watch_state.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/time_ms.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -11,11 +12,14 @@
 /// The watch of one area of the store.
 struct watch_state
 {
-    /// The area has been read; the next watch asks for changes after
-    /// `revision`.
+    /// The next call is a watch, which asks for changes after `revision`;
+    /// otherwise it is a read of the whole area.
     bool loaded = false;
     std::uint64_t revision = 0;
 
+    /// Number of records at the last read.
+    std::size_t records = 0;
+
     /// Number of the read or watch in flight, when it was sent, and the highest
     /// revision of the store that was known then.
     std::optional<std::uint64_t> call;
@@ -23,8 +27,8 @@
     std::uint64_t known_when_sent = 0;
 
     /// The view shows all changes that this daemon could have learned of by
-    /// then.
-    time_ms current_at;
+    /// then; absent before the first read.
+    std::optional<time_ms> current_at;
 
     /// A line has reported that the view is out of date.
     bool reported_stale = false;
--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -89,9 +89,10 @@
 constexpr area_handlers const* all_areas[] = {&operators, &coordination,
                                               &worker_entries};
 
+/// @pre The area has been read.
 time_ms age(context const& ctx, watch_state const& watch)
 {
-    return ctx.now - watch.current_at;
+    return ctx.now - *watch.current_at;
 }
 
 std::string milliseconds(time_ms value)
@@ -104,6 +105,10 @@
 std::string view_text(context const& ctx, area_handlers const& handlers)
 {
     auto const& watch = ctx.state.store.*handlers.watch;
+    if (!watch.current_at)
+    {
+        return std::string(handlers.name) + " have not been read yet";
+    }
     return "the view of " + std::string(handlers.name) + " is "
            + milliseconds(age(ctx, watch)) + " old, at revision "
            + std::to_string(watch.revision) + " of "
@@ -151,7 +156,7 @@
     {
         return;
     }
-    auto const before = age(ctx, watch);
+    auto const before = watch.current_at ? age(ctx, watch) : time_ms(0);
     watch.current_at = watch.sent_at;
     if (watch.reported_stale && age(ctx, watch) < stale_after)
     {
@@ -167,7 +172,8 @@
 void report_stale(context& ctx, area_handlers const& handlers)
 {
     auto& watch = ctx.state.store.*handlers.watch;
-    if (watch.loaded && !watch.reported_stale && age(ctx, watch) >= stale_after)
+    if (watch.current_at && !watch.reported_stale
+        && age(ctx, watch) >= stale_after)
     {
         watch.reported_stale = true;
         ctx.log(log_level::warning, "store", view_text(ctx, handlers));
@@ -186,7 +192,7 @@
     {
         auto const& watch = session.*handlers->watch;
         ctx.gauge("view_age_ms", handlers->name,
-                  watch.loaded ? age(ctx, watch).count() : 0);
+                  watch.current_at ? age(ctx, watch).count() : 0);
     }
 }
 
@@ -210,6 +216,28 @@
                    extended_time_limit(read_time_limit, watch.failures));
 }
 
+/// Makes the next call a read of the whole area. The size of a read is bounded
+/// by the number of records, that of the changes since a revision is not.
+void read_again(context& ctx, area_handlers const& handlers,
+                std::string_view reason)
+{
+    (ctx.state.store.*handlers.watch).loaded = false;
+    ctx.count("areas_read_again_total", handlers.name);
+    ctx.log(log_level::info, "store",
+            "reading all " + std::string(handlers.name)
+                + " again: " + std::string(reason));
+}
+
+/// Returns whether a reply to a watch shows that following the changes costs
+/// more than a read: it has more changes than there are records, and there are
+/// later ones.
+bool falls_behind(context const& ctx, watch_state const& watch,
+                  store_replied const& reply)
+{
+    return reply.items.size() > watch.records
+           && reply.revision < ctx.state.store.highest_revision;
+}
+
 /// Handles the reply to a read or watch of an area.
 void area_replied(context& ctx, area_handlers const& handlers,
                   store_replied const& reply)
@@ -222,14 +250,17 @@
     watch.call.reset();
     if (reply.status == store_status::compacted)
     {
-        ctx.log(log_level::info, "store",
-                "the store no longer has all changes since the last reply, "
-                "reading all records again");
-        watch.loaded = false;
+        read_again(ctx, handlers,
+                   "the store no longer has all changes since the last reply");
     }
     else if (reply.status != store_status::ok)
     {
         report_failure(ctx, handlers, reply);
+        if (watch.loaded && reply.progress.received_bytes > 0)
+        {
+            // The same watch would ask for this reply and all later changes.
+            read_again(ctx, handlers, "the changes did not arrive in time");
+        }
         watch.retry_at = ctx.now + retry_pause;
         ++watch.failures;
     }
@@ -238,6 +269,7 @@
         note_age(ctx, handlers, reply);
         watch.loaded = true;
         watch.revision = reply.revision;
+        watch.records = reply.items.size();
         handlers.on_read(ctx, reply.items);
     }
     else
@@ -248,7 +280,11 @@
         {
             handlers.on_change(ctx, item);
         }
-        if (!reply.items.empty())
+        if (falls_behind(ctx, watch, reply))
+        {
+            read_again(ctx, handlers, "there are more changes than records");
+        }
+        else if (!reply.items.empty())
         {
             watch.retry_at = ctx.now + handlers.pause;
         }
--- a/src/jaydrift/schedule/area_watch_test.cpp
+++ b/src/jaydrift/schedule/area_watch_test.cpp
@@ -66,6 +66,18 @@
         answer(reply);
     }
 
+    /// Answers the call about the coordination area, whose reply shows a
+    /// revision of the store.
+    void note_revision(std::uint64_t revision)
+    {
+        ASSERT_TRUE(other_call_);
+        store_replied reply;
+        reply.call = *other_call_;
+        reply.status = store_status::ok;
+        reply.revision = revision;
+        handle(reply);
+    }
+
     std::optional<store_call> const& call() const { return call_; }
     bool waits_for_watch() const
     {
@@ -106,6 +118,10 @@
             {
                 call_ = *call;
             }
+            else if (read && read->area == store_area::coordination)
+            {
+                other_call_ = call->call;
+            }
         }
         else if (auto const* const line = std::get_if<log_line>(&output))
         {
@@ -123,6 +139,7 @@
     time_ms now_{1000};
     daemon_state state_;
     std::optional<store_call> call_;
+    std::optional<std::uint64_t> other_call_;
     std::vector<std::string> lines_;
 };
 
@@ -161,4 +178,49 @@
     EXPECT_LE(view.age, 1100);
 }
 
+// Guards against a view that falls further behind for good: a reply that is too
+// large for the time limit was asked for again from the same revision, with all
+// later changes.
+TEST(area_watch, reads_the_area_again_if_the_changes_arrive_too_slowly)
+{
+    operators_view view;
+    view.answer_with(3, 10);
+    ASSERT_TRUE(view.waits_for_watch());
+    view.answer(broken_off());
+    view.run(time_ms(200));
+    ASSERT_TRUE(view.call());
+    EXPECT_FALSE(view.waits_for_watch());
+    view.answer_with(3, 40);
+    EXPECT_TRUE(view.waits_for_watch());
+}
+
+// Guards against a large read after each call that got no answer, also if
+// nothing has changed meanwhile: all daemons do so at the end of an outage.
+TEST(area_watch, goes_on_with_the_watch_if_the_store_was_silent)
+{
+    operators_view view;
+    view.answer_with(3, 10);
+    view.answer(store_replied{});
+    view.run(time_ms(200));
+    EXPECT_TRUE(view.waits_for_watch());
+}
+
+// Guards against a view that follows changes at a bounded rate, each reply with
+// the largest number that the store returns, and never catches up with the
+// writers.
+TEST(area_watch, reads_the_area_again_if_there_are_more_changes_than_records)
+{
+    operators_view view;
+    view.answer_with(3, 10);
+    view.note_revision(40);
+    view.answer_with(4, 20);
+    ASSERT_TRUE(view.call());
+    EXPECT_FALSE(view.waits_for_watch());
+    view.answer_with(3, 40);
+    EXPECT_TRUE(view.waits_for_watch());
+    // All changes up to the latest one that is known.
+    view.answer_with(4, 50);
+    EXPECT_TRUE(view.waits_for_watch());
+}
+
 } // namespace jaydrift::schedule
