Keep restored runs until their leases have expired

What callers saw: after each change of the owner all tasks of the shard waited again although their runs went on. Their waiting time began anew, long-running ones paused, and every submission was written to the store. The runs were adopted again with the first replies; tasks on a worker that was not fenced within 400 ms counted as `maybe_running`.

Cause: a recovering owner restores the runs that the store knows of, and `workers::tick` checks in the same event whether the leases on workers that are not fenced have expired. `runs_gone_at`, the time of that, was set only at the end of the recovery, so it was still 0 and all runs were dropped.

Evidence: the first two new cases fail on: right after the runs are restored none of 16 tasks has a place.

Change: the time is set where the runs are restored. The end of the recovery only moves it on, for workers listed or started again since. A restored run that a worker does not list is dropped at the worker's first report, as it was in effect before: its start counts as confirmed since the recovery began. The report proves the end, since the worker has seen the new fencing token and refuses later starts of the earlier owner. With the first part alone the third new case fails, since only a second report, up to a second later, would drop the run.

Why this is safe: a run stays where the store has it for as long as its lease can last, and no other run of the task starts meanwhile. A later run elsewhere still replaces it when its worker reports it. Tasks without a place are marked at the end of the recovery as before. Runs of a silent worker are given up at the same time as before (fourth case).

--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -110,10 +110,16 @@
                 run.pace_unknown = run.opportunistic;
                 run.started_at = ctx.now;
                 run.progress_at = ctx.now;
-                run.confirmed_at = ctx.now;
+                // The first report tells whether the worker has the run: it has
+                // seen the new fencing token, so no earlier start can follow.
+                run.confirmed_at = ctx.shard.ownership.role_since;
                 workers::add_run(worker, {id, task.place->run}, std::move(run));
             });
     }
+    for (auto& [id, worker] : ctx.shard.workers)
+    {
+        worker.runs_gone_at = ctx.shard.ownership.unaccounted_until;
+    }
 }
 
 void restore_relocation(shard_context& ctx, relocation_record const& record)
@@ -138,7 +144,10 @@
     for (auto& [id, worker] : ctx.shard.workers)
     {
         worker.unaccounted = !worker.fenced;
-        worker.runs_gone_at = ctx.shard.ownership.unaccounted_until;
+        // A worker may have been listed, or have started again, since the runs
+        // were restored.
+        worker.runs_gone_at = std::max(worker.runs_gone_at,
+                                       ctx.shard.ownership.unaccounted_until);
         unfenced += worker.fenced ? 0 : 1;
     }
     if (unfenced > 0)
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -151,9 +151,7 @@
 {
     if (ctx.now >= worker.runs_gone_at)
     {
-        // No time is set before the end of the recovery.
-        auto const is_set = worker.runs_gone_at > time_ms(0);
-        if (is_set && (worker.unaccounted || !worker.runs.empty()))
+        if (worker.unaccounted || !worker.runs.empty())
         {
             ctx.log(
                 log_level::warning, "worker",
