Move long-running tasks from every draining worker

An owner ordered the long-running tasks of a draining worker to stop only when it saw the entry change. If the change came during a takeover, or while no daemon ran, they stayed there until the worker ended and were lost with it. The same held for runs that a draining worker reported later.

The tick of the workers now looks at the state: an owner stops each long-running run on a worker whose entry is draining, once; stops without a reply are repeated as before. The log line is written once for a worker, also by a new owner. Urgent and opportunistic runs stay: the worker serves on for seconds.

--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -27,6 +27,9 @@
     bool listed = true;
     time_ms unlisted_at;
 
+    /// The owner has written that the worker drains.
+    bool drain_noted = false;
+
     /// The stored fleet record names the worker, so a later owner will ask it
     /// for its runs. No task starts on the worker before that, so a worker that
     /// is new during an outage of the store gets none until its end.
--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -26,9 +26,6 @@
 /// Handles the removal of a worker's entry from the store.
 void entry_removed(shard_context& ctx, std::string_view id);
 
-/// Logs the workers that drain when this daemon begins to serve the shard.
-void report_draining(shard_context& ctx);
-
 /// Handles a restart of the worker's process. Its runs are kept until the first
 /// reply to a hold order tells which of them are gone: some may have been
 /// started in the new process before this daemon heard of it.
@@ -65,8 +62,9 @@
 void pace(shard_context& ctx, worker_state& worker, run_id const& run,
           std::uint32_t percent);
 
-/// Sends hold orders that are due, repeats stop orders and drops the runs of
-/// workers whose lease has expired.
+/// Sends hold orders that are due, stops the long-running tasks of draining
+/// workers, repeats stop orders and drops the runs of workers whose lease has
+/// expired.
 void tick(shard_context& ctx);
 
 /// Returns the length of the leases that an owner grants.
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -163,7 +163,6 @@
                 + std::to_string(ctx.shard.active.size()) + " submissions, "
                 + std::to_string(ctx.shard.workers.size()) + " workers, "
                 + std::to_string(unfenced) + " of them not fenced");
-    workers::report_draining(ctx);
 }
 
 } // namespace
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/submissions.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
@@ -207,43 +208,30 @@
            && ctx.now - worker.unlisted_at >= relisting_time;
 }
 
-/// Returns the long-running tasks of a worker that have not been ordered to
-/// stop.
-std::vector<run_id> long_running_tasks(worker_state const& worker)
+/// Orders the long-running tasks of a draining worker to stop, so that they
+/// move before the worker ends them. Others are left to end there.
+void move_long_running_tasks(shard_context& ctx, worker_state& worker)
 {
-    std::vector<run_id> result;
-    for (auto const& [id, run] : worker.runs)
+    if (!worker.entry.draining)
+    {
+        worker.drain_noted = false;
+        return;
+    }
+    std::size_t moving = 0;
+    for (auto& [id, run] : worker.runs)
     {
         if (run.long_running && run.phase != run_phase::stopping)
         {
-            result.push_back(id);
+            stop(ctx, worker, id);
+            ++moving;
         }
     }
-    return result;
-}
-
-/// Orders all long-running tasks of a worker that begins to drain to stop, so
-/// that they move before the worker ends them. Only an owner that sees the
-/// worker begin does so: if the entry changes while no daemon has the role
-/// `owner`, the tasks stay on the worker.
-void drain_long_running_tasks(shard_context& ctx, worker_state& worker)
-{
-    auto const moving = long_running_tasks(worker);
-    if (ctx.shard.ownership.role != owner_role::owner)
+    if (!worker.drain_noted)
     {
+        worker.drain_noted = true;
         ctx.log(log_level::info, "worker",
-                worker.entry.id + " is draining, "
-                    + std::to_string(moving.size())
-                    + " long-running tasks stay since this daemon does not "
-                      "serve the shard");
-        return;
-    }
-    ctx.log(log_level::info, "worker",
-            worker.entry.id + " is draining, moving "
-                + std::to_string(moving.size()) + " long-running tasks");
-    for (auto const& id : moving)
-    {
-        stop(ctx, worker, id);
+                worker.entry.id + " is draining, moving "
+                    + std::to_string(moving) + " long-running tasks");
     }
 }
 
@@ -263,6 +251,7 @@
             ctx.log(log_level::info, "worker",
                     entry.id + " listed in the store"
                         + (entry.draining ? ", draining" : ""));
+            worker.drain_noted = entry.draining;
         }
     }
     if (entry.process_started_at < worker.entry.process_started_at)
@@ -281,13 +270,13 @@
     }
     auto const drained = std::exchange(worker.entry, entry).draining;
     worker.listed = true;
-    if (entry.draining && !drained)
+    if (drained && !entry.draining)
     {
-        drain_long_running_tasks(ctx, worker);
+        ctx.log(log_level::info, "worker", entry.id + " is no longer draining");
     }
-    else if (drained && !entry.draining)
+    if (ctx.shard.ownership.role == owner_role::owner)
     {
-        ctx.log(log_level::info, "worker", entry.id + " is no longer draining");
+        move_long_running_tasks(ctx, worker);
     }
     ctx.shard.placement_due = true;
 }
@@ -334,20 +323,6 @@
     }
 }
 
-void report_draining(shard_context& ctx)
-{
-    for (auto const& [id, worker] : ctx.shard.workers)
-    {
-        if (worker.entry.draining)
-        {
-            ctx.log(log_level::info, "worker",
-                    id + " was draining before, "
-                        + std::to_string(long_running_tasks(worker).size())
-                        + " long-running tasks stay");
-        }
-    }
-}
-
 run_state reservation(submission_state const& submission, std::uint32_t step)
 {
     auto const& spec = submission.work.steps[step];
@@ -443,6 +418,7 @@
         }
         if (role == owner_role::owner)
         {
+            move_long_running_tasks(ctx, worker);
             repeat_stops(ctx, worker);
         }
     }
