Keep a worker for each long-running task that waits for long

Each pass chose anew which workers to keep free for long-running tasks that had waited for 300 ms, one for each step that was refused, and kept it only from urgent tasks that came later in the same pass. Urgent tasks of an earlier queue or rank took the room before.

A worker is now kept for one task from the pass in which the task has waited for 300 ms until it has a place, has ended, or the worker is no longer usable or large enough. Each waiting task of a step gets one, up to one worker in eight. A kept worker is closed to urgent tasks of any rank and to long-running tasks of other steps; a task of the same step that takes the room gives up its own kept worker in exchange. Memory is not taken back on a worker for a task that it is kept from. The choice among the workers is as before. The state is in worker_state and goes with the shard's.

refused_requests_test marks the worker as kept in its state instead of by a parameter of `choose`; what it checks is the same.

--- a/include/jaydrift/schedule/wait_reason.hpp
+++ b/include/jaydrift/schedule/wait_reason.hpp
@@ -46,7 +46,7 @@
     /// Tasks cannot be started on these workers now.
     no_usable_worker,
 
-    /// The worker is kept free for a long-running task.
+    /// The worker is kept for a long-running task of another step.
     kept_free,
 
     /// Not enough memory or accelerators.
--- a/include/jaydrift/schedule/worker_choice.hpp
+++ b/include/jaydrift/schedule/worker_choice.hpp
@@ -5,7 +5,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <set>
 #include <string_view>
 
 namespace jaydrift::schedule {
@@ -42,10 +41,8 @@
 /// Counts the runs of the step of a task on a worker.
 std::size_t tasks_of_step_on(worker_state const& worker, task_id const& id);
 
-/// Returns the worker that suits the task best, or why none suits. Urgent tasks
-/// get none of the workers in `kept_free`.
-chosen_worker choose(shard_context& ctx, placement_request const& request,
-                     std::set<std::string_view> const& kept_free);
+/// Returns the worker that suits the task best, or why none suits.
+chosen_worker choose(shard_context& ctx, placement_request const& request);
 
 /// Asks all workers about a task that waits. Costs as much as `choose`.
 worker_survey survey(shard_context& ctx, placement_request const& request);
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -7,6 +7,7 @@
 #include <jaydrift/schedule/run_id.hpp>
 #include <jaydrift/schedule/run_state.hpp>
 #include <jaydrift/schedule/serving_image.hpp>
+#include <jaydrift/schedule/task_id.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
 
 #include <cstdint>
@@ -71,6 +72,9 @@
     std::int64_t opportunistic_millicores = 0;
     std::int64_t long_running_millicores = 0;
 
+    /// Long-running task that waits for the worker's room.
+    std::optional<task_id> kept_for;
+
     /// Expected tail latencies of the serving tasks; computed when needed.
     std::vector<serving_image> serving_images;
     bool serving_images_valid = false;
--- a/src/jaydrift/schedule/memory_reclaim.cpp
+++ b/src/jaydrift/schedule/memory_reclaim.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/memory_reclaim.hpp>
 
+#include <jaydrift/schedule/kept_workers.hpp>
 #include <jaydrift/schedule/pace.hpp>
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
@@ -73,6 +74,7 @@
         if (!workers::usable(ctx, worker)
             || !workers::matches_step(worker.entry, request.service,
                                       request.spec)
+            || kept_workers::excludes(worker, request)
             || !fits_but_for_memory(worker, request))
         {
             continue;
--- a/src/jaydrift/schedule/minimum_runs.cpp
+++ b/src/jaydrift/schedule/minimum_runs.cpp
@@ -56,7 +56,7 @@
     {
         return false;
     }
-    auto const choice = worker_choice::choose(ctx, request, {});
+    auto const choice = worker_choice::choose(ctx, request);
     if (!choice.worker)
     {
         refused.add(request);
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -223,8 +223,7 @@
            || worker_choice::choose(ctx,
                                     {id.task, spec, submission.service,
                                      task.failed_on, task.waiting_since,
-                                     worker_choice::rack_for(ctx, spec, step)},
-                                    {})
+                                     worker_choice::rack_for(ctx, spec, step)})
                   .worker;
 }
 
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/placement_policy.hpp>
 
+#include <jaydrift/schedule/kept_workers.hpp>
 #include <jaydrift/schedule/memory_reclaim.hpp>
 #include <jaydrift/schedule/minimum_runs.hpp>
 #include <jaydrift/schedule/pace.hpp>
@@ -17,7 +18,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -48,14 +48,6 @@
 /// between.
 constexpr std::size_t starts_per_pass = 64;
 
-/// Once a long-running task has waited for this long, a worker may be kept free
-/// of new urgent tasks for it, as far as `workers_per_kept_free` allows. Urgent
-/// tasks are small and would otherwise take any room as soon as it gets free.
-constexpr time_ms wait_before_keeping{300};
-
-/// About one worker in this many may be kept free for waiting tasks.
-constexpr std::size_t workers_per_kept_free = 8;
-
 /// In the order of submissions, this many core-milliseconds of opportunistic
 /// work left count like an objective that is 1 ms later. An average submission,
 /// which has 190 core-seconds, comes 5 s after a tiny one.
@@ -78,10 +70,6 @@
     /// Start orders so far.
     std::size_t starts = 0;
 
-    /// IDs of workers that get no more urgent tasks in this pass, since a
-    /// long-running task waits for their room.
-    std::set<std::string_view> kept_free;
-
     /// Requests that found no worker. Those of gangs are left out: the room of
     /// members that found one is given back.
     refused_requests refused;
@@ -169,48 +157,6 @@
                            submission.objective + delay);
 }
 
-/// If the task is long-running and has waited for long, keeps a worker free for
-/// it: of those that would have room if their urgent tasks freed their
-/// processors, the one with the most free processors.
-void keep_worker_free(placement_pass& pass, placement_request const& request)
-{
-    auto& ctx = pass.ctx;
-    if (!request.spec.long_running
-        || ctx.now - request.waiting_since < wait_before_keeping
-        || pass.kept_free.size() * workers_per_kept_free
-               >= ctx.shard.workers.size())
-    {
-        return;
-    }
-    worker_state const* best = nullptr;
-    for (auto const& [id, worker] : ctx.shard.workers)
-    {
-        auto permanent = worker.used;
-        permanent.millicores = worker.long_running_millicores;
-        if (!workers::usable(ctx, worker) || pass.kept_free.contains(id)
-            || !workers::matches_step(worker.entry, request.service,
-                                      request.spec)
-            || !fits(request.spec.demand, worker.entry.capacity - permanent)
-            || (request.spec.max_per_worker > 0
-                && worker_choice::tasks_of_step_on(worker, request.id)
-                       >= request.spec.max_per_worker))
-        {
-            continue;
-        }
-        auto const free = [](worker_state const& each) {
-            return each.entry.capacity.millicores - each.used.millicores;
-        };
-        if (!best || free(worker) > free(*best))
-        {
-            best = &worker;
-        }
-    }
-    if (best)
-    {
-        pass.kept_free.insert(best->entry.id);
-    }
-}
-
 /// Returns whether a task must not start now, and notes why it waits.
 bool is_hindered(placement_pass& pass, step_state& step, task_state const& task)
 {
@@ -270,7 +216,7 @@
                                   worker_choice::rack_for(ctx, spec, step),
                                   tolerance_of(pass, submission)};
         request.pace_limit = starved ? minimum_pace : full_pace;
-        auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
+        auto const choice = worker_choice::choose(ctx, request);
         if (!choice.worker)
         {
             step.reason =
@@ -369,11 +315,10 @@
             step.reason = wait_reason::skipped;
             break;
         }
-        auto const choice = worker_choice::choose(ctx, request, pass.kept_free);
+        auto const choice = worker_choice::choose(ctx, request);
         if (!choice.worker)
         {
             step.reason = choice.refusal;
-            keep_worker_free(pass, request);
             make_room(pass, request, choice.refusal);
             pass.refused.add(request);
             note_refusal(pass, submission, choice.refusal);
@@ -384,6 +329,10 @@
         auto const number = task_placement::next_run(ctx, task);
         task_placement::reserve(ctx, submission, id, *choice.worker, number,
                                 full_pace);
+        if (spec.long_running)
+        {
+            kept_workers::placed(ctx, id, *choice.worker);
+        }
         submission.starved = false;
         workers::start(ctx, *choice.worker, {id, number});
         ++pass.starts;
@@ -543,7 +492,6 @@
                         ctx.now + idle_pass_interval,
                         0,
                         {},
-                        {},
                         false,
                         false};
     if (pass.full)
@@ -556,6 +504,7 @@
         pass.next_pass = next_full_pass_at(shard);
     }
     auto const waiting = waiting_by_rank(ctx, pass.full);
+    kept_workers::update(ctx, waiting, pass.unaccounted);
     for (auto* const submission : waiting)
     {
         if (pass.full && submission->minimum_run)
--- a/src/jaydrift/schedule/refused_requests_test.cpp
+++ b/src/jaydrift/schedule/refused_requests_test.cpp
@@ -15,7 +15,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -108,7 +107,6 @@
         add_worker(ctx, i, random);
     }
     refused_requests refused;
-    std::set<std::string_view> kept_free;
     std::deque<step_spec> steps;
     for (auto i = 0; i < 200; ++i)
     {
@@ -117,7 +115,7 @@
                                   random.below(4) == 0 ? "other" : "svc");
         request.id.submission = id_of(i);
         auto const covered = refused.cover(request);
-        auto const choice = worker_choice::choose(ctx, request, kept_free);
+        auto const choice = worker_choice::choose(ctx, request);
         if (choice.worker && covered)
         {
             return false;
@@ -136,7 +134,7 @@
         }
         if (random.below(40) == 0)
         {
-            kept_free.insert(ctx.shard.workers.begin()->first);
+            ctx.shard.workers.begin()->second.kept_for = request.id;
         }
     }
     return true;
--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/worker_choice.hpp>
 
 #include <jaydrift/schedule/interference.hpp>
+#include <jaydrift/schedule/kept_workers.hpp>
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/worker_survey.hpp>
@@ -252,17 +253,14 @@
     return count;
 }
 
-chosen_worker choose(shard_context& ctx, placement_request const& request,
-                     std::set<std::string_view> const& kept_free)
+chosen_worker choose(shard_context& ctx, placement_request const& request)
 {
     chosen_worker best;
     auto best_value = 0.0;
-    auto const urgent =
-        !request.spec.opportunistic && !request.spec.long_running;
     for (auto& [id, worker] : ctx.shard.workers)
     {
-        auto const result =
-            score(ctx, worker, request, urgent && kept_free.contains(id));
+        auto const result = score(ctx, worker, request,
+                                  kept_workers::excludes(worker, request));
         if (auto const* const refusal = std::get_if<wait_reason>(&result))
         {
             best.refusal = std::max(best.refusal, *refusal);
