Measure a pass over the waiting tasks of 350 workers

The bench had figures for 48 workers only. The new one fills 350 workers with long-running tasks, so that urgent and long-running tasks find no place, and lets 200 opportunistic submissions wait as well.

--- a/bench/scheduler.cpp
+++ b/bench/scheduler.cpp
@@ -1,4 +1,5 @@
 #include <jaydrift/codec/record_codec.hpp>
+#include <jaydrift/core/resources.hpp>
 #include <jaydrift/schedule/context.hpp>
 #include <jaydrift/schedule/daemon_state.hpp>
 #include <jaydrift/schedule/event.hpp>
@@ -45,6 +46,32 @@
     double hold_reply = 0;
 };
 
+/// What runs on each worker before submissions are made to wait.
+struct worker_fill
+{
+    std::uint32_t serving_per_worker;
+    std::uint32_t serving_images;
+    resources serving_demand;
+    std::uint32_t opportunistic_per_worker;
+    std::uint32_t opportunistic_images;
+    resources opportunistic_demand;
+};
+
+constexpr worker_fill half_full{2, 5, {3200, 6400, 0}, 13, 9, {2000, 3000, 0}};
+
+/// Long-running tasks leave too few processors for another one or for an
+/// average urgent task.
+constexpr worker_fill nearly_full{4, 10, {14500, 26000, 0},
+                                  6, 18, {3000, 13000, 0}};
+
+/// Numbers of submissions that wait.
+struct backlog
+{
+    std::size_t opportunistic = 0;
+    std::size_t urgent = 0;
+    std::size_t long_running = 0;
+};
+
 /// Measures the time that the reducer takes for the decisions of the owner of
 /// one shard with a given number of workers, without any input or output.
 class owner_bench
@@ -99,17 +126,20 @@
                        [this](std::size_t) { advance(time_ms(1000)); });
     }
 
-    /// Fills every worker with two serving tasks near their latency target and
-    /// thirteen opportunistic tasks, lets the given numbers of submissions
-    /// wait, and returns the costs of the owner's parts.
-    backlog_costs with_backlog(std::size_t opportunistic, std::size_t urgent,
+    /// Fills every worker with serving tasks near their latency target and with
+    /// opportunistic tasks, lets the given numbers of submissions wait, and
+    /// returns the costs of the owner's parts.
+    backlog_costs with_backlog(worker_fill const& fill, backlog const& waiting,
                                std::size_t rounds)
     {
-        fill_workers();
-        for (std::size_t i = 0; i < opportunistic + urgent; ++i)
+        fill_workers(fill);
+        auto const firm = waiting.long_running + waiting.urgent;
+        for (std::size_t i = 0; i < waiting.opportunistic + firm; ++i)
         {
-            submit(i < opportunistic ? opportunistic_submission(i)
-                                     : urgent_submission(i));
+            submit(i < waiting.opportunistic ? opportunistic_submission(i, fill)
+                   : i < waiting.opportunistic + waiting.urgent
+                       ? urgent_submission(i, fill)
+                       : long_running_submission(i, fill));
             if (i % submissions_between_runs == 0)
             {
                 run_for(answer_interval, near_target_ms);
@@ -179,6 +209,7 @@
 
 private:
     static constexpr time_ms tick_interval{20};
+    static constexpr resources worker_capacity{64000, 250000, 0};
     static constexpr time_ms latency_target{24};
 
     /// Tail latencies at which opportunistic tasks start, and at which they
@@ -186,10 +217,6 @@
     static constexpr std::int64_t far_below_target_ms = 4;
     static constexpr std::int64_t near_target_ms = 21;
 
-    static constexpr std::uint32_t serving_per_worker = 2;
-    static constexpr std::uint32_t opportunistic_per_worker = 13;
-    static constexpr std::uint32_t opportunistic_images = 9;
-    static constexpr std::uint32_t serving_images = 5;
     static constexpr std::size_t submissions_between_runs = 8;
     static constexpr time_ms answer_interval{100};
 
@@ -232,14 +259,15 @@
 
     /// Returns an opportunistic submission of two steps. Those with different
     /// numbers differ in image and demand.
-    submission opportunistic_submission(std::size_t number) const
+    submission opportunistic_submission(std::size_t number,
+                                        worker_fill const& fill) const
     {
         step_spec spec;
         spec.count = 8;
         spec.demand = {1200 + static_cast<std::int64_t>(number % 17) * 100,
                        3000, 0};
         spec.estimate = time_ms(2000 + static_cast<int>(number % 7) * 300);
-        spec.image = "o-" + std::to_string(number % opportunistic_images);
+        spec.image = "o-" + std::to_string(number % fill.opportunistic_images);
         spec.opportunistic = true;
         spec.checkpoints = true;
         submission work;
@@ -250,12 +278,16 @@
 
     /// Returns an urgent submission of two steps that finds no worker with
     /// enough free processors.
-    submission urgent_submission(std::size_t number) const
+    submission urgent_submission(std::size_t number,
+                                 worker_fill const& fill) const
     {
         step_spec spec;
         spec.count = 6;
-        spec.demand = {60000 + static_cast<std::int64_t>(number % 17) * 100,
-                       2000, 0};
+        spec.demand = {
+            worker_capacity.millicores
+                - fill.serving_per_worker * fill.serving_demand.millicores
+                + 1700 + static_cast<std::int64_t>(number % 17) * 100,
+            2000, 0};
         spec.estimate = time_ms(600);
         submission work;
         work.steps = {spec, spec};
@@ -263,6 +295,29 @@
         return work;
     }
 
+    /// Returns a submission of four long-running tasks that find no worker with
+    /// enough free processors.
+    submission long_running_submission(std::size_t number,
+                                       worker_fill const& fill) const
+    {
+        submission work;
+        work.steps = {serving_step(number, fill)};
+        work.steps[0].count = 4;
+        return work;
+    }
+
+    /// Returns a step with one serving task for each of some workers.
+    step_spec serving_step(std::size_t number, worker_fill const& fill) const
+    {
+        step_spec spec;
+        spec.demand = fill.serving_demand;
+        spec.max_per_worker = 1;
+        spec.latency_target = latency_target;
+        spec.long_running = true;
+        spec.image = "s-" + std::to_string(number % fill.serving_images);
+        return spec;
+    }
+
     /// Submits work under the next ID.
     void submit(submission work)
     {
@@ -279,34 +334,30 @@
 
     /// Starts serving tasks, then opportunistic ones, and reports that the
     /// former are near their target.
-    void fill_workers()
+    void fill_workers(worker_fill const& fill)
     {
         auto const workers =
             static_cast<std::uint32_t>(state_.shards[0].workers.size());
-        step_spec serving;
-        serving.count = workers / serving_images;
-        serving.demand = {3200, 6400, 0};
-        serving.max_per_worker = 1;
-        serving.latency_target = latency_target;
-        serving.long_running = true;
-        for (std::uint32_t i = 0; i < serving_per_worker * serving_images; ++i)
+        for (std::uint32_t i = 0;
+             i < fill.serving_per_worker * fill.serving_images; ++i)
         {
             submission work;
-            serving.image = "s-" + std::to_string(i % serving_images);
-            work.steps = {serving};
+            work.steps = {serving_step(i, fill)};
+            work.steps[0].count = workers / fill.serving_images;
             submit(work);
         }
         run_for(time_ms(3000), far_below_target_ms);
-        step_spec fill;
-        fill.count = workers * opportunistic_per_worker / opportunistic_images;
-        fill.demand = {2000, 3000, 0};
-        fill.opportunistic = true;
-        fill.checkpoints = true;
-        for (std::uint32_t i = 0; i < opportunistic_images; ++i)
+        step_spec spec;
+        spec.count =
+            workers * fill.opportunistic_per_worker / fill.opportunistic_images;
+        spec.demand = fill.opportunistic_demand;
+        spec.opportunistic = true;
+        spec.checkpoints = true;
+        for (std::uint32_t i = 0; i < fill.opportunistic_images; ++i)
         {
             submission work;
-            fill.image = "o-" + std::to_string(i);
-            work.steps = {fill};
+            spec.image = "o-" + std::to_string(i);
+            work.steps = {spec};
             submit(work);
         }
         run_for(time_ms(6000), far_below_target_ms);
@@ -351,9 +402,8 @@
     {
         auto const id = "i-" + std::to_string(number);
         auto& worker = state_.shards[0].workers[id];
-        worker.entry = {id,    "svc",      "10.1.0.1:80",
-                        "a",   {"k", "r"}, {64000, 250000, 0},
-                        false, time_ms(1)};
+        worker.entry = {id,         "svc",           "10.1.0.1:80", "a",
+                        {"k", "r"}, worker_capacity, false,         time_ms(1)};
         worker.in_fleet_record = true;
         worker.fenced = true;
         worker.process_confirmed = true;
@@ -529,6 +579,32 @@
     return bytes == 0 ? 0.0 : elapsed.count() / count;
 }
 
+/// Prints the costs of the owner of a number of workers while submissions wait.
+void print_backlog_costs(std::size_t workers, worker_fill const& fill,
+                         backlog const& waiting, std::size_t rounds)
+{
+    owner_bench bench(workers);
+    auto const costs = bench.with_backlog(fill, waiting, rounds);
+    auto const suffix =
+        "_" + std::to_string(waiting.opportunistic) + "_opportunistic_"
+        + std::to_string(waiting.urgent) + "_urgent"
+        + (waiting.long_running == 0
+               ? ": "
+               : "_" + std::to_string(waiting.long_running) + "_long_running_"
+                     + std::to_string(workers) + "_workers: ");
+    std::cout << "waiting" << suffix << bench.waiting_submissions()
+              << " submissions\n"
+              << "runs_per_worker" << suffix << bench.runs_per_worker()
+              << " runs\n"
+              << "full_pass" << suffix
+              << costs.full_pass - costs.event_without_pass << " us\n"
+              << "other_pass" << suffix
+              << costs.other_pass - costs.event_without_pass << " us\n"
+              << "idle_tick" << suffix
+              << costs.idle_tick - costs.event_without_pass << " us\n"
+              << "hold_reply" << suffix << costs.hold_reply << " us\n";
+}
+
 } // namespace
 
 int main()
@@ -547,28 +623,12 @@
         std::cout << "submission_of_4_tasks" << suffix
                   << work - ticked_seconds_per_submission * idle << " us\n";
     }
-    constexpr std::pair<std::size_t, std::size_t> backlogs[] = {
-        {0, 0}, {100, 0}, {400, 0}, {0, 150}, {400, 150}};
-    for (auto const& [opportunistic, urgent] : backlogs)
+    constexpr backlog backlogs[] = {
+        {0, 0, 0}, {100, 0, 0}, {400, 0, 0}, {0, 150, 0}, {400, 150, 0}};
+    for (auto const& waiting : backlogs)
     {
-        constexpr std::size_t workers = 48;
-        constexpr std::size_t rounds = 200;
-        owner_bench bench(workers);
-        auto const costs = bench.with_backlog(opportunistic, urgent, rounds);
-        auto const suffix = "_" + std::to_string(opportunistic)
-                            + "_opportunistic_" + std::to_string(urgent)
-                            + "_urgent: ";
-        std::cout << "waiting" << suffix << bench.waiting_submissions()
-                  << " submissions\n"
-                  << "runs_per_worker" << suffix << bench.runs_per_worker()
-                  << " runs\n"
-                  << "full_pass" << suffix
-                  << costs.full_pass - costs.event_without_pass << " us\n"
-                  << "other_pass" << suffix
-                  << costs.other_pass - costs.event_without_pass << " us\n"
-                  << "idle_tick" << suffix
-                  << costs.idle_tick - costs.event_without_pass << " us\n"
-                  << "hold_reply" << suffix << costs.hold_reply << " us\n";
+        print_backlog_costs(48, half_full, waiting, 200);
     }
+    print_backlog_costs(350, nearly_full, {200, 50, 10}, 20);
     return EXIT_SUCCESS;
 }
