Look up what a placement pass needs once, not for every worker

Cause: for each waiting task, `choose` compared the service, the label and the zone of every worker with strings, and for opportunistic tasks it looked up the weight of their image in the model of each worker's serving images by name and computed the whole expected tail, also on workers that refuse the task for their processors. With 350 workers and a backlog, this was half of a full pass, and the walks over all workers most of the rest.

Change: `usable_workers` searches the usable workers of each service and label once in a pass; `choose`, `keep_worker_free` and `make_room` take them as a span. `neighbour_weights` looks the weights up once for each choice; serving images know the index of their model. The check of what is left over comes before the tail, and the tail ends at the first serving image that exceeds the tolerance. The ID with which the runs of a step are counted is built once. The images of a worker are still brought up to date at the same points as before, so that no choice changes.

The property test compares choices with a reference that asks each worker in full.

--- a/include/jaydrift/schedule/interference.hpp
+++ b/include/jaydrift/schedule/interference.hpp
@@ -7,6 +7,7 @@
 
 struct interference_model;
 struct interference_record;
+class neighbour_weights;
 struct shard_context;
 struct run_state;
 struct worker_state;
@@ -34,12 +35,16 @@
 /// Returns the processors that a run uses, as a share of the worker's.
 double used_share(worker_state const& worker, run_state const& run);
 
+/// Computes `worker.serving_images` unless they are valid.
+void prepare(interference_model const& model, worker_state& worker);
+
 /// Returns the expected tail latency of the worker's serving tasks, relative to
 /// its target, if a task of the neighbour's image uses `share` of the worker's
 /// processors as well. Of several serving tasks the worst one counts; 0 if
-/// there is none. Fills `worker.serving_images`.
-double expected_tail(interference_model const& model, worker_state& worker,
-                     std::string_view neighbour, double share);
+/// there is none. If the result is above `limit`, it may be too low.
+/// @pre `worker.serving_images` are valid and `share` is not negative.
+double expected_tail(neighbour_weights const& weights,
+                     worker_state const& worker, double share, double limit);
 
 } // namespace interference
 
--- a/include/jaydrift/schedule/interference_model.hpp
+++ b/include/jaydrift/schedule/interference_model.hpp
@@ -4,8 +4,11 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/linear_model.hpp>
 
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace jaydrift::schedule {
 
@@ -14,7 +17,10 @@
 /// of the logarithm of the tail latency.
 struct interference_model
 {
-    std::map<std::string, linear_model, std::less<>> by_serving_image;
+    std::vector<linear_model> models;
+
+    /// Indexes into `models` by serving image; they never change.
+    std::map<std::string, std::size_t, std::less<>> indexes;
 
     /// Last time at which old samples were made to count less.
     time_ms decayed_at;
--- a/include/jaydrift/schedule/worker_choice.hpp
+++ b/include/jaydrift/schedule/worker_choice.hpp
@@ -16,6 +16,7 @@
 struct step_state;
 struct submission_state;
 struct task_id;
+struct worker_group;
 struct worker_state;
 struct worker_survey;
 
@@ -44,6 +45,10 @@
 /// Returns the worker that suits the task best, or why none suits.
 chosen_worker choose(shard_context& ctx, placement_request const& request);
 
+/// Does the same for a caller that knows the workers for the request.
+chosen_worker choose(shard_context& ctx, placement_request const& request,
+                     worker_group const& group);
+
 /// Asks all workers about a task that waits. Costs as much as `choose`.
 worker_survey survey(shard_context& ctx, placement_request const& request);
 
--- a/src/jaydrift/schedule/interference.cpp
+++ b/src/jaydrift/schedule/interference.cpp
@@ -1,10 +1,13 @@
 #include <jaydrift/schedule/interference.hpp>
 
 #include <jaydrift/schedule/interference_record.hpp>
+#include <jaydrift/schedule/neighbour_weights.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -61,6 +64,31 @@
     return after;
 }
 
+/// Returns the index of the model of a serving image, nothing if there is none.
+std::optional<std::size_t> index_of(interference_model const& model,
+                                    std::string_view serving)
+{
+    auto const found = model.indexes.find(serving);
+    return found == model.indexes.end() ? std::nullopt
+                                        : std::optional(found->second);
+}
+
+/// Returns the model of a serving image; null if it is new and there are as
+/// many as allowed.
+linear_model* find_or_add(interference_model& model, std::string const& serving)
+{
+    if (auto const known = index_of(model, serving))
+    {
+        return &model.models[*known];
+    }
+    if (model.models.size() >= max_images)
+    {
+        return nullptr;
+    }
+    model.indexes.emplace(serving, model.models.size());
+    return &model.models.emplace_back(unknown_weight);
+}
+
 /// Adds a sample: the change of a serving task's tail latency and that of its
 /// neighbours' use since the last report.
 void learn_task(interference_model& model, run_state& serving,
@@ -68,14 +96,14 @@
 {
     auto const tail = std::log(static_cast<double>(serving.load));
     auto const before = std::exchange(serving.last_log_tail, tail);
-    auto& models = model.by_serving_image;
-    if (!before || change.empty()
-        || (models.size() >= max_images && !models.contains(serving.image)))
+    if (!before || change.empty())
     {
         return;
     }
-    models.try_emplace(serving.image, unknown_weight)
-        .first->second.add(change, tail - *before);
+    if (auto* const known = find_or_add(model, serving.image))
+    {
+        known->add(change, tail - *before);
+    }
 }
 
 /// Returns the growth of the logarithm of a tail latency that is expected from
@@ -120,7 +148,7 @@
             known->relative_tail = std::max(known->relative_tail, tail);
             continue;
         }
-        worker.serving_images.push_back({image, tail});
+        worker.serving_images.push_back({image, tail, index_of(model, image)});
     }
     for (auto& each : worker.serving_images)
     {
@@ -137,7 +165,7 @@
     if (ctx.now - model.decayed_at >= decay_interval)
     {
         model.decayed_at = ctx.now;
-        for (auto& [image, each] : model.by_serving_image)
+        for (auto& each : model.models)
         {
             each.decay_and_solve(kept_per_decay);
         }
@@ -161,9 +189,10 @@
 interference_record to_record(interference_model const& model)
 {
     interference_record result;
-    for (auto const& [image, each] : model.by_serving_image)
+    for (auto const& [image, index] : model.indexes)
     {
-        result.by_serving_image.emplace(image, each.learned_weights());
+        result.by_serving_image.emplace(image,
+                                        model.models[index].learned_weights());
     }
     return result;
 }
@@ -172,15 +201,14 @@
 {
     for (auto const& [image, weights] : record.by_serving_image)
     {
-        if (model.by_serving_image.size() >= max_images)
+        auto* const each = find_or_add(model, image);
+        if (!each)
         {
             return;
         }
-        auto& each = model.by_serving_image.try_emplace(image, unknown_weight)
-                         .first->second;
         for (auto const& [neighbour, known] : weights)
         {
-            each.restore(neighbour, known);
+            each->restore(neighbour, known);
         }
     }
 }
@@ -188,10 +216,8 @@
 double weight(interference_model const& model, std::string_view serving,
               std::string_view neighbour)
 {
-    auto const& models = model.by_serving_image;
-    auto const known = models.find(serving);
-    return known == models.end() ? unknown_weight
-                                 : known->second.weight(neighbour);
+    auto const known = index_of(model, serving);
+    return known ? model.models[*known].weight(neighbour) : unknown_weight;
 }
 
 double used_share(worker_state const& worker, run_state const& run)
@@ -207,18 +233,29 @@
     return millicores / capacity;
 }
 
-double expected_tail(interference_model const& model, worker_state& worker,
-                     std::string_view neighbour, double share)
+void prepare(interference_model const& model, worker_state& worker)
 {
     if (!worker.serving_images_valid)
     {
         update_serving_images(model, worker);
     }
+}
+
+double expected_tail(neighbour_weights const& weights,
+                     worker_state const& worker, double share, double limit)
+{
     auto worst = 0.0;
     for (auto const& each : worker.serving_images)
     {
-        auto const growth = weight(model, each.image, neighbour) * share;
-        worst = std::max(worst, each.relative_tail * std::exp(growth));
+        // The growth is never negative.
+        worst = std::max(worst, each.relative_tail > limit
+                                    ? each.relative_tail
+                                    : each.relative_tail
+                                          * std::exp(weights.of(each) * share));
+        if (worst > limit)
+        {
+            break;
+        }
     }
     return worst;
 }
--- a/src/jaydrift/schedule/memory_reclaim.cpp
+++ b/src/jaydrift/schedule/memory_reclaim.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/step_spec.hpp>
+#include <jaydrift/schedule/worker_group.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <cstdint>
@@ -64,22 +65,20 @@
 
 } // namespace
 
-bool make_room(shard_context& ctx, placement_request const& request)
+bool make_room(shard_context& ctx, placement_request const& request,
+               worker_group const& group)
 {
     auto const demand = request.spec.demand.memory_mb;
     worker_state* best = nullptr;
     std::int64_t best_idle = 0;
-    for (auto& [id, worker] : ctx.shard.workers)
+    for (auto* const worker : group.usable)
     {
-        if (!workers::usable(ctx, worker)
-            || !workers::matches_step(worker.entry, request.service,
-                                      request.spec)
-            || kept_workers::excludes(worker, request)
-            || !fits_but_for_memory(worker, request))
+        if (kept_workers::excludes(*worker, request)
+            || !fits_but_for_memory(*worker, request))
         {
             continue;
         }
-        auto const memory = measure(worker);
+        auto const memory = measure(*worker);
         if (memory.free + memory.stopping >= demand)
         {
             return true;
@@ -87,7 +86,7 @@
         if (memory.free + memory.stopping + memory.idle >= demand
             && (!best || memory.idle > best_idle))
         {
-            best = &worker;
+            best = worker;
             best_idle = memory.idle;
         }
     }
--- a/src/jaydrift/schedule/minimum_runs.cpp
+++ b/src/jaydrift/schedule/minimum_runs.cpp
@@ -7,6 +7,7 @@
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/task_placement.hpp>
+#include <jaydrift/schedule/usable_workers.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
@@ -30,8 +31,9 @@
 
 /// Starts the first task of the step that may start, if a worker has memory for
 /// it.
-bool start_task(shard_context& ctx, refused_requests& refused,
-                submission_state& submission, task_id id, bool unaccounted)
+bool start_task(shard_context& ctx, usable_workers& usable,
+                refused_requests& refused, submission_state& submission,
+                task_id id, bool unaccounted)
 {
     auto& step = submission.occurrences[id.occurrence].steps[id.step];
     auto const& spec = submission.work.steps[id.step];
@@ -56,7 +58,7 @@
     {
         return false;
     }
-    auto const choice = worker_choice::choose(ctx, request);
+    auto const choice = worker_choice::choose(ctx, request, usable.of(request));
     if (!choice.worker)
     {
         refused.add(request);
@@ -80,8 +82,9 @@
     return true;
 }
 
-bool start_any_task(shard_context& ctx, refused_requests& refused,
-                    submission_state& submission, bool unaccounted)
+bool start_any_task(shard_context& ctx, usable_workers& usable,
+                    refused_requests& refused, submission_state& submission,
+                    bool unaccounted)
 {
     for (std::uint32_t occurrence = 0;
          occurrence < submission.occurrences.size(); ++occurrence)
@@ -92,7 +95,7 @@
             auto const& spec = submission.work.steps[step];
             if (steps[step].ready && steps[step].waiting_tasks > 0
                 && spec.opportunistic && !spec.gang
-                && start_task(ctx, refused, submission,
+                && start_task(ctx, usable, refused, submission,
                               {submission.id, occurrence, step, 0},
                               unaccounted))
             {
@@ -127,6 +130,7 @@
               [](auto const* left, auto const* right) {
                   return left->idle_since < right->idle_since;
               });
+    usable_workers usable(ctx);
     refused_requests refused;
     std::size_t started = 0;
     for (auto* const each : starved)
@@ -135,7 +139,8 @@
         {
             break;
         }
-        started += start_any_task(ctx, refused, *each, unaccounted) ? 1 : 0;
+        started +=
+            start_any_task(ctx, usable, refused, *each, unaccounted) ? 1 : 0;
     }
 }
 
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -12,6 +12,7 @@
 #include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/tail_limits.hpp>
 #include <jaydrift/schedule/task_placement.hpp>
+#include <jaydrift/schedule/usable_workers.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
@@ -80,6 +81,9 @@
 
     /// Memory was taken back from slow runs.
     bool made_room = false;
+
+    /// Workers by what a request requires.
+    usable_workers usable{ctx};
 };
 
 /// Returns 0 if the objective of a submission may still be met, 1 if it has
@@ -216,7 +220,8 @@
                                   worker_choice::rack_for(ctx, spec, step),
                                   tolerance_of(pass, submission)};
         request.pace_limit = starved ? minimum_pace : full_pace;
-        auto const choice = worker_choice::choose(ctx, request);
+        auto const choice =
+            worker_choice::choose(ctx, request, pass.usable.of(request));
         if (!choice.worker)
         {
             step.reason =
@@ -274,7 +279,8 @@
         && (refusal == wait_reason::memory
             || refusal == wait_reason::processors))
     {
-        pass.made_room = memory_reclaim::make_room(pass.ctx, request);
+        pass.made_room = memory_reclaim::make_room(pass.ctx, request,
+                                                   pass.usable.of(request));
     }
 }
 
@@ -315,7 +321,8 @@
             step.reason = wait_reason::skipped;
             break;
         }
-        auto const choice = worker_choice::choose(ctx, request);
+        auto const choice =
+            worker_choice::choose(ctx, request, pass.usable.of(request));
         if (!choice.worker)
         {
             step.reason = choice.refusal;
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -133,7 +133,7 @@
                                 log.next_fleet);
     }
     if (ctx.now >= log.next_interference
-        && !ctx.shard.interference.by_serving_image.empty())
+        && !ctx.shard.interference.models.empty())
     {
         log.next_interference = ctx.now + interference_interval;
         write.puts.emplace_back(
--- a/src/jaydrift/schedule/refused_requests.cpp
+++ b/src/jaydrift/schedule/refused_requests.cpp
@@ -26,12 +26,12 @@
     return !spec.long_running
            && std::any_of(
                refused_.begin(), refused_.end(), [&](refused const& each) {
-                   return each.service == request.service
+                   return spec.opportunistic == each.opportunistic
+                          && request.pace_limit == each.pace_limit
+                          && fits(each.demand, spec.demand)
+                          && each.service == request.service
                           && (each.required_label.empty()
                               || each.required_label == spec.required_label)
-                          && fits(each.demand, spec.demand)
-                          && request.pace_limit == each.pace_limit
-                          && spec.opportunistic == each.opportunistic
                           && (is_urgent(spec)
                               || (spec.image == each.image
                                   && request.tolerance <= each.tolerance));
--- a/src/jaydrift/schedule/worker_choice.cpp
+++ b/src/jaydrift/schedule/worker_choice.cpp
@@ -2,12 +2,17 @@
 
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/kept_workers.hpp>
+#include <jaydrift/schedule/neighbour_weights.hpp>
 #include <jaydrift/schedule/placement_request.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/usable_workers.hpp>
+#include <jaydrift/schedule/worker_group.hpp>
 #include <jaydrift/schedule/worker_survey.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <optional>
 #include <variant>
 
 namespace jaydrift::schedule::worker_choice {
@@ -45,6 +50,9 @@
 /// well.
 constexpr time_ms max_wait_for_reserve{1000};
 
+/// Limit with which `interference::expected_tail` is exact.
+constexpr double no_limit = std::numeric_limits<double>::max();
+
 /// Returns the millicores of a worker that its tasks are expected to leave
 /// unused.
 double leftover_millicores(worker_state const& worker)
@@ -91,38 +99,72 @@
                   * (static_cast<double>(spec.demand.millicores) / capacity);
 }
 
+/// Returns the lowest ID that a run of the step of a task may have.
+run_id first_run_of_step(task_id const& id)
+{
+    return {{id.submission, id.occurrence, id.step, 0}, 0};
+}
+
+/// Counts the runs on a worker that belong to the step of `first`.
+std::size_t count_runs_of_step(worker_state const& worker, run_id const& first)
+{
+    std::size_t count = 0;
+    for (auto run = worker.runs.lower_bound(first);
+         run != worker.runs.end()
+         && run->first.task.submission == first.task.submission
+         && run->first.task.occurrence == first.task.occurrence
+         && run->first.task.step == first.task.step;
+         ++run)
+    {
+        ++count;
+    }
+    return count;
+}
+
 /// Returns the tail latency that is expected if an opportunistic task works on
-/// the worker at the given pace.
-double tail_with(shard_context const& ctx, worker_state& worker,
-                 step_spec const& spec, std::uint32_t pace)
+/// the worker at the pace of its request, as `interference::expected_tail`
+/// does.
+double tail_with(neighbour_weights const& weights, worker_state const& worker,
+                 placement_request const& request, double limit)
 {
     return interference::expected_tail(
-        ctx.shard.interference, worker, spec.image,
-        static_cast<double>(spec.demand.millicores) / capacity_of(worker) * pace
-            / full_pace);
+        weights, worker,
+        static_cast<double>(request.spec.demand.millicores)
+            / capacity_of(worker) * request.pace_limit / full_pace,
+        limit);
 }
 
+/// A request with what the score of every worker needs of it.
+struct prepared_request
+{
+    prepared_request(shard_context const& ctx, placement_request const& source)
+        : request(source), first_run(first_run_of_step(source.id))
+    {
+        if (request.spec.opportunistic)
+        {
+            weights.emplace(ctx.shard.interference, request.spec.image);
+        }
+    }
+
+    placement_request const& request;
+
+    /// Lowest ID that a run of the step may have.
+    run_id first_run;
+
+    /// Empty for firm tasks.
+    std::optional<neighbour_weights> weights;
+};
+
 /// Score of a worker for a task, or why the task must not run there.
 using score_or_refusal = std::variant<double, wait_reason>;
 
-/// Returns the score of a worker for the task; the highest one is best.
+/// Returns the score of a usable worker for the task; the highest one is best.
 score_or_refusal score(shard_context const& ctx, worker_state& worker,
-                       placement_request const& request, bool kept_free)
+                       prepared_request const& prepared)
 {
+    auto const& request = prepared.request;
     auto const& spec = request.spec;
     auto const& entry = worker.entry;
-    if (!workers::matches_step(entry, request.service, spec))
-    {
-        return wait_reason::no_worker;
-    }
-    if (!workers::usable(ctx, worker))
-    {
-        return wait_reason::no_usable_worker;
-    }
-    if (kept_free)
-    {
-        return wait_reason::kept_free;
-    }
     auto demand = spec.demand;
     if (spec.opportunistic)
     {
@@ -136,7 +178,8 @@
                                   : wait_reason::memory;
     }
     if (spec.max_per_worker > 0
-        && tasks_of_step_on(worker, request.id) >= spec.max_per_worker)
+        && count_runs_of_step(worker, prepared.first_run)
+               >= spec.max_per_worker)
     {
         return wait_reason::step_limit;
     }
@@ -144,17 +187,17 @@
     auto value = 0.0;
     if (spec.opportunistic)
     {
-        auto const tail = tail_with(ctx, worker, spec, request.pace_limit);
-        if (request.pace_limit == full_pace)
+        auto const limited = request.pace_limit == full_pace;
+        interference::prepare(ctx.shard.interference, worker);
+        if (limited && !has_leftover(worker, spec))
+        {
+            return wait_reason::leftover;
+        }
+        auto const tail = tail_with(*prepared.weights, worker, request,
+                                    limited ? request.tolerance : no_limit);
+        if (limited && tail > request.tolerance)
         {
-            if (!has_leftover(worker, spec))
-            {
-                return wait_reason::leftover;
-            }
-            if (tail > request.tolerance)
-            {
-                return wait_reason::tail;
-            }
+            return wait_reason::tail;
         }
         value = leftover_millicores(worker) / capacity - tail;
     }
@@ -211,10 +254,15 @@
     auto const now = std::min(run.pace_percent, run.pace_limit);
     auto const added = static_cast<double>(run.demand.millicores) * (pace - now)
                        / full_pace / capacity;
-    return leftover_millicores(worker) / capacity >= min_leftover_share * added
-           && interference::expected_tail(ctx.shard.interference, worker,
-                                          run.image, added)
-                  <= highest_tail;
+    if (leftover_millicores(worker) / capacity < min_leftover_share * added)
+    {
+        return false;
+    }
+    auto const& model = ctx.shard.interference;
+    interference::prepare(model, worker);
+    return interference::expected_tail({model, run.image}, worker, added,
+                                       highest_tail)
+           <= highest_tail;
 }
 
 std::string_view rack_for(shard_context const& ctx, step_spec const& spec,
@@ -240,27 +288,25 @@
 
 std::size_t tasks_of_step_on(worker_state const& worker, task_id const& id)
 {
-    run_id first{{id.submission, id.occurrence, id.step, 0}, 0};
-    std::size_t count = 0;
-    for (auto run = worker.runs.lower_bound(first);
-         run != worker.runs.end() && run->first.task.submission == id.submission
-         && run->first.task.occurrence == id.occurrence
-         && run->first.task.step == id.step;
-         ++run)
-    {
-        ++count;
-    }
-    return count;
+    return count_runs_of_step(worker, first_run_of_step(id));
 }
 
 chosen_worker choose(shard_context& ctx, placement_request const& request)
 {
-    chosen_worker best;
+    return choose(ctx, request, usable_workers(ctx).of(request));
+}
+
+chosen_worker choose(shard_context& ctx, placement_request const& request,
+                     worker_group const& group)
+{
+    chosen_worker best{nullptr, group.refusal};
     auto best_value = 0.0;
-    for (auto& [id, worker] : ctx.shard.workers)
+    prepared_request const prepared(ctx, request);
+    for (auto* const worker : group.usable)
     {
-        auto const result = score(ctx, worker, request,
-                                  kept_workers::excludes(worker, request));
+        auto const result = kept_workers::excludes(*worker, request)
+                                ? score_or_refusal(wait_reason::kept_free)
+                                : score(ctx, *worker, prepared);
         if (auto const* const refusal = std::get_if<wait_reason>(&result))
         {
             best.refusal = std::max(best.refusal, *refusal);
@@ -269,7 +315,7 @@
         auto const value = std::get<double>(result);
         if (!best.worker || value > best_value)
         {
-            best.worker = &worker;
+            best.worker = worker;
             best_value = value;
         }
     }
@@ -279,6 +325,7 @@
 worker_survey survey(shard_context& ctx, placement_request const& request)
 {
     auto const& spec = request.spec;
+    prepared_request const prepared(ctx, request);
     worker_survey result;
     for (auto& [id, worker] : ctx.shard.workers)
     {
@@ -290,21 +337,27 @@
         auto memory_demand = spec.demand;
         memory_demand.millicores = free.millicores;
         ++result.matching;
-        result.usable += workers::usable(ctx, worker) ? 1 : 0;
+        auto const usable = workers::usable(ctx, worker);
+        result.usable += usable ? 1 : 0;
         result.with_memory += fits(memory_demand, free) ? 1 : 0;
         result.with_processors +=
             (spec.opportunistic ? has_leftover(worker, spec)
                                 : spec.demand.millicores <= free.millicores)
                 ? 1
                 : 0;
+        if (!usable)
+        {
+            continue;
+        }
         // The next pass computes the expected tail at its own time.
         auto const was_valid = worker.serving_images_valid;
-        auto const value = score(ctx, worker, request, false);
+        auto const value = score(ctx, worker, prepared);
         auto const* const refusal = std::get_if<wait_reason>(&value);
         result.suitable += refusal ? 0 : 1;
         if (spec.opportunistic && (!refusal || *refusal == wait_reason::tail))
         {
-            auto const tail = tail_with(ctx, worker, spec, request.pace_limit);
+            auto const tail =
+                tail_with(*prepared.weights, worker, request, no_limit);
             result.lowest_tail =
                 std::min(result.lowest_tail.value_or(tail), tail);
         }
