Do not pause starts for as long as a freeze during a pass

An owner whose process was frozen for 8 s in the middle of a pass over the waiting tasks would have started nothing for another 8 s, since as much time as the pass took is left for events. The duration of a pass now counts up to 100 ms, so the next one comes after 200 ms at most, a full one after 300 ms.

placement_policy.a_freeze_during_a_pass_does_not_hold_up_the_next_one failed before and passes now.

--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -42,6 +42,10 @@
 constexpr std::int64_t pass_spacing = 2;
 constexpr std::int64_t full_pass_spacing = 3;
 
+/// Longest duration of a pass that counts for these: a process that was frozen
+/// during a pass must not wait for as long again.
+constexpr time_ms max_counted_duration{100};
+
 /// Time after which there is a pass also without a change.
 constexpr time_ms idle_pass_interval{100};
 
@@ -476,10 +480,10 @@
 
 void note_duration(shard_state& shard, time_ms last_pass_took)
 {
-    shard.last_pass_took = last_pass_took;
+    shard.last_pass_took = std::min(last_pass_took, max_counted_duration);
     if (shard.last_full_pass == shard.last_pass)
     {
-        shard.last_full_pass_took = last_pass_took;
+        shard.last_full_pass_took = shard.last_pass_took;
     }
 }
 
--- a/src/jaydrift/schedule/placement_policy_test.cpp
+++ b/src/jaydrift/schedule/placement_policy_test.cpp
@@ -136,4 +136,16 @@
     EXPECT_LE(passes * duration_ms, observed_ms / 2);
 }
 
+// Guards against a pause as long as a freeze of the process during a pass.
+TEST(placement_policy, a_freeze_during_a_pass_does_not_hold_up_the_next_one)
+{
+    passing_owner owner;
+    while (!owner.advance())
+    {
+    }
+    note_duration(owner.shard(), time_ms(8000));
+    owner.shard().placement_due = true;
+    EXPECT_GE(owner.passes_in(300), 1);
+}
+
 } // namespace jaydrift::schedule::testing
