Show three faults of areas that are read again

A watch that the store refused (429 or 503) with a body counts as a reply that arrived only in part, so the whole area is read: all daemons read everything from a store that sheds load. Areas with at least as many records as the store returns changes at once are never found to fall behind. The entries of workers that were to be read again stay in a daemon that has lost its last shard.

--- a/src/jaydrift/schedule/area_watch_test.cpp
+++ b/src/jaydrift/schedule/area_watch_test.cpp
@@ -223,4 +223,63 @@
     EXPECT_TRUE(view.waits_for_watch());
 }
 
+// Guards against a read of the whole area by every daemon whenever the store
+// refuses calls because it is overloaded.
+TEST(area_watch, goes_on_with_the_watch_if_the_store_refused_it)
+{
+    operators_view view;
+    view.answer_with(3, 10);
+    store_replied refusal;
+    refusal.status = store_status::refused;
+    refusal.progress = {time_ms(2), 24, 24};
+    view.answer(refusal);
+    view.run(time_ms(200));
+    EXPECT_TRUE(view.waits_for_watch());
+}
+
+// Guards against a view that falls behind for good because the store returns at
+// most as many changes at once as there are records.
+TEST(area_watch, reads_a_large_area_again_if_the_changes_add_up)
+{
+    operators_view view;
+    view.answer_with(6, 10);
+    view.note_revision(4000);
+    for (auto const revision : {15U, 20U, 25U})
+    {
+        if (view.waits_for_watch())
+        {
+            view.answer_with(5, revision);
+        }
+    }
+    ASSERT_TRUE(view.call());
+    EXPECT_FALSE(view.waits_for_watch());
+}
+
+// Guards against worker entries that stay, with warnings about their age, after
+// a daemon has lost its last shard between two reads of them.
+TEST(area_watch, forgets_the_workers_that_were_to_be_read_again)
+{
+    settings options;
+    options.node = "d0";
+    options.address = "10.0.0.1:7000";
+    auto state = initial_state(options, time_ms(1000));
+    state.store.workers.current_at = time_ms(900);
+    state.worker_entries["i-1"].id = "i-1";
+    auto lines = 0;
+    for (auto now = time_ms(1000); now < time_ms(5000); now += tick_interval)
+    {
+        for (auto const& output : reduce(state, timer_due{now}, now))
+        {
+            auto const* const line = std::get_if<log_line>(&output);
+            lines += line
+                             && line->text.find("the view of workers")
+                                    != std::string::npos
+                         ? 1
+                         : 0;
+        }
+    }
+    EXPECT_TRUE(state.worker_entries.empty());
+    EXPECT_EQ(lines, 0);
+}
+
 } // namespace jaydrift::schedule
