Show passes that take more than half of the time

The duration that counts is capped at 100 ms, so passes of more than 200 ms follow each other without a pause. Two shards of one daemon take turns, since each only leaves time after its own passes.

--- a/src/jaydrift/schedule/placement_policy_test.cpp
+++ b/src/jaydrift/schedule/placement_policy_test.cpp
@@ -2,11 +2,15 @@
 
 #include "sample_work_test.hpp"
 
+#include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/reduce.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <set>
 
@@ -68,6 +72,9 @@
         return result;
     }
 
+    /// Lets time pass without a pass.
+    void skip(int milliseconds) { now_ += time_ms(milliseconds); }
+
     time_ms now() const { return now_; }
 
 private:
@@ -148,4 +155,70 @@
     EXPECT_GE(owner.passes_in(300), 1);
 }
 
+// Guards against long passes that follow each other without a pause, such as
+// those of a daemon with a small share of a core.
+TEST(placement_policy, very_long_passes_take_at_most_half_of_the_time)
+{
+    constexpr int duration_ms = 300;
+    constexpr int observed_ms = 6000;
+    passing_owner owner;
+    auto busy_ms = 0;
+    for (auto elapsed_ms = 0; elapsed_ms < observed_ms; ++elapsed_ms)
+    {
+        owner.shard().placement_due = true;
+        if (owner.advance())
+        {
+            note_duration(owner.shard(), time_ms(duration_ms));
+            owner.skip(duration_ms);
+            elapsed_ms += duration_ms;
+            busy_ms += duration_ms;
+        }
+    }
+    EXPECT_LE(busy_ms, observed_ms / 2 + duration_ms);
+}
+
+// Guards against passes over two shards of one daemon that take turns and leave
+// no time for events.
+TEST(placement_policy, passes_over_two_shards_take_at_most_half_of_the_time)
+{
+    constexpr std::int64_t duration_ms = 60;
+    constexpr std::int64_t observed_ms = 6000;
+    constexpr time_ms begin{1000};
+    constexpr time_ms second_begins{1030};
+    auto state = initial_state({}, begin);
+    state.config.emplace();
+    state.shards.resize(2);
+    state.shards[0].ownership.role = owner_role::owner;
+    // Only passes are of interest.
+    state.next_tick = begin + time_ms(observed_ms * 2);
+    time_ms took{0};
+    std::int64_t busy_ms = 0;
+    auto now = begin;
+    while (now < begin + time_ms(observed_ms))
+    {
+        if (now >= second_begins)
+        {
+            state.shards[1].ownership.role = owner_role::owner;
+        }
+        for (auto& shard : state.shards)
+        {
+            shard.placement_due = true;
+        }
+        if (now < next_timer(state))
+        {
+            now += time_ms(1);
+            continue;
+        }
+        reduce(state, timer_due{now, took}, now);
+        auto const passes = std::count_if(
+            state.shards.begin(), state.shards.end(),
+            [now](auto const& each) { return each.last_pass == now; });
+        took = time_ms(duration_ms * passes);
+        busy_ms += took.count();
+        now += std::max(took, time_ms(1));
+    }
+    EXPECT_GT(busy_ms, 0);
+    EXPECT_LE(busy_ms, observed_ms / 2 + 2 * duration_ms);
+}
+
 } // namespace jaydrift::schedule::testing
