Show a service whose workers are all kept

The limit of one worker in eight counts the workers of all services, but those that are kept may all be of one service.

--- a/src/jaydrift/schedule/kept_workers_test.cpp
+++ b/src/jaydrift/schedule/kept_workers_test.cpp
@@ -315,4 +315,24 @@
     }
 }
 
+// Guards against a service without room for urgent work: the limit counts the
+// workers of all services, but all that are kept may be of one.
+TEST(kept_workers, a_small_service_keeps_room_for_urgent_tasks)
+{
+    constexpr int workers = 32;
+    constexpr int of_service = 4;
+    crowded_owner owner(workers);
+    for (auto i = of_service; i < workers; ++i)
+    {
+        owner.worker("w" + std::to_string(i)).entry.service = "other";
+    }
+    owner.submit_large(1, of_service);
+    owner.advance(long_wait_ms);
+    auto work = chain_of({1});
+    work.steps[0].demand = small_demand;
+    auto const& urgent = owner.submit(2, "first", work);
+    owner.advance(long_wait_ms);
+    EXPECT_TRUE(task_of(urgent).place);
+}
+
 } // namespace jaydrift::schedule::testing
