Show a timer that waits for a queue of slow events

The events that are queued when a step of the timer ends come before the next one also if that step took no time. jaydriftd sends its heartbeats with the timer.

--- a/src/jaydrift/process/control_loop_test.cpp
+++ b/src/jaydrift/process/control_loop_test.cpp
@@ -175,6 +175,23 @@
               (std::vector{1, timer_event_value, 1, 1, timer_event_after(60)}));
 }
 
+// Guards against heartbeats that wait for a whole queue of slow events although
+// the timer itself takes no time.
+TEST_F(control_loop_test, a_short_timer_step_does_not_delay_the_next_one)
+{
+    ASSERT_TRUE(events.post(1));
+    clock.advance(10_ms);
+    for (auto i = 0; i < 3; ++i)
+    {
+        events.deliver(1);
+    }
+    loop.run_once();
+    clock.advance(100_ms);
+    loop.run_once();
+    EXPECT_EQ(interpreter.executed,
+              (std::vector{1, timer_event_value, 1, timer_event_value}));
+}
+
 // Guards against a full queue that blocks or grows instead of refusing events
 // from outside, and against lost replies to the reducer's own calls.
 TEST_F(control_loop_test, a_full_queue_sheds_calls_but_no_replies)
