Do not let events go before a timer whose steps are short

Since the timer leaves the queued events time after each of its steps, a queue of slow events could delay heartbeats of jaydriftd, which sends them on timer events only.

control_loop_test.a_short_timer_step_does_not_delay_the_next_one failed before.

--- a/include/jaydrift/process/control_loop.hpp
+++ b/include/jaydrift/process/control_loop.hpp
@@ -16,8 +16,8 @@
 /// Describes a reducer: its types `state`, `event` and `effect`, and its
 /// functions. `reduce` changes the state and returns a range of effects;
 /// `next_timer` returns when the reducer next needs the event that
-/// `timer_event` returns; its argument is the time that the step of the timer
-/// event before took.
+/// `timer_event` returns; its argument is the duration of the previous timer
+/// step.
 template<class Traits>
 concept reducer_traits = requires(typename Traits::state& state,
                                   typename Traits::state const& const_state,
@@ -79,9 +79,10 @@
     }
 
     /// Waits for an event or a timer, at most a minute. Handles the event, if
-    /// any, and then the timer if it is due and the events that were queued
-    /// when its last step ended have been handled. So neither a long step of
-    /// the timer nor a busy queue starves the other.
+    /// any, and then the timer if it is due. After a long step of the timer,
+    /// the events that were queued when it ended come before the next one, so
+    /// that long steps do not starve the queue. A busy queue does not delay a
+    /// timer whose steps are short.
     void run_once()
     {
         if (auto const input = events_.pop(wait_limit()))
@@ -103,7 +104,8 @@
             last_timer_event_ = now;
             step(Traits::timer_event(last_timer_took_));
             last_timer_took_ = clock_.now() - now;
-            events_before_timer_ = events_.size();
+            events_before_timer_ =
+                last_timer_took_ >= min_timer_interval ? events_.size() : 0;
         }
     }
 
@@ -153,8 +155,8 @@
     std::optional<time_ms> last_timer_event_;
     time_ms last_timer_took_;
 
-    /// Events that were queued when the last step of the timer ended and have
-    /// not been handled yet.
+    /// Events that were queued when the last step of the timer ended, if that
+    /// was a long one, and have not been handled yet.
     std::size_t events_before_timer_ = 0;
 };
 
--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -56,7 +56,8 @@
     /// Something has changed that may allow a task to start.
     bool placement_due = false;
 
-    /// Time of the last pass over the waiting tasks, and how long it took.
+    /// Time of the last pass over the waiting tasks, and the duration of the
+    /// timer step that it was part of.
     time_ms last_pass;
     time_ms last_pass_took;
 
--- a/include/jaydrift/schedule/timer_due.hpp
+++ b/include/jaydrift/schedule/timer_due.hpp
@@ -11,7 +11,7 @@
     /// Wall clock time, for due times and for times in records.
     time_ms wall_time;
 
-    /// Time that the reducer took for the timer event before.
+    /// Duration of the previous timer step, with its effects.
     time_ms previous_took{0};
 };
 
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -138,8 +138,8 @@
     {
         tick(ctx);
     }
-    // Passes over the waiting tasks are the longest steps. With the timer, they
-    // come after the events that arrived during the one before.
+    // Passes over the waiting tasks are the longest steps. They run only on
+    // timer events, so that events that are queued go first.
     auto const on_timer = std::holds_alternative<timer_due>(input);
     for (auto& shard : state.shards)
     {
