Keep the pause after passes of up to half a second

The limit of 100 ms for a pass that counts, against pauses as long as a freeze, let passes of over 200 ms follow each other without a pause. A pass now counts in full below 500 ms, from which on an owner takes a gap as a freeze, and not at all from there on.

placement_policy.very_long_passes_take_at_most_half_of_the_time failed before, with passes during 6,000 of 6,000 ms.

--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -42,9 +42,9 @@
 constexpr std::int64_t pass_spacing = 2;
 constexpr std::int64_t full_pass_spacing = 3;
 
-/// Longest duration of a pass that counts for these: a process that was frozen
-/// during a pass must not wait for as long again.
-constexpr time_ms max_counted_duration{100};
+/// A pass that took longer does not count for these: the process was frozen,
+/// and must not wait for as long again.
+constexpr time_ms longest_pass{500};
 
 /// Time after which there is a pass also without a change.
 constexpr time_ms idle_pass_interval{100};
@@ -480,7 +480,8 @@
 
 void note_duration(shard_state& shard, time_ms last_pass_took)
 {
-    shard.last_pass_took = std::min(last_pass_took, max_counted_duration);
+    shard.last_pass_took =
+        last_pass_took < longest_pass ? last_pass_took : time_ms(0);
     if (shard.last_full_pass == shard.last_pass)
     {
         shard.last_full_pass_took = shard.last_pass_took;
