Do not read an area again because the store refused a watch

A refusal (429 or 503) with a body counted as a reply that arrived in part, so an overloaded store would have been asked by every daemon for whole areas.

area_watch.goes_on_with_the_watch_if_the_store_refused_it failed before.

--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -238,6 +238,14 @@
            && reply.revision < ctx.state.store.highest_revision;
 }
 
+/// Returns whether a reply did not arrive in full.
+bool arrived_in_part(store_replied const& reply)
+{
+    return reply.status == store_status::lost
+           && reply.progress.received_bytes > 0
+           && reply.progress.received_bytes != reply.progress.length_bytes;
+}
+
 /// Handles the reply to a read or watch of an area.
 void area_replied(context& ctx, area_handlers const& handlers,
                   store_replied const& reply)
@@ -256,7 +264,7 @@
     else if (reply.status != store_status::ok)
     {
         report_failure(ctx, handlers, reply);
-        if (watch.loaded && reply.progress.received_bytes > 0)
+        if (watch.loaded && arrived_in_part(reply))
         {
             // The same watch would ask for this reply and all later changes.
             read_again(ctx, handlers, "the changes did not arrive in time");
