Forget the workers also if they were to be read again

A daemon that lost its last shard between two reads of the worker entries kept the old ones, warned of their age and would have used them in its next recovery.

area_watch.forgets_the_workers_that_were_to_be_read_again failed before.

--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -327,7 +327,7 @@
     {
         call_if_due(ctx, worker_entries);
     }
-    else if (ctx.state.store.workers.loaded || ctx.state.store.workers.call)
+    else if (ctx.state.store.workers.current_at || ctx.state.store.workers.call)
     {
         ctx.state.store.workers = {};
         ctx.state.worker_entries.clear();
