Count the changes of several replies before an area is read again

The store returns some 500 changes at once, so a reply never had more changes than an area of 500 records or more, and the view of 700 workers could have fallen behind as before. Changes are now added up from when the view was last current.

area_watch.reads_a_large_area_again_if_the_changes_add_up failed before.

--- a/include/jaydrift/schedule/watch_state.hpp
+++ b/include/jaydrift/schedule/watch_state.hpp
@@ -17,8 +17,10 @@
     bool loaded = false;
     std::uint64_t revision = 0;
 
-    /// Number of records at the last read.
+    /// Number of records at the last read, and of changes in the last reply and
+    /// those before it that did not bring the view up to date.
     std::size_t records = 0;
+    std::size_t changes_behind = 0;
 
     /// Number of the read or watch in flight, when it was sent, and the highest
     /// revision of the store that was known then.
--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -145,14 +145,20 @@
                 + view_text(ctx, handlers));
 }
 
-/// Notes the age of a view after a reply: a watch without changes, and any
-/// reply that reaches the highest revision known when it was asked for, shows
-/// the area as it was then.
+/// Returns whether a reply brings the view up to date: a watch without changes,
+/// and any reply that reaches the highest revision known when it was asked for,
+/// shows the area as it was then.
+bool catches_up(watch_state const& watch, store_replied const& reply)
+{
+    return reply.items.empty() || reply.revision >= watch.known_when_sent;
+}
+
+/// Notes the age of a view after a reply.
 void note_age(context& ctx, area_handlers const& handlers,
               store_replied const& reply)
 {
     auto& watch = ctx.state.store.*handlers.watch;
-    if (!reply.items.empty() && reply.revision < watch.known_when_sent)
+    if (!catches_up(watch, reply))
     {
         return;
     }
@@ -228,14 +234,13 @@
                 + " again: " + std::string(reason));
 }
 
-/// Returns whether a reply to a watch shows that following the changes costs
-/// more than a read: it has more changes than there are records, and there are
-/// later ones.
-bool falls_behind(context const& ctx, watch_state const& watch,
-                  store_replied const& reply)
+/// Returns whether following the changes of an area costs more than a read:
+/// there have been more changes than records in the last reply and those before
+/// it that did not bring the view up to date, and there are later ones.
+bool falls_behind(context const& ctx, watch_state const& watch)
 {
-    return reply.items.size() > watch.records
-           && reply.revision < ctx.state.store.highest_revision;
+    return watch.changes_behind > watch.records
+           && watch.revision < ctx.state.store.highest_revision;
 }
 
 /// Returns whether a reply did not arrive in full.
@@ -278,17 +283,21 @@
         watch.loaded = true;
         watch.revision = reply.revision;
         watch.records = reply.items.size();
+        watch.changes_behind = 0;
         handlers.on_read(ctx, reply.items);
     }
     else
     {
+        watch.changes_behind =
+            reply.items.size()
+            + (catches_up(watch, reply) ? 0 : watch.changes_behind);
         note_age(ctx, handlers, reply);
         watch.revision = reply.revision;
         for (auto const& item : reply.items)
         {
             handlers.on_change(ctx, item);
         }
-        if (falls_behind(ctx, watch, reply))
+        if (falls_behind(ctx, watch))
         {
             read_again(ctx, handlers, "there are more changes than records");
         }
