Bound the workers kept for long-running tasks in each service

The limit of one worker in eight counted the workers of all services, so all workers of a small one could be closed to urgent tasks.

kept_workers.a_small_service_keeps_room_for_urgent_tasks failed before.

--- a/include/jaydrift/schedule/kept_workers.hpp
+++ b/include/jaydrift/schedule/kept_workers.hpp
@@ -15,7 +15,7 @@
 /// tasks are small and would otherwise take any room as soon as it gets free.
 namespace kept_workers {
 
-/// Releases the workers that are kept in vain, then keeps one for each
+/// Releases the workers that are no longer needed, then keeps one for each
 /// long-running task that has waited for long, as far as the limit allows.
 /// `waiting` holds the submissions with waiting tasks in the order of their
 /// ranks; `unaccounted` is as in `task_placement::hindrance`.
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -28,7 +28,7 @@
     bool listed = true;
     time_ms unlisted_at;
 
-    /// The owner has written that the worker drains.
+    /// The owner has logged that the worker drains.
     bool drain_noted = false;
 
     /// The stored fleet record names the worker, so a later owner will ask it
--- a/src/jaydrift/schedule/kept_workers.cpp
+++ b/src/jaydrift/schedule/kept_workers.cpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace jaydrift::schedule::kept_workers {
@@ -21,7 +22,7 @@
 /// Wait after which a worker is kept for a long-running task.
 constexpr time_ms wait_before_keeping{300};
 
-/// About one worker in this many may be kept.
+/// About one worker of a service in this many may be kept.
 constexpr std::size_t workers_per_kept = 8;
 
 /// Returns whether the worker would have room for the task if its urgent tasks
@@ -99,10 +100,20 @@
     return best != nullptr;
 }
 
-/// Returns whether no more workers may be kept.
-bool limit_reached(shard_context const& ctx, std::set<task_id> const& served)
+/// Returns whether no more workers of the service may be kept.
+bool limit_reached(shard_context const& ctx, std::string_view service)
 {
-    return served.size() * workers_per_kept >= ctx.shard.workers.size();
+    std::size_t kept = 0;
+    std::size_t workers = 0;
+    for (auto const& [id, worker] : ctx.shard.workers)
+    {
+        if (worker.entry.service == service)
+        {
+            ++workers;
+            kept += worker.kept_for ? 1 : 0;
+        }
+    }
+    return kept * workers_per_kept >= workers;
 }
 
 /// Returns whether a task of the step should have a worker kept for it.
@@ -129,16 +140,13 @@
     }
     for (id.index = 0; id.index < step.tasks.size(); ++id.index)
     {
-        if (limit_reached(ctx, served))
-        {
-            return;
-        }
         if (served.contains(id)
             || !waits_for_long(ctx, step, step.tasks[id.index], unaccounted))
         {
             continue;
         }
-        if (!keep_worker(ctx, submission, id))
+        if (limit_reached(ctx, submission.service)
+            || !keep_worker(ctx, submission, id))
         {
             // Other tasks of the step need the same.
             return;
