Tell when the store last answered a call in lines about a view

A watch that fails with no byte of a reply looks the same whether the store is out or has answered other calls for seconds. Lines about failed watches and old views now end in the age of the last call that the store has answered, counted from its sending.

area_watch.reports_when_the_store_last_answered_a_call covers it.

--- a/include/jaydrift/schedule/store_session_state.hpp
+++ b/include/jaydrift/schedule/store_session_state.hpp
@@ -20,6 +20,10 @@
     /// Calls in flight, by number.
     std::map<std::uint64_t, pending_store_call> calls;
 
+    /// When the latest of the calls that the store has answered was sent. A
+    /// refusal is no answer here.
+    std::optional<time_ms> answered_sent_at;
+
     /// Highest revision of the store that a reply has shown.
     std::uint64_t highest_revision = 0;
     watch_state operators;
--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -100,8 +100,8 @@
     return std::to_string(value.count()) + " ms";
 }
 
-/// Describes the view of an area: its revision, the highest one known of the
-/// store, and its age.
+/// Describes the view of an area: its age, its revision and the highest one
+/// known of the store, and which calls the store has answered.
 std::string view_text(context const& ctx, area_handlers const& handlers)
 {
     auto const& watch = ctx.state.store.*handlers.watch;
@@ -109,10 +109,14 @@
     {
         return std::string(handlers.name) + " have not been read yet";
     }
+    auto const answered = ctx.state.store.answered_sent_at;
     return "the view of " + std::string(handlers.name) + " is "
            + milliseconds(age(ctx, watch)) + " old, at revision "
            + std::to_string(watch.revision) + " of "
-           + std::to_string(ctx.state.store.highest_revision) + " or more";
+           + std::to_string(ctx.state.store.highest_revision) + " or more"
+           + (answered ? "; the last call that the store has answered was sent "
+                             + milliseconds(ctx.now - *answered) + " ago"
+                       : "");
 }
 
 /// Describes how much of a reply has arrived.
--- a/src/jaydrift/schedule/area_watch_test.cpp
+++ b/src/jaydrift/schedule/area_watch_test.cpp
@@ -178,6 +178,23 @@
     EXPECT_LE(view.age, 1100);
 }
 
+// Guards against an outage that cannot be told from one hanging call: nothing
+// said whether the store had answered other calls meanwhile.
+TEST(area_watch, reports_when_the_store_last_answered_a_call)
+{
+    operators_view view;
+    view.answer_with(0, 10);
+    view.run(time_ms(950));
+    view.note_revision(20);
+    view.run(time_ms(700));
+    view.answer(store_replied{});
+    EXPECT_EQ(view.lines("no byte of a reply; the view of operators is").size(),
+              1U);
+    EXPECT_EQ(
+        view.lines("the last call that the store has answered was sent").size(),
+        1U);
+}
+
 // Guards against a view that falls further behind for good: a reply that is too
 // large for the time limit was asked for again from the same revision, with all
 // later changes.
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -68,6 +68,8 @@
         return;
     }
     session.last_success = ctx.now;
+    session.answered_sent_at =
+        std::max(session.answered_sent_at.value_or(sent_at), sent_at);
     if (session.failing_since)
     {
         ctx.log(log_level::info, "store",
