Name the version and the age of the view that decided a call or a start

Nobody could tell by which version of the configuration, and how old a view, a call was refused or passed on, nor how old the workers' entries were when a task was started; lines about calls are the first to be left out under load.

Lines about answers, accepted submissions and starts name the version and the age. While a view is 2.5 s old or more, what it decides is counted (old_view_decisions_total) and summed up in one line a second about the state of the daemon, which has a limit of its own.

Three tests of view_age.

--- a/include/jaydrift/schedule/daemon_state.hpp
+++ b/include/jaydrift/schedule/daemon_state.hpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/configuration.hpp>
 #include <jaydrift/schedule/layout_state.hpp>
 #include <jaydrift/schedule/member_state.hpp>
+#include <jaydrift/schedule/old_view_decisions.hpp>
 #include <jaydrift/schedule/open_call.hpp>
 #include <jaydrift/schedule/pending_worker_call.hpp>
 #include <jaydrift/schedule/record_key.hpp>
@@ -44,6 +45,7 @@
     /// The other daemons by name.
     std::map<std::string, member_state, std::less<>> members;
     store_session_state store;
+    old_view_decisions old_views;
 
     /// Revisions of records that cannot be read, as far as they were reported.
     std::map<record_key, std::uint64_t> unreadable_revisions;
--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/store_session.hpp>
+#include <jaydrift/schedule/view_age.hpp>
 
 #include <span>
 #include <string>
@@ -32,10 +33,6 @@
 /// Time between a failed call and the next one to the same area.
 constexpr time_ms retry_pause{150};
 
-/// A view that is older is reported in the log. Without changes, its age goes
-/// up to `watch_wait` and the time of a call.
-constexpr time_ms stale_after{2500};
-
 /// Time between two updates of the gauges of the views' ages.
 constexpr time_ms gauge_interval{1000};
 
@@ -168,7 +165,7 @@
     }
     auto const before = watch.current_at ? age(ctx, watch) : time_ms(0);
     watch.current_at = watch.sent_at;
-    if (watch.reported_stale && age(ctx, watch) < stale_after)
+    if (watch.reported_stale && !view_age::is_stale(watch, ctx.now))
     {
         watch.reported_stale = false;
         ctx.log(log_level::info, "store",
@@ -182,8 +179,7 @@
 void report_stale(context& ctx, area_handlers const& handlers)
 {
     auto& watch = ctx.state.store.*handlers.watch;
-    if (watch.current_at && !watch.reported_stale
-        && age(ctx, watch) >= stale_after)
+    if (!watch.reported_stale && view_age::is_stale(watch, ctx.now))
     {
         watch.reported_stale = true;
         ctx.log(log_level::warning, "store", view_text(ctx, handlers));
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -1,11 +1,13 @@
 #include <jaydrift/schedule/calls.hpp>
 
+#include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/relocation.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/view_age.hpp>
 
 #include <algorithm>
 #include <string>
@@ -40,6 +42,9 @@
 /// Bounds the memory of the owner; each submission takes a few KB.
 constexpr std::size_t max_submissions = 20000;
 
+/// Longest part of a path that is logged. The ID stands at its end.
+constexpr std::size_t max_logged_path = 400;
+
 /// Hexadecimal digits in the ID of a submission.
 constexpr std::size_t id_length = 16;
 
@@ -77,13 +82,16 @@
     auto const age = ctx.now - found->second.arrived_at;
     ctx.observe("call_ms", age);
     ctx.count("calls_answered_total", name_of(reply.result));
+    view_age::note_answer(ctx, name_of(reply.result));
     if (reply.result == answer::code::unavailable
-        || reply.result == answer::code::unknown)
+        || reply.result == answer::code::unknown
+        || reply.result == answer::code::no_queue)
     {
         ctx.log_work(log_level::info, "call",
-                     found->second.request.path + " answered "
-                         + std::string(name_of(reply.result)) + " after "
-                         + std::to_string(age.count()) + " ms"
+                     printable(found->second.request.path, max_logged_path)
+                         + " answered " + std::string(name_of(reply.result))
+                         + " after " + std::to_string(age.count()) + " ms by "
+                         + view_age::configuration_text(ctx)
                          + owners_of(ctx, found->second));
     }
     ctx.emit(answer_call{call, reply});
@@ -248,7 +256,8 @@
     record_log::changed_with_waiting_caller(ctx, submission);
     wait_for_log(ctx, call, submission);
     ctx.log_work(log_level::info, "call",
-                 id + " arrived in queue " + target.name + ", "
+                 id + " arrived in queue " + target.name + " by "
+                     + view_age::configuration_text(ctx) + ", "
                      + std::to_string(ctx.shard.active.size()) + " active");
 }
 
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -13,6 +13,7 @@
 #include <jaydrift/schedule/tail_limits.hpp>
 #include <jaydrift/schedule/task_placement.hpp>
 #include <jaydrift/schedule/usable_workers.hpp>
+#include <jaydrift/schedule/view_age.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
 #include <jaydrift/schedule/workers.hpp>
@@ -357,7 +358,7 @@
                 + std::to_string(started) + " tasks, "
                 + std::to_string(step.waiting_tasks) + " wait, due in "
                 + std::to_string((submission.objective - ctx.now).count())
-                + " ms");
+                + " ms, by " + view_age::workers_text(ctx));
         record_log::changed(ctx, submission);
     }
 }
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -13,6 +13,7 @@
 #include <jaydrift/schedule/stopping.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/view_age.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_replies.hpp>
 #include <jaydrift/schedule/workers.hpp>
@@ -47,6 +48,7 @@
         relocation::tick(shard_ctx);
     }
     calls::tick(ctx);
+    view_age::tick(ctx);
     stopping::tick(ctx);
 }
 
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/schedule/run_reports.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/view_age.hpp>
 
 #include <algorithm>
 #include <cstddef>
@@ -375,6 +376,7 @@
          start_order{run, submission.work.payload, grant_lease(ctx, worker),
                      task.checkpoint},
          start_order_limit);
+    view_age::note_start(ctx);
 }
 
 void stop(shard_context& ctx, worker_state& worker, run_id const& run)
