Show what a store that falls silent and returns does to the views

The simulated store could be unreachable, but answered the watches that waited once it was back, so a call never hung. store_silent swallows calls instead. The calls of daemons to the simulated store have a file of their own now.

--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -14,15 +14,12 @@
 
 constexpr time_ms never{std::numeric_limits<std::int64_t>::max()};
 constexpr time_ms network_delay{2};
-constexpr time_ms store_delay{4};
-constexpr time_ms half_store_delay{2};
-constexpr time_ms watch_poll{10};
 
 /// Hold orders are answered after this time or their wait, if that is shorter.
 constexpr time_ms max_hold_delay{50};
 
 /// Late orders are carried out after this delay and a random time up to the
-/// spread; late writes after this delay.
+/// spread.
 constexpr time_ms min_late_delay{2000};
 constexpr std::uint64_t late_spread_ms = 6000;
 
@@ -249,81 +246,6 @@
     }
 }
 
-void simulated_deployment::watch(std::size_t daemon, std::uint64_t incarnation,
-                                 store_call const& effect, time_ms until)
-{
-    auto const& request = std::get<watch_area>(effect.request);
-    auto const reachable = reaches_store(daemon);
-    auto reply = reachable ? store.changes(request) : std::nullopt;
-    if (!reply && now_ >= until)
-    {
-        reply.emplace();
-        reply->status = reachable ? store_status::ok : store_status::lost;
-        reply->revision = request.after;
-    }
-    if (reply)
-    {
-        reply->call = effect.call;
-        deliver(daemon, incarnation, *reply, store_delay);
-        return;
-    }
-    after(watch_poll, [this, daemon, incarnation, effect, until] {
-        watch(daemon, incarnation, effect, until);
-    });
-}
-
-void simulated_deployment::carry_out(std::size_t daemon,
-                                     store_call const& effect)
-{
-    auto const incarnation = daemons_[daemon].incarnation;
-    store_replied lost;
-    lost.call = effect.call;
-    if (!reaches_store(daemon))
-    {
-        deliver(daemon, incarnation, lost, effect.time_limit);
-        return;
-    }
-    if (auto const* const request = std::get_if<watch_area>(&effect.request))
-    {
-        watch(daemon, incarnation, effect, now_ + request->wait);
-        return;
-    }
-    after(half_store_delay, [this, daemon, incarnation, effect, lost] {
-        store_replied reply;
-        if (auto const* const write =
-                std::get_if<store_transaction>(&effect.request))
-        {
-            auto const fails = random_.below(100) < lost_percent;
-            if (fails && random_.below(2) == 0)
-            {
-                // Carried out late, if its expected revisions still hold.
-                after(min_late_delay, [this, write = *write] {
-                    static_cast<void>(store.write(write));
-                });
-                deliver(daemon, incarnation, lost, effect.time_limit);
-                return;
-            }
-            reply = store.write(*write);
-            if (fails)
-            {
-                deliver(daemon, incarnation, lost, effect.time_limit);
-                return;
-            }
-        }
-        else if (auto const* const area =
-                     std::get_if<read_area>(&effect.request))
-        {
-            reply = store.read(*area);
-        }
-        else
-        {
-            reply = store.read(std::get<read_record>(effect.request));
-        }
-        reply.call = effect.call;
-        deliver(daemon, incarnation, reply, half_store_delay);
-    });
-}
-
 simulated_worker* simulated_deployment::worker_at(std::string const& address)
 {
     auto const found =
@@ -333,12 +255,6 @@
     return found == workers_.end() ? nullptr : found->get();
 }
 
-bool simulated_deployment::reaches_store(std::size_t daemon) const
-{
-    return store_up && !daemons_without_store.contains(daemon)
-           && !cut_daemons.contains(daemon);
-}
-
 bool simulated_deployment::cut_apart(std::size_t daemon,
                                      std::string const& worker) const
 {
@@ -555,6 +471,14 @@
     return found == history_.end() ? 0 : found->second.starts;
 }
 
+std::optional<time_ms>
+simulated_deployment::last_start(std::string const& worker) const
+{
+    auto const found = last_starts_.find(worker);
+    return found == last_starts_.end() ? std::nullopt
+                                       : std::optional(found->second);
+}
+
 void simulated_deployment::note_start(std::string const& worker,
                                       run_id const& id)
 {
@@ -588,6 +512,7 @@
         }
     }
     history.running[id.number] = worker;
+    last_starts_[worker] = now_;
     ++history.starts;
 }
 
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -70,6 +70,9 @@
     /// Returns how often a task has started on a worker.
     std::size_t starts(task_id const& task) const;
 
+    /// Returns when a task last started on the worker, if one did.
+    std::optional<time_ms> last_start(std::string const& worker) const;
+
     /// Ends a worker's process; a new one starts after `down`.
     void crash(std::size_t number, time_ms down);
 
@@ -82,6 +85,10 @@
     /// The store answers.
     bool store_up = true;
 
+    /// The store gives no answer to the calls that arrive or wait meanwhile,
+    /// not even later.
+    bool store_silent = false;
+
     /// Daemons and workers behind a network cut: they reach each other, but
     /// neither the others nor the store.
     std::set<std::size_t> cut_daemons;
@@ -178,6 +185,10 @@
     void watch(std::size_t daemon, std::uint64_t incarnation,
                store_call const& effect, time_ms until);
 
+    /// Ends a call as lost after `time_left`, when its time limit has passed.
+    void swallow(std::size_t daemon, store_call const& effect,
+                 time_ms time_left);
+
     simulated_worker* worker_at(std::string const& address);
     bool reaches_store(std::size_t daemon) const;
 
@@ -197,6 +208,9 @@
     std::vector<daemon_process> daemons_;
     std::vector<std::unique_ptr<simulated_worker>> workers_;
     std::map<task_id, task_history> history_;
+
+    /// Times of the last starts, by worker.
+    std::map<std::string, time_ms> last_starts_;
     std::map<std::string, submission> submissions_;
 
     /// An open call: its submission, and for a forwarded one the daemon it came
--- /dev/null
+++ b/src/jaydrift/schedule/simulated_store_link_test.cpp
@@ -0,0 +1,127 @@
+#include "simulated_deployment_test.hpp"
+
+#include <jaydrift/schedule/event.hpp>
+
+#include <utility>
+
+// The calls of the daemons of a simulated deployment to its store.
+
+namespace jaydrift::schedule::testing {
+
+namespace {
+
+constexpr time_ms store_delay{4};
+constexpr time_ms half_store_delay{2};
+constexpr time_ms watch_poll{10};
+
+/// Late writes are carried out after this delay.
+constexpr time_ms late_write_delay{2000};
+
+} // namespace
+
+void simulated_deployment::swallow(std::size_t daemon, store_call const& effect,
+                                   time_ms time_left)
+{
+    store_replied lost;
+    lost.call = effect.call;
+    deliver(daemon, daemons_[daemon].incarnation, lost, time_left);
+}
+
+void simulated_deployment::watch(std::size_t daemon, std::uint64_t incarnation,
+                                 store_call const& effect, time_ms until)
+{
+    auto const& request = std::get<watch_area>(effect.request);
+    if (store_silent)
+    {
+        auto const sent_at = until - request.wait;
+        swallow(daemon, effect, sent_at + effect.time_limit - now_);
+        return;
+    }
+    auto const reachable = reaches_store(daemon);
+    auto reply = reachable ? store.changes(request) : std::nullopt;
+    if (!reply && now_ >= until)
+    {
+        reply.emplace();
+        reply->status = reachable ? store_status::ok : store_status::lost;
+        reply->revision = request.after;
+    }
+    if (reply)
+    {
+        reply->call = effect.call;
+        deliver(daemon, incarnation, *reply, store_delay);
+        return;
+    }
+    after(watch_poll, [this, daemon, incarnation, effect, until] {
+        watch(daemon, incarnation, effect, until);
+    });
+}
+
+void simulated_deployment::carry_out(std::size_t daemon,
+                                     store_call const& effect)
+{
+    auto const incarnation = daemons_[daemon].incarnation;
+    store_replied lost;
+    lost.call = effect.call;
+    if (store_silent)
+    {
+        swallow(daemon, effect, effect.time_limit);
+        return;
+    }
+    if (!reaches_store(daemon))
+    {
+        deliver(daemon, incarnation, lost, effect.time_limit);
+        return;
+    }
+    if (auto const* const request = std::get_if<watch_area>(&effect.request))
+    {
+        watch(daemon, incarnation, effect, now_ + request->wait);
+        return;
+    }
+    after(half_store_delay, [this, daemon, incarnation, effect, lost] {
+        if (store_silent)
+        {
+            swallow(daemon, effect, effect.time_limit - half_store_delay);
+            return;
+        }
+        store_replied reply;
+        if (auto const* const write =
+                std::get_if<store_transaction>(&effect.request))
+        {
+            auto const fails = random_.below(100) < lost_percent;
+            if (fails && random_.below(2) == 0)
+            {
+                // Carried out late, if its expected revisions still hold.
+                after(late_write_delay, [this, write = *write] {
+                    static_cast<void>(store.write(write));
+                });
+                deliver(daemon, incarnation, lost, effect.time_limit);
+                return;
+            }
+            reply = store.write(*write);
+            if (fails)
+            {
+                deliver(daemon, incarnation, lost, effect.time_limit);
+                return;
+            }
+        }
+        else if (auto const* const area =
+                     std::get_if<read_area>(&effect.request))
+        {
+            reply = store.read(*area);
+        }
+        else
+        {
+            reply = store.read(std::get<read_record>(effect.request));
+        }
+        reply.call = effect.call;
+        deliver(daemon, incarnation, reply, half_store_delay);
+    });
+}
+
+bool simulated_deployment::reaches_store(std::size_t daemon) const
+{
+    return store_up && !daemons_without_store.contains(daemon)
+           && !cut_daemons.contains(daemon);
+}
+
+} // namespace jaydrift::schedule::testing
