Let the store of the soak fall silent and return

The soak's store went out with 503 at once or its links failed one by one; no run silenced all calls and then checked the configuration and drains against a bound. Every daemon is asked for the queue that was added or removed; 2.5 s after the change it must know.

--- a/include/jaydrift/soak/open_call.hpp
+++ b/include/jaydrift/soak/open_call.hpp
@@ -13,14 +13,13 @@
 struct open_call
 {
     /// What the caller asks for. `show` queries the state of a submission;
-    /// `probe_removed_queue` calls a queue that the configuration no longer
-    /// has.
+    /// `probe_extra_queue` calls a queue that the operators add and remove.
     enum class purpose_kind : std::uint8_t
     {
         submit,
         show,
         cancel,
-        probe_removed_queue
+        probe_extra_queue
     };
 
     purpose_kind purpose = purpose_kind::submit;
--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -32,17 +32,19 @@
     std::vector<daemon_view> daemons;
     soak::oracle oracle;
 
-    /// Phases of a run. In `scaling_in` the faults are over except for slow
-    /// links to the store, and workers drain and leave. In `recovery` accepted
-    /// work must end. In `serving` all workers get serving tasks, which report
-    /// high tail latencies, and in `filling` opportunistic work comes beside
-    /// them, which must end as well. In `cancelling` the long-running
-    /// submissions are cancelled, which must be confirmed. In `stopping_tasks`
-    /// all cancelled tasks must stop.
+    /// Phases of a run. In `silent_store` the faults are over except for a
+    /// store that falls silent and returns. In `scaling_in` the faults are over
+    /// except for slow links to the store, and workers drain and leave. In
+    /// `recovery` accepted work must end. In `serving` all workers get serving
+    /// tasks, which report high tail latencies, and in `filling` opportunistic
+    /// work comes beside them, which must end as well. In `cancelling` the
+    /// long-running submissions are cancelled, which must be confirmed. In
+    /// `stopping_tasks` all cancelled tasks must stop.
     enum class phase : std::uint8_t
     {
         starting,
         faults,
+        silent_store,
         scaling_in,
         recovery,
         serving,
@@ -92,6 +94,12 @@
     /// Until then the store answers 503.
     std::optional<time_ms> store_outage_until;
 
+    /// Until then the store answers nothing, and when it has returned from its
+    /// silence.
+    std::optional<time_ms> store_silent_until;
+    std::optional<time_ms> store_returned_at;
+    random_source silent_store_random;
+
     /// Share of the writes to the store whose answer is lost, and of the orders
     /// to workers that are carried out late and not answered; both are 0 again
     /// after `message_faults_until`.
@@ -123,8 +131,8 @@
     /// Even versions have the queue "extra", odd ones do not.
     std::uint64_t config_version = 1;
 
-    /// When that queue was last removed from the configuration.
-    time_ms queue_removed_at;
+    /// When that queue was last added to the configuration or removed from it.
+    time_ms queue_changed_at;
 
     /// Keys of the odd entries in the store, and the area of each, which only
     /// `other_writer` reads. Its random numbers are drawn from a source of its
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -30,8 +30,8 @@
 /// Every daemon must know an accepted submission after this time.
 constexpr time_ms visible_limit{3000};
 
-/// No daemon may serve a removed queue after this time.
-constexpr time_ms queue_removal_limit{2500};
+/// Every daemon must know after this time that a queue was added or removed.
+constexpr time_ms queue_change_limit{2500};
 
 enum class work_kind : std::uint8_t
 {
@@ -153,11 +153,11 @@
     }
 }
 
-/// Sends a call, new or repeated, to a random daemon and counts the try.
-void send(soak_state& state, open_call call, time_ms now, effect_list& effects)
+/// Sends a call, new or repeated, to its daemon and counts the try.
+void send_to_daemon(soak_state& state, open_call call, time_ms now,
+                    effect_list& effects)
 {
     using purpose_kind = open_call::purpose_kind;
-    call.daemon = state.random.below(state.daemons.size());
     call.sent_at = now;
     ++call.tries;
     http::request message;
@@ -176,7 +176,7 @@
         message.method = "DELETE";
         state.oracle.cancel_sent(call.id);
         break;
-    case purpose_kind::probe_removed_queue:
+    case purpose_kind::probe_extra_queue:
         message.target = "/extra/";
         break;
     case purpose_kind::show:
@@ -188,6 +188,13 @@
     state.open_calls.emplace(number, std::move(call));
 }
 
+/// Sends a call, new or repeated, to a random daemon.
+void send(soak_state& state, open_call call, time_ms now, effect_list& effects)
+{
+    call.daemon = state.random.below(state.daemons.size());
+    send_to_daemon(state, std::move(call), now, effects);
+}
+
 void send_new(soak_state& state, open_call::purpose_kind purpose,
               std::string const& id, time_ms now, effect_list& effects)
 {
@@ -290,6 +297,31 @@
     }
 }
 
+/// Returns whether every daemon must know the present state of the queue
+/// "extra" by the time at which a call was sent.
+bool queue_change_is_known(soak_state const& state, time_ms sent_at)
+{
+    return sent_at - std::max(state.queue_changed_at, state.disturbed_at)
+           > queue_change_limit;
+}
+
+void probe_answered(soak_state& state, open_call const& call, unsigned status)
+{
+    if (!queue_change_is_known(state, call.sent_at))
+    {
+        return;
+    }
+    auto const exists = state.config_version % 2 == 0;
+    if (status == 200 && !exists)
+    {
+        state.oracle.add_violation("a daemon serves a removed queue");
+    }
+    if (status == 404 && exists)
+    {
+        state.oracle.add_violation("a daemon does not know an added queue");
+    }
+}
+
 } // namespace
 
 void tick(soak_state& state, time_ms now, effect_list& effects)
@@ -310,11 +342,20 @@
         send_new(state, purpose_kind::cancel, random_submission(state), now,
                  effects);
     }
-    if (state.config_version % 2 == 1
-        && now - std::max(state.queue_removed_at, state.disturbed_at)
-               > queue_removal_limit)
+    if (state.config_version % 2 == 1 && queue_change_is_known(state, now))
+    {
+        send_new(state, purpose_kind::probe_extra_queue, {}, now, effects);
+    }
+}
+
+void probe_extra_queue(soak_state& state, time_ms now, effect_list& effects)
+{
+    for (std::size_t i = 0; i < state.daemons.size(); ++i)
     {
-        send_new(state, purpose_kind::probe_removed_queue, {}, now, effects);
+        open_call call;
+        call.purpose = open_call::purpose_kind::probe_extra_queue;
+        call.daemon = i;
+        send_to_daemon(state, std::move(call), now, effects);
     }
 }
 
@@ -397,15 +438,8 @@
             state.oracle.cancelled(call.id, now);
         }
         return;
-    case purpose_kind::probe_removed_queue:
-        if (reply.status == 200 && state.config_version % 2 == 1
-            && call.sent_at
-                       - std::max(state.queue_removed_at, state.disturbed_at)
-                   > queue_removal_limit)
-        {
-            state.oracle.add_violation("a daemon serves a removed queue");
-        }
-        return;
+    case purpose_kind::probe_extra_queue:
+        return probe_answered(state, call, reply.status);
     }
 }
 
--- a/src/jaydrift/soak/callers.hpp
+++ b/src/jaydrift/soak/callers.hpp
@@ -16,6 +16,10 @@
 /// random submission, and probes whether a removed queue is still served.
 void tick(soak_state& state, time_ms now, effect_list& effects);
 
+/// Asks every daemon for the count of the queue "extra", which tells whether
+/// the daemon knows that the queue was added or removed.
+void probe_extra_queue(soak_state& state, time_ms now, effect_list& effects);
+
 /// Submits enough small serving tasks for each of a few dozen workers to get
 /// one.
 void submit_serving(soak_state& state, time_ms now, effect_list& effects);
--- a/src/jaydrift/soak/faults.cpp
+++ b/src/jaydrift/soak/faults.cpp
@@ -123,19 +123,6 @@
               + std::string(name_of(mode)));
 }
 
-void change_configuration(soak_state& state, time_ms now, effect_list& effects)
-{
-    ++state.config_version;
-    if (state.config_version % 2 == 1)
-    {
-        state.queue_removed_at = now;
-    }
-    simulated_platform::write_configuration(state);
-    print(effects, now,
-          "configuration changed to version "
-              + std::to_string(state.config_version));
-}
-
 void end_evacuation(soak_state& state)
 {
     if (state.evacuated_zone)
@@ -333,6 +320,16 @@
     }
 }
 
+void change_configuration(soak_state& state, time_ms now, effect_list& effects)
+{
+    ++state.config_version;
+    state.queue_changed_at = now;
+    simulated_platform::write_configuration(state);
+    print(effects, now,
+          "configuration changed to version "
+              + std::to_string(state.config_version));
+}
+
 void raise_tails(soak_state& state, time_ms until, time_ms now,
                  effect_list& effects)
 {
--- a/src/jaydrift/soak/faults.hpp
+++ b/src/jaydrift/soak/faults.hpp
@@ -15,6 +15,10 @@
 /// Begins a random fault or change if one is due.
 void begin(soak_state& state, time_ms now, effect_list& effects);
 
+/// Writes the next version of the configuration, with or without the queue
+/// "extra".
+void change_configuration(soak_state& state, time_ms now, effect_list& effects);
+
 /// Lets serving tasks report tail latencies near their targets, whatever runs
 /// beside them.
 void raise_tails(soak_state& state, time_ms until, time_ms now,
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -4,6 +4,7 @@
 #include "faults.hpp"
 #include "other_writer.hpp"
 #include "scale_in.hpp"
+#include "silent_store.hpp"
 #include "simulated_platform.hpp"
 #include "waiting_check.hpp"
 
@@ -165,6 +166,13 @@
         {
             faults::end_all(state, now, effects);
             other_writer::suspend(state);
+            enter(state, soak_state::phase::silent_store, now);
+        }
+        return;
+    case soak_state::phase::silent_store:
+        callers::tick(state, now, effects);
+        if (silent_store::run(state, now, effects))
+        {
             enter(state, soak_state::phase::scaling_in, now);
         }
         return;
@@ -242,6 +250,7 @@
     state.random = random_source(state.settings.seed);
     state.other_writer_random = random_source(~state.settings.seed);
     state.scale_in_random = random_source(state.settings.seed + 1);
+    state.silent_store_random = random_source(~(state.settings.seed + 1));
     state.phase_since = now;
     state.next_tick = now;
     state.disturbed_at = now;
--- a/src/jaydrift/soak/scale_in.cpp
+++ b/src/jaydrift/soak/scale_in.cpp
@@ -83,9 +83,10 @@
     return min_slow_percent + state.scale_in_random.below(slow_percent_jitter);
 }
 
-/// Lets a share of the workers drain until `leave`.
-void drain_workers(soak_state& state, time_ms leave, time_ms now,
-                   effect_list& effects)
+} // namespace
+
+void drain_workers(soak_state& state, random_source& random, time_ms leave,
+                   time_ms now, effect_list& effects)
 {
     if (state.workers.size() < drained_one_in || state.store_outage_until)
     {
@@ -94,7 +95,7 @@
     std::string names;
     for (std::size_t i = 0; i < state.workers.size() / drained_one_in; ++i)
     {
-        auto const number = state.scale_in_random.below(state.workers.size());
+        auto const number = random.below(state.workers.size());
         auto& worker = state.workers[number];
         if (!worker.up() || worker.draining)
         {
@@ -108,8 +109,6 @@
     print(effects, now, "drain:" + names);
 }
 
-} // namespace
-
 void begin(soak_state& state, time_ms now, effect_list& effects)
 {
     if (now < state.next_scale_in)
@@ -121,7 +120,7 @@
         + random_time(state.scale_in_random, min_interval_ms, max_interval_ms);
     if (state.scale_in_random.below(2) == 0)
     {
-        drain_workers(state,
+        drain_workers(state, state.scale_in_random,
                       now
                           + random_time(state.scale_in_random, min_serving_ms,
                                         max_serving_ms),
@@ -187,7 +186,8 @@
     if (state.current_scale_in == stage::slow && elapsed >= drain_start)
     {
         state.current_scale_in = stage::draining;
-        drain_workers(state, now + serving_time, now, effects);
+        drain_workers(state, state.scale_in_random, now + serving_time, now,
+                      effects);
     }
     return elapsed >= end;
 }
--- a/src/jaydrift/soak/scale_in.hpp
+++ b/src/jaydrift/soak/scale_in.hpp
@@ -6,7 +6,11 @@
 
 #include <cstddef>
 
-namespace jaydrift::soak {
+namespace jaydrift {
+
+class random_source;
+
+namespace soak {
 
 struct soak_state;
 
@@ -15,6 +19,10 @@
 /// seed stay the same.
 namespace scale_in {
 
+/// Lets a share of the workers drain until `leave`.
+void drain_workers(soak_state& state, random_source& random, time_ms leave,
+                   time_ms now, effect_list& effects);
+
 /// Begins a scale-in or congests a link if one is due.
 void begin(soak_state& state, time_ms now, effect_list& effects);
 
@@ -33,6 +41,8 @@
 
 } // namespace scale_in
 
-} // namespace jaydrift::soak
+} // namespace soak
+
+} // namespace jaydrift
 
 #endif // JAYDRIFT_SOAK_SCALE_IN_HPP
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -51,6 +51,10 @@
                            time_ms now, effect_list& effects)
 {
     auto const& message = input.message;
+    if (state.store_silent_until)
+    {
+        return;
+    }
     if (state.store_outage_until)
     {
         effects.push_back(respond{input.number, {503, {}, {}}});
@@ -237,7 +241,8 @@
             continue;
         }
         worker.advance(state.oracle, now);
-        if (worker.heartbeat(now) && !state.store_outage_until)
+        if (worker.heartbeat(now) && !state.store_outage_until
+            && !state.store_silent_until)
         {
             publish_worker(state, i);
         }
