End calls that a silent store has swallowed once it answers a later one

Callers were answered by a configuration that had been replaced seconds before, and tasks started on draining workers, for up to 6.9 s after the store had been silent and was back.

Cause: a call that is sent while the store is silent is never answered and blocks its area, or a takeover, until its time limit; the limit had doubled with each failure of the silence, to 6.8 s for watches and 8 s for the submissions. Daemons that own nothing send only watches, so nothing showed them that the store was back.

A time limit cannot tell a swallowed call from a reply on its way. While the reply to any call to the store is overdue by 500 ms, a small read on a connection of its own asks for the store's revision, every 500 ms. Once the store has answered a call that was sent after the reply was due, the call ends, unless bytes of its reply have arrived since. The doubled limit stays for what it was made for: large replies on a slow link, and reduce.a_watch_without_an_answer_gets_more_time is unchanged.

After a failure, watches ask for an answer at once, and the pause between attempts counts from the sending. So a view is current within 1.5 s and a few round trips of the store's return, and within 2.1 s if one more call is lost.

Daemons now notice the return sooner, one after the other, and the owner took it for an outage of its own and handed the shard over (deployment.owner_goes_on_while_the_store_is_out failed). It asks the store once more before it yields.

--- a/include/jaydrift/http/client.hpp
+++ b/include/jaydrift/http/client.hpp
@@ -6,6 +6,7 @@
 #include <jaydrift/http/request.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,10 +40,15 @@
     /// most `max_connections`; the latest call sets this limit. `done` is
     /// called once, with `lost` or `not_sent` if there is no response after
     /// `time_limit`, and with `not_sent` if the address is not a network
-    /// address.
-    void call(std::string_view address, std::string_view pool,
-              std::size_t max_connections, request message, time_ms time_limit,
-              handler done);
+    /// address. Returns the number of the call.
+    std::uint64_t call(std::string_view address, std::string_view pool,
+                       std::size_t max_connections, request message,
+                       time_ms time_limit, handler done);
+
+    /// Ends a call as `lost` if it has a connection and no byte of its response
+    /// has arrived for `silence`, or since it began. Ignored if the call has
+    /// ended.
+    void end_if_silent(std::uint64_t call, time_ms silence);
 
 private:
     class state;
--- a/include/jaydrift/schedule/effect.hpp
+++ b/include/jaydrift/schedule/effect.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/schedule/answer_call.hpp>
 #include <jaydrift/schedule/close_connections.hpp>
+#include <jaydrift/schedule/end_silent_call.hpp>
 #include <jaydrift/schedule/exit_process.hpp>
 #include <jaydrift/schedule/forward_call.hpp>
 #include <jaydrift/schedule/gauge_update.hpp>
@@ -20,9 +21,9 @@
 
 /// Everything that the reducer can ask of its surroundings.
 using effect =
-    std::variant<answer_call, forward_call, store_call, worker_call,
-                 send_message, set_ready, close_connections, log_line,
-                 metric_update, gauge_update, exit_process>;
+    std::variant<answer_call, forward_call, store_call, end_silent_call,
+                 worker_call, send_message, set_ready, close_connections,
+                 log_line, metric_update, gauge_update, exit_process>;
 
 using effect_list = std::vector<effect>;
 
--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -68,6 +68,10 @@
     /// was.
     std::string asked_address;
 
+    /// When the owner first knew, in the last outage of the store for it, that
+    /// a peer reaches the store.
+    std::optional<time_ms> peer_reached_store_at;
+
     /// A read of the owner record is in flight.
     bool verifying = false;
 
--- a/include/jaydrift/schedule/pending_store_call.hpp
+++ b/include/jaydrift/schedule/pending_store_call.hpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/store_purpose.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace jaydrift::schedule {
 
@@ -16,6 +17,13 @@
     /// Shard that the reply concerns; 0 if it concerns none.
     std::uint32_t shard = 0;
     time_ms sent_at;
+
+    /// When the store should send its reply.
+    time_ms reply_due_at;
+
+    /// Sending time of the latest answered call that has shown this one to be
+    /// overdue.
+    std::optional<time_ms> last_evidence;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/store_call.hpp
+++ b/include/jaydrift/schedule/store_call.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/read_area.hpp>
 #include <jaydrift/schedule/read_record.hpp>
+#include <jaydrift/schedule/read_revision.hpp>
 #include <jaydrift/schedule/store_transaction.hpp>
 #include <jaydrift/schedule/watch_area.hpp>
 
@@ -17,7 +18,9 @@
 {
     /// Number of the call.
     std::uint64_t call = 0;
-    std::variant<read_area, read_record, watch_area, store_transaction> request;
+    std::variant<read_area, read_record, read_revision, watch_area,
+                 store_transaction>
+        request;
 
     /// Time after which the call ends as lost.
     time_ms time_limit;
--- a/include/jaydrift/schedule/store_purpose.hpp
+++ b/include/jaydrift/schedule/store_purpose.hpp
@@ -29,6 +29,9 @@
     verify_owner,
     write_roster,
 
+    /// Asks whether the store answers.
+    probe,
+
     /// Writes a transaction of the record log, which may overwrite records.
     append
 };
--- a/include/jaydrift/schedule/store_session_state.hpp
+++ b/include/jaydrift/schedule/store_session_state.hpp
@@ -30,6 +30,9 @@
     watch_state coordination;
     watch_state workers;
 
+    /// Earliest time of the next question whether the store answers.
+    time_ms next_probe;
+
     /// Time of the next update of the gauges of the views' ages.
     time_ms next_age_gauges;
 
--- a/src/jaydrift/http/client.cpp
+++ b/src/jaydrift/http/client.cpp
@@ -35,9 +35,11 @@
     {
     }
 
-    void call(std::string_view address, std::string_view pool_name,
-              std::size_t max_connections, pending_call call)
+    std::uint64_t call(std::string_view address, std::string_view pool_name,
+                       std::size_t max_connections, pending_call call)
     {
+        auto const number = ++last_number_;
+        call.number = number;
         auto const server =
             remote_endpoint<boost::asio::ip::tcp::endpoint>(address);
         if (!server)
@@ -45,7 +47,7 @@
             boost::asio::post(context_, [done = std::move(call.done)] {
                 done({call_result::outcome_kind::not_sent, {}});
             });
-            return;
+            return number;
         }
         auto& pool = pools_[{std::string(address), std::string(pool_name)}];
         pool.max_connections = max_connections;
@@ -59,6 +61,22 @@
             checking_expiry_ = true;
             schedule_expiry_check();
         }
+        return number;
+    }
+
+    void end_if_silent(std::uint64_t number, time_ms silence)
+    {
+        for (auto& [key, pool] : pools_)
+        {
+            // A copy, since the end of a call may begin another one in the
+            // pool.
+            auto const connections = pool.connections;
+            for (auto const& each : connections)
+            {
+                each->end_if_silent(number,
+                                    std::chrono::milliseconds(silence.count()));
+            }
+        }
     }
 
     void stop()
@@ -214,6 +232,7 @@
     /// By address and name.
     std::map<std::pair<std::string, std::string>, connection_pool> pools_;
     std::size_t open_calls_ = 0;
+    std::uint64_t last_number_ = 0;
     bool checking_expiry_ = false;
     bool stopped_ = false;
 };
@@ -225,18 +244,24 @@
 
 client::~client() { state_->stop(); }
 
-void client::call(std::string_view address, std::string_view pool,
-                  std::size_t max_connections, request message,
-                  time_ms time_limit, handler done)
+std::uint64_t client::call(std::string_view address, std::string_view pool,
+                           std::size_t max_connections, request message,
+                           time_ms time_limit, handler done)
 {
     if (message.host.empty())
     {
         message.host = address;
     }
-    state_->call(address, pool, max_connections,
-                 {std::move(message),
-                  steady::now() + std::chrono::milliseconds(time_limit.count()),
-                  std::move(done)});
+    return state_->call(
+        address, pool, max_connections,
+        {0, std::move(message),
+         steady::now() + std::chrono::milliseconds(time_limit.count()),
+         std::move(done)});
+}
+
+void client::end_if_silent(std::uint64_t call, time_ms silence)
+{
+    state_->end_if_silent(call, silence);
 }
 
 } // namespace jaydrift::http
--- a/src/jaydrift/http/connection.cpp
+++ b/src/jaydrift/http/connection.cpp
@@ -44,6 +44,8 @@
     write_started_ = false;
     parser_.reset();
     header_at_.reset();
+    heard_at_ = std::chrono::steady_clock::now();
+    heard_bytes_ = 0;
     if (connected_ && closed_by_server())
     {
         error_code ignored;
@@ -116,6 +118,7 @@
                 return;
             }
             self->header_at_ = std::chrono::steady_clock::now();
+            self->heard_at_ = *self->header_at_;
             self->read_body();
         });
 }
@@ -202,10 +205,40 @@
 
 void connection::expire(std::chrono::steady_clock::time_point now)
 {
-    if (call_ && now >= call_->deadline)
+    if (!call_)
+    {
+        return;
+    }
+    note_progress(now);
+    if (now >= call_->deadline)
     {
         fail();
     }
 }
 
+void connection::end_if_silent(std::uint64_t number,
+                               std::chrono::milliseconds silence)
+{
+    if (!call_ || call_->number != number)
+    {
+        return;
+    }
+    auto const now = std::chrono::steady_clock::now();
+    note_progress(now);
+    if (now - heard_at_ >= silence)
+    {
+        fail();
+    }
+}
+
+void connection::note_progress(std::chrono::steady_clock::time_point now)
+{
+    auto const received = progress().received_bytes;
+    if (received > heard_bytes_)
+    {
+        heard_bytes_ = received;
+        heard_at_ = now;
+    }
+}
+
 } // namespace jaydrift::http
--- a/src/jaydrift/http/connection.hpp
+++ b/src/jaydrift/http/connection.hpp
@@ -4,6 +4,7 @@
 #include <jaydrift/http/client.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,6 +19,8 @@
 /// A call that waits for a connection or for its response.
 struct pending_call
 {
+    /// As returned by `client::call`.
+    std::uint64_t number = 0;
     request message;
     std::chrono::steady_clock::time_point deadline;
     client::handler done;
@@ -42,6 +45,10 @@
     /// Ends the call in progress if its deadline has passed.
     void expire(std::chrono::steady_clock::time_point now);
 
+    /// Ends the call with this number, if it is the one in progress and no byte
+    /// of its response has arrived for `silence`.
+    void end_if_silent(std::uint64_t number, std::chrono::milliseconds silence);
+
     /// Tells whether the connection can take a call; it need not be open yet.
     bool idle() const { return !call_ && !closed_; }
     bool closed() const { return closed_; }
@@ -61,6 +68,8 @@
     void fail();
     /// Tells how much of the response to the latest call has arrived.
     reply_progress progress() const;
+    /// Records whether bytes of the response have arrived since the last time.
+    void note_progress(std::chrono::steady_clock::time_point now);
     /// Tells whether the server has closed the open connection, or has sent
     /// bytes that belong to no call.
     bool closed_by_server();
@@ -74,6 +83,10 @@
     std::optional<pending_call> call_;
     std::chrono::steady_clock::time_point sent_at_;
     std::optional<std::chrono::steady_clock::time_point> header_at_;
+    /// When the call in progress began, or when it was last noticed that bytes
+    /// of its response had arrived, and how many there were then.
+    std::chrono::steady_clock::time_point heard_at_;
+    std::uint64_t heard_bytes_ = 0;
     bool connected_ = false;
     /// Part of the request of the latest call may have been sent.
     bool write_started_ = false;
--- a/src/jaydrift/http/http_test.cpp
+++ b/src/jaydrift/http/http_test.cpp
@@ -98,6 +98,76 @@
     EXPECT_EQ(result->outcome, call_result::outcome_kind::lost);
 }
 
+// Guards against a call that stays open until its time limit although it is
+// known that the server will not answer it, and against calls that end with it.
+TEST(http, a_silent_call_can_be_ended_early)
+{
+    boost::asio::io_context context;
+    std::vector<server::responder> held_responders;
+    server silent(
+        context, any_port,
+        [&held_responders](request const&, server::responder respond) {
+            held_responders.push_back(std::move(respond));
+        });
+    client http_client(context);
+    std::optional<call_result> ended;
+    std::optional<call_result> other;
+    auto const number = http_client.call(
+        address_of(silent), "pool", 1, post("a"), time_ms(60000),
+        [&ended](call_result result) { ended = std::move(result); });
+    http_client.call(
+        address_of(silent), "other", 1, post("b"), time_ms(60000),
+        [&other](call_result result) { other = std::move(result); });
+    run_until(context,
+              [&held_responders] { return held_responders.size() == 2; });
+    http_client.end_if_silent(number, time_ms(30000));
+    EXPECT_FALSE(ended);
+    http_client.end_if_silent(number, time_ms(0));
+    run_until(context, [&ended] { return ended.has_value(); });
+    ASSERT_TRUE(ended);
+    EXPECT_EQ(ended->outcome, call_result::outcome_kind::lost);
+    EXPECT_FALSE(other);
+}
+
+// Guards against responses that are given up while they arrive, however slowly,
+// and would be asked for again over the same slow link.
+TEST(http, a_response_on_its_way_is_not_ended_as_silent)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    boost::asio::ip::tcp::socket socket(context);
+    auto connected = false;
+    acceptor.async_accept(socket, [&](boost::system::error_code const& error) {
+        ASSERT_FALSE(error);
+        connected = true;
+    });
+    client http_client(context);
+    std::optional<call_result> result;
+    auto const number = http_client.call(
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), "pool",
+        1, post("a"), time_ms(60000),
+        [&result](call_result ended) { result = std::move(ended); });
+    run_until(context, [&connected] { return connected; });
+    std::string const header = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(header));
+    constexpr time_ms silence{200};
+    for (auto i = 0; i < 8; ++i)
+    {
+        EXPECT_FALSE(result);
+        boost::asio::write(socket, boost::asio::buffer("x", 1));
+        auto const end =
+            std::chrono::steady_clock::now() + std::chrono::milliseconds(80);
+        run_until(context,
+                  [end] { return std::chrono::steady_clock::now() >= end; });
+        http_client.end_if_silent(number, silence);
+    }
+    run_until(context, [&result] { return result.has_value(); });
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->outcome, call_result::outcome_kind::answered);
+    EXPECT_EQ(result->reply.body, "xxxxxxxx");
+}
+
 // Guards against a lost call of which nobody can tell whether the server was
 // silent or its response arrived slowly.
 TEST(http, a_lost_call_tells_how_much_of_the_response_arrived)
--- a/src/jaydrift/schedule/area_watch.cpp
+++ b/src/jaydrift/schedule/area_watch.cpp
@@ -30,7 +30,8 @@
 constexpr time_ms watch_pause{200};
 constexpr time_ms read_time_limit{1500};
 
-/// Time between a failed call and the next one to the same area.
+/// Shortest time between the sending of a call that failed and the next one to
+/// the same area.
 constexpr time_ms retry_pause{150};
 
 /// Time between two updates of the gauges of the views' ages.
@@ -203,6 +204,8 @@
 }
 
 /// Reads or watches the area if no call is in flight and the next one is due.
+/// After a failure, a watch is answered at once, also without changes: until
+/// then the view is out of date, and a lost call is noticed sooner.
 void call_if_due(context& ctx, area_handlers const& handlers)
 {
     auto& watch = ctx.state.store.*handlers.watch;
@@ -216,7 +219,8 @@
         watch.loaded
             ? call(
                 ctx, handlers.watch_purpose,
-                watch_area{handlers.area, watch.revision, watch_wait},
+                watch_area{handlers.area, watch.revision,
+                           watch.failures == 0 ? watch_wait : time_ms(0)},
                 extended_time_limit(watch_wait + watch_margin, watch.failures))
             : call(ctx, handlers.read_purpose, read_area{handlers.area},
                    extended_time_limit(read_time_limit, watch.failures));
@@ -274,7 +278,7 @@
             // The same watch would ask for this reply and all later changes.
             read_again(ctx, handlers, "the changes did not arrive in time");
         }
-        watch.retry_at = ctx.now + retry_pause;
+        watch.retry_at = watch.sent_at + retry_pause;
         ++watch.failures;
     }
     else if (!watch.loaded)
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -8,6 +8,7 @@
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_key.hpp>
+#include <jaydrift/schedule/silent_calls.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 
 #include <algorithm>
@@ -56,6 +57,11 @@
 /// here are taken to reach it.
 constexpr time_ms outage_start_spread{250};
 
+/// Once a peer is known to reach the store, the owner asks the store again and
+/// keeps the shard if it answers within this time: after an outage, daemons
+/// notice the store's return one after the other.
+constexpr time_ms store_answer_wait{250};
+
 /// Watches are answered at least once a second, so a peer that the store has
 /// not answered for this long does not reach it.
 constexpr time_ms store_out_after{1800};
@@ -243,13 +249,25 @@
     {
         return;
     }
-    if (ctx.now - *failing >= yield_after)
+    if (ctx.now - *failing < yield_after)
     {
-        if (auto const peer =
-                candidates::best_peer(ctx, *failing + outage_start_spread))
-        {
-            yield_to(ctx, *peer, "only a peer reaches the store");
-        }
+        return;
+    }
+    auto const peer =
+        candidates::best_peer(ctx, *failing + outage_start_spread);
+    if (!peer)
+    {
+        return;
+    }
+    auto& reached_at = ctx.shard.ownership.peer_reached_store_at;
+    if (!reached_at || *reached_at < *failing)
+    {
+        reached_at = ctx.now;
+        silent_calls::probe(ctx);
+    }
+    if (ctx.now - *reached_at >= store_answer_wait)
+    {
+        yield_to(ctx, *peer, "only a peer reaches the store");
     }
 }
 
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -16,6 +16,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace jaydrift::schedule::testing {
@@ -171,6 +172,7 @@
     void schedule_timer(std::size_t daemon);
 
     void carry_out(std::size_t daemon, store_call const& effect);
+    void carry_out(std::size_t daemon, end_silent_call const& effect);
     void carry_out(std::size_t daemon, worker_call const& effect);
     void carry_out(std::size_t daemon, send_message const& effect);
     void carry_out(std::size_t daemon, answer_call const& effect);
@@ -209,6 +211,10 @@
     std::vector<std::unique_ptr<simulated_worker>> workers_;
     std::map<task_id, task_history> history_;
 
+    /// Calls that the silent store has got: daemon, incarnation and number.
+    std::set<std::tuple<std::size_t, std::uint64_t, std::uint64_t>>
+        swallowed_calls_;
+
     /// Times of the last starts, by worker.
     std::map<std::string, time_ms> last_starts_;
     std::map<std::string, submission> submissions_;
--- a/src/jaydrift/schedule/simulated_store_link_test.cpp
+++ b/src/jaydrift/schedule/simulated_store_link_test.cpp
@@ -24,9 +24,23 @@
 {
     store_replied lost;
     lost.call = effect.call;
+    swallowed_calls_.insert(
+        {daemon, daemons_[daemon].incarnation, effect.call});
     deliver(daemon, daemons_[daemon].incarnation, lost, time_left);
 }
 
+void simulated_deployment::carry_out(std::size_t daemon,
+                                     end_silent_call const& effect)
+{
+    auto const incarnation = daemons_[daemon].incarnation;
+    if (swallowed_calls_.erase({daemon, incarnation, effect.call}) > 0)
+    {
+        store_replied lost;
+        lost.call = effect.call;
+        deliver(daemon, incarnation, lost, time_ms(0));
+    }
+}
+
 void simulated_deployment::watch(std::size_t daemon, std::uint64_t incarnation,
                                  store_call const& effect, time_ms until)
 {
@@ -109,9 +123,14 @@
         {
             reply = store.read(*area);
         }
+        else if (auto const* const record =
+                     std::get_if<read_record>(&effect.request))
+        {
+            reply = store.read(*record);
+        }
         else
         {
-            reply = store.read(std::get<read_record>(effect.request));
+            reply = store.read(std::get<read_revision>(effect.request));
         }
         reply.call = effect.call;
         deliver(daemon, incarnation, reply, half_store_delay);
--- a/src/jaydrift/schedule/simulated_store_test.cpp
+++ b/src/jaydrift/schedule/simulated_store_test.cpp
@@ -56,6 +56,14 @@
     return reply;
 }
 
+store_replied simulated_store::read(read_revision const&)
+{
+    store_replied reply;
+    reply.status = store_status::ok;
+    reply.revision = revision_;
+    return reply;
+}
+
 store_replied simulated_store::write(store_transaction const& request)
 {
     store_replied reply;
--- a/src/jaydrift/schedule/simulated_store_test.hpp
+++ b/src/jaydrift/schedule/simulated_store_test.hpp
@@ -19,6 +19,7 @@
 public:
     store_replied read(read_area const& request);
     store_replied read(read_record const& request);
+    store_replied read(read_revision const& request);
     store_replied write(store_transaction const& request);
 
     /// Returns the changes after a revision, or nothing if there are none yet.
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -8,6 +8,7 @@
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/silent_calls.hpp>
 
 #include <algorithm>
 #include <span>
@@ -81,11 +82,14 @@
 }
 
 /// Assigns a number to the call and emits it.
-std::uint64_t emit_call(context& ctx, pending_store_call pending, request what,
-                        time_ms time_limit)
+std::uint64_t emit_call(context& ctx, store_purpose purpose,
+                        std::uint32_t shard, request what, time_ms time_limit)
 {
     auto const number = ctx.state.store.next_call++;
-    ctx.state.store.calls.emplace(number, pending);
+    auto const* const watch = std::get_if<watch_area>(&what);
+    auto const reply_due_at = ctx.now + (watch ? watch->wait : time_ms(0));
+    ctx.state.store.calls.emplace(
+        number, pending_store_call{purpose, shard, ctx.now, reply_due_at, {}});
     ctx.emit(store_call{number, std::move(what), time_limit});
     return number;
 }
@@ -116,13 +120,13 @@
 std::uint64_t call(context& ctx, store_purpose purpose, request what,
                    time_ms time_limit)
 {
-    return emit_call(ctx, {purpose, 0, ctx.now}, std::move(what), time_limit);
+    return emit_call(ctx, purpose, 0, std::move(what), time_limit);
 }
 
 std::uint64_t call(shard_context& ctx, store_purpose purpose, request what,
                    time_ms time_limit)
 {
-    return emit_call(ctx, {purpose, ctx.shard.number, ctx.now}, std::move(what),
+    return emit_call(ctx, purpose, ctx.shard.number, std::move(what),
                      time_limit);
 }
 
@@ -138,7 +142,9 @@
     {
         return;
     }
-    auto const [purpose, shard, sent_at] = found->second;
+    auto const purpose = found->second.purpose;
+    auto const shard = found->second.shard;
+    auto const sent_at = found->second.sent_at;
     ctx.state.store.calls.erase(found);
     update_failing_since(ctx, reply, sent_at);
     ctx.state.store.highest_revision =
@@ -167,6 +173,8 @@
             ctx.state.store.registered = true;
         }
         return;
+    case store_purpose::probe:
+        return;
     case store_purpose::remove_member:
     case store_purpose::write_layout:
         // The watch of the coordination area reports what was written.
@@ -182,6 +190,7 @@
 
 void tick(context& ctx)
 {
+    silent_calls::tick(ctx);
     area_watch::tick(ctx);
     layout::tick(ctx);
     register_member(ctx);
