Answer calls to unknown queues as unavailable while the view is old

Queues that the daemon knows are served as before.

view_age.an_unknown_queue_is_unavailable_while_the_view_is_old fails before and passes now.

--- a/include/jaydrift/schedule/calls.hpp
+++ b/include/jaydrift/schedule/calls.hpp
@@ -18,7 +18,8 @@
 namespace calls {
 
 /// Takes a new call. It is answered at once if the configuration or the shards
-/// are not known yet, or if no queue has its host and path.
+/// are not known yet, or if no queue has its host and path: as no_queue, or as
+/// unavailable if the view of the configuration is out of date.
 void arrived(context& ctx, call_arrived const& request);
 
 /// Handles the end of a forwarded call.
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -479,7 +479,12 @@
                : std::string_view();
     if (!to && (!target || !(is_id(id) || (id.empty() && !request.work))))
     {
-        finish(ctx, request.call, answer::code::no_queue);
+        // Later versions may have the queue, and callers take no_queue as
+        // final.
+        finish(ctx, request.call,
+               view_age::is_stale(ctx.state.store.operators, ctx.now)
+                   ? answer::code::unavailable
+                   : answer::code::no_queue);
         return;
     }
     call.parts = parts_of(ctx, request, id);
--- a/src/jaydrift/schedule/view_age_test.cpp
+++ b/src/jaydrift/schedule/view_age_test.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/reduce.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -65,6 +66,26 @@
               1U);
 }
 
+// Guards against a final refusal of calls to a queue that a later version of
+// the configuration has.
+TEST(view_age, an_unknown_queue_is_unavailable_while_the_view_is_old)
+{
+    auto const answered = [](time_ms age) {
+        auto state = state_with_view_of(age);
+        std::optional<answer::code> result;
+        for (auto const& each : call_unknown_queue(state, 1))
+        {
+            if (auto const* const reply = std::get_if<answer_call>(&each))
+            {
+                result = reply->reply.result;
+            }
+        }
+        return result;
+    };
+    EXPECT_EQ(answered(time_ms(2499)), answer::code::no_queue);
+    EXPECT_EQ(answered(time_ms(2500)), answer::code::unavailable);
+}
+
 // Guards against decisions on an old view that leave no trace, because lines
 // about single calls are left out under load.
 TEST(view_age, decisions_by_an_old_view_are_summed_up)
