Let the store fall silent at random in the simulation

Beside random faults the store swallows calls for up to 12 s at a time; 2.5 s after all faults have ended every daemon must have the latest configuration. All calls that are lost on their way can be ended early now, as in a real daemon.

--- a/src/jaydrift/schedule/silent_store_test.cpp
+++ b/src/jaydrift/schedule/silent_store_test.cpp
@@ -1,13 +1,18 @@
+#include "random_faults_test.hpp"
 #include "sample_work_test.hpp"
 #include "simulated_deployment_test.hpp"
 
+#include <jaydrift/core/random.hpp>
 #include <jaydrift/schedule/daemon_state.hpp>
 
 #include <array>
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace jaydrift::schedule::testing {
 
@@ -199,4 +204,41 @@
     }
 }
 
+// Guards against broken guarantees, and against changes that come late, if the
+// store is silent for random times beside other faults.
+RC_GTEST_PROP(silent_store, random_silences_beside_other_faults,
+              (std::uint64_t seed))
+{
+    constexpr std::uint64_t silence_one_in = 4;
+    constexpr std::uint64_t max_silence_ms = 12000;
+    simulated_deployment deployment(daemons, 5, seed, 1);
+    random_source faults(seed);
+    random_source random(~seed);
+    deployment.run_until(time_ms(2500));
+    for (auto round = 1; round <= 12; ++round)
+    {
+        deployment.submit(
+            faults.below(daemons), id_of(round),
+            chain_of({static_cast<std::uint32_t>(1 + faults.below(8))}));
+        random_fault(deployment, faults);
+        deployment.store_silent = random.below(silence_one_in) == 0;
+        deployment.run_until(
+            deployment.now()
+            + time_ms(static_cast<std::int64_t>(random.below(
+                deployment.store_silent ? max_silence_ms : 1500))));
+    }
+    deployment.store_silent = false;
+    end_faults(deployment);
+    configuration next;
+    next.version = 2;
+    deployment.store.put({record_kind::configuration, {}}, next);
+    deployment.run_until(deployment.now() + apply_limit);
+    RC_ASSERT(deployment.violations == std::vector<std::string>());
+    for (std::size_t i = 0; i < daemons; ++i)
+    {
+        RC_ASSERT(deployment.daemon(i).config.has_value());
+        RC_ASSERT(deployment.daemon(i).config->version == 2U);
+    }
+}
+
 } // namespace jaydrift::schedule::testing
--- a/src/jaydrift/schedule/simulated_store_link_test.cpp
+++ b/src/jaydrift/schedule/simulated_store_link_test.cpp
@@ -74,24 +74,17 @@
                                      store_call const& effect)
 {
     auto const incarnation = daemons_[daemon].incarnation;
-    store_replied lost;
-    lost.call = effect.call;
-    if (store_silent)
+    if (store_silent || !reaches_store(daemon))
     {
         swallow(daemon, effect, effect.time_limit);
         return;
     }
-    if (!reaches_store(daemon))
-    {
-        deliver(daemon, incarnation, lost, effect.time_limit);
-        return;
-    }
     if (auto const* const request = std::get_if<watch_area>(&effect.request))
     {
         watch(daemon, incarnation, effect, now_ + request->wait);
         return;
     }
-    after(half_store_delay, [this, daemon, incarnation, effect, lost] {
+    after(half_store_delay, [this, daemon, incarnation, effect] {
         if (store_silent)
         {
             swallow(daemon, effect, effect.time_limit - half_store_delay);
@@ -108,13 +101,13 @@
                 after(late_write_delay, [this, write = *write] {
                     static_cast<void>(store.write(write));
                 });
-                deliver(daemon, incarnation, lost, effect.time_limit);
+                swallow(daemon, effect, effect.time_limit);
                 return;
             }
             reply = store.write(*write);
             if (fails)
             {
-                deliver(daemon, incarnation, lost, effect.time_limit);
+                swallow(daemon, effect, effect.time_limit);
                 return;
             }
         }
