Give calls more time that the store leaves without a reply

A call that got no byte of its reply for 500 ms was ended as soon as the store had answered another one. If the store needs longer than that for a large reply while it answers small calls at once, each attempt would end as early as the one before, and none would succeed: the fault that the doubled time limit was made for, in another place.

The limit of silence doubles, up to 4 s, from the second such call in a row on. It grows only while the store answers other calls, not during an outage, so the view is no older after the store's return.

silent_calls.a_reply_that_takes_long_gets_more_time_with_each_attempt fails before (500 ms for each attempt) and passes now.

--- a/include/jaydrift/schedule/pending_store_call.hpp
+++ b/include/jaydrift/schedule/pending_store_call.hpp
@@ -21,6 +21,10 @@
     /// When the store should send its reply.
     time_ms reply_due_at;
 
+    /// The reply is overdue this long after it was due. The call may end then
+    /// if no byte of its reply has arrived for as long.
+    time_ms silence_limit;
+
     /// Sending time of the latest answered call that has shown this one to be
     /// overdue.
     std::optional<time_ms> last_evidence;
--- a/include/jaydrift/schedule/store_session.hpp
+++ b/include/jaydrift/schedule/store_session.hpp
@@ -31,7 +31,8 @@
 /// Returns the time limit of a call that has failed `failures` times in a row:
 /// `limit`, doubled for each of the first failures. A large reply on a
 /// saturated link may take longer than usual, and a repeated request with the
-/// same limit would only add to the load.
+/// same limit would only add to the load. Calls that the store has swallowed
+/// end sooner, see `silent_calls`.
 time_ms extended_time_limit(time_ms limit, std::uint32_t failures);
 
 /// Handles the end of a call.
--- a/include/jaydrift/schedule/store_session_state.hpp
+++ b/include/jaydrift/schedule/store_session_state.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace jaydrift::schedule {
 
@@ -30,6 +31,12 @@
     watch_state coordination;
     watch_state workers;
 
+    /// For the purposes of calls, with their shards, of which the last ones got
+    /// no byte of a reply although the store answered others: how many in a
+    /// row.
+    std::map<std::pair<store_purpose, std::uint32_t>, std::uint32_t>
+        silent_calls;
+
     /// Earliest time of the next question whether the store answers.
     time_ms next_probe;
 
--- a/src/jaydrift/schedule/silent_calls_test.cpp
+++ b/src/jaydrift/schedule/silent_calls_test.cpp
@@ -47,6 +47,15 @@
 
     void answer(std::uint64_t call) { end(call, store_status::ok); }
 
+    /// Answers the question whether the store answers, if it is in flight.
+    void answer_probe()
+    {
+        if (auto const call = probe())
+        {
+            answer(*call);
+        }
+    }
+
     void lose(std::uint64_t call) { end(call, store_status::lost); }
 
     /// Returns the call in flight about an area, if there is one.
@@ -90,6 +99,15 @@
         return found->time_limit;
     }
 
+    /// Returns whether the daemon has ended the call early.
+    bool has_ended(std::uint64_t number) const
+    {
+        return std::any_of(ended.begin(), ended.end(),
+                           [number](end_silent_call const& each) {
+                               return each.call == number;
+                           });
+    }
+
     std::vector<end_silent_call> ended;
     std::size_t probes = 0;
 
@@ -157,9 +175,7 @@
     daemon.answer(*daemon.probe());
     daemon.run(time_ms(60));
     ASSERT_FALSE(daemon.ended.empty());
-    EXPECT_TRUE(std::any_of(
-        daemon.ended.begin(), daemon.ended.end(),
-        [watch](end_silent_call const& each) { return each.call == watch; }));
+    EXPECT_TRUE(daemon.has_ended(watch));
     daemon.lose(watch);
     daemon.run(time_ms(60));
     EXPECT_NE(daemon.operators_watch(), watch);
@@ -179,6 +195,40 @@
     EXPECT_EQ(daemon.time_limit_of(daemon.operators_watch()), first * 2);
 }
 
+// Guards against a reply that never arrives because the store needs longer for
+// it than for others, and each attempt is given up as early as the one before.
+TEST(silent_calls, a_reply_that_takes_long_gets_more_time_with_each_attempt)
+{
+    watching_daemon daemon;
+    auto watch = daemon.operators_watch();
+    daemon.lose(watch);
+    std::vector<std::int64_t> times;
+    for (auto attempt = 0; attempt < 6; ++attempt)
+    {
+        while (!daemon.call_of<watch_area>(store_area::operators))
+        {
+            daemon.run(tick_interval);
+        }
+        watch = daemon.operators_watch();
+        daemon.ended.clear();
+        std::int64_t time = 0;
+        while (!daemon.has_ended(watch) && time < 10000)
+        {
+            daemon.answer_probe();
+            daemon.run(tick_interval);
+            time += tick_interval.count();
+        }
+        times.push_back(time);
+        daemon.lose(watch);
+    }
+    EXPECT_LE(times[0], 700);
+    EXPECT_LE(times[1], 700);
+    EXPECT_GE(times[2], 1000);
+    EXPECT_GE(times[3], 2000);
+    EXPECT_GE(times[4], 4000);
+    EXPECT_LE(times[5], 4700);
+}
+
 // Guards against replies that are cut off by an answer to an earlier call,
 // which says nothing about the store now.
 TEST(silent_calls,
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -89,7 +89,13 @@
     auto const* const watch = std::get_if<watch_area>(&what);
     auto const reply_due_at = ctx.now + (watch ? watch->wait : time_ms(0));
     ctx.state.store.calls.emplace(
-        number, pending_store_call{purpose, shard, ctx.now, reply_due_at, {}});
+        number, pending_store_call{
+                    purpose,
+                    shard,
+                    ctx.now,
+                    reply_due_at,
+                    silent_calls::silence_limit(ctx.state, purpose, shard),
+                    {}});
     ctx.emit(store_call{number, std::move(what), time_limit});
     return number;
 }
@@ -142,11 +148,10 @@
     {
         return;
     }
-    auto const purpose = found->second.purpose;
-    auto const shard = found->second.shard;
-    auto const sent_at = found->second.sent_at;
+    auto const call = found->second;
     ctx.state.store.calls.erase(found);
-    update_failing_since(ctx, reply, sent_at);
+    update_failing_since(ctx, reply, call.sent_at);
+    silent_calls::ended(ctx, call, reply);
     ctx.state.store.highest_revision =
         std::max(ctx.state.store.highest_revision, reply.revision);
     if (reply.unreadable_items > 0)
@@ -156,7 +161,7 @@
                     + " records of a reply have no readable key or revision");
         ctx.count("unreadable_records_total", "item");
     }
-    switch (purpose)
+    switch (call.purpose)
     {
     case store_purpose::read_operators:
     case store_purpose::watch_operators:
@@ -164,7 +169,7 @@
     case store_purpose::watch_coordination:
     case store_purpose::read_workers:
     case store_purpose::watch_workers:
-        return area_watch::replied(ctx, purpose, reply);
+        return area_watch::replied(ctx, call.purpose, reply);
     case store_purpose::count_workers:
         return layout::workers_counted(ctx, reply);
     case store_purpose::register_member:
@@ -184,7 +189,8 @@
     case store_purpose::verify_owner:
     case store_purpose::write_roster:
     case store_purpose::append:
-        return shard_replied({ctx, ctx.state.shards[shard]}, purpose, reply);
+        return shard_replied({ctx, ctx.state.shards[call.shard]}, call.purpose,
+                             reply);
     }
 }
 
