--- a/include/jaydrift/schedule/old_view_decisions.hpp
+++ b/include/jaydrift/schedule/old_view_decisions.hpp
@@ -19,6 +19,10 @@
     /// Starts that the workers' entries decided.
     std::size_t starts = 0;
 
+    /// What decided the last ones of these, for the log.
+    std::string configuration;
+    std::string workers;
+
     /// Earliest time of the next line.
     time_ms next_line;
 };
--- a/src/jaydrift/schedule/view_age.cpp
+++ b/src/jaydrift/schedule/view_age.cpp
@@ -23,6 +23,7 @@
 void report_answers(context& ctx)
 {
     auto& answers = ctx.state.old_views.answers;
+    auto const& decided_by = ctx.state.old_views.configuration;
     std::string counts;
     for (auto const& [result, count] : answers)
     {
@@ -30,7 +31,7 @@
             (counts.empty() ? "" : ", ") + std::to_string(count) + " " + result;
     }
     ctx.log(log_level::warning, "config",
-            "calls answered by " + configuration_text(ctx) + ": " + counts);
+            "calls answered by " + decided_by + ": " + counts);
     answers.clear();
 }
 
@@ -38,7 +39,8 @@
 {
     auto& starts = ctx.state.old_views.starts;
     ctx.log(log_level::warning, "placement",
-            std::to_string(starts) + " tasks started by " + workers_text(ctx));
+            std::to_string(starts) + " tasks started by "
+                + ctx.state.old_views.workers);
     starts = 0;
 }
 
@@ -68,6 +70,7 @@
     if (is_stale(ctx.state.store.operators, ctx.now))
     {
         ++ctx.state.old_views.answers[std::string(result)];
+        ctx.state.old_views.configuration = configuration_text(ctx);
         ctx.count("old_view_decisions_total", "operators");
     }
 }
@@ -77,6 +80,7 @@
     if (is_stale(ctx.state.store.workers, ctx.now))
     {
         ++ctx.state.old_views.starts;
+        ctx.state.old_views.workers = workers_text(ctx);
         ctx.count("old_view_decisions_total", "workers");
     }
 }
--- a/src/jaydrift/schedule/view_age_test.cpp
+++ b/src/jaydrift/schedule/view_age_test.cpp
@@ -97,11 +97,13 @@
         auto const effects = call_unknown_queue(state, number);
         all.insert(all.end(), effects.begin(), effects.end());
     }
+    state.config->version = 15;
     auto const effects = reduce(state, timer_due{}, start + time_ms(1100));
     all.insert(all.end(), effects.begin(), effects.end());
     EXPECT_GE(lines_with(all, log_subject::state,
-                         "calls answered by version 14 of age"),
+                         "calls answered by version 14 of age 3100 ms"),
               1U);
+    EXPECT_EQ(lines_with(all, log_subject::state, "by version 15"), 0U);
     EXPECT_LE(lines_with(all, log_subject::state, "calls answered by"), 2U);
 }
 
