Check that calls to an added queue are not refused after a silence

A daemon with an old view answers 503 for an unknown queue now, which the soak took as allowed. In the phase with the silent store nothing else keeps a daemon from serving the queue, so a refusal 2.5 s after the change is a violation there too.

--- a/include/jaydrift/http/client.hpp
+++ b/include/jaydrift/http/client.hpp
@@ -45,9 +45,9 @@
                        std::size_t max_connections, request message,
                        time_ms time_limit, handler done);
 
-    /// Ends a call as `lost` if it has a connection and no byte of its response
-    /// has arrived for `silence`, or since it began. Ignored if the call has
-    /// ended.
+    /// Ends a call, as its time limit does, if it has a connection and no byte
+    /// of its response has arrived for `silence`. Ignored if the call has ended
+    /// or waits for a connection.
     void end_if_silent(std::uint64_t call, time_ms silence);
 
 private:
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -320,6 +320,12 @@
     {
         state.oracle.add_violation("a daemon does not know an added queue");
     }
+    // Without other faults, every daemon can also reach the owner by then.
+    if (status == 503 && exists
+        && state.current_phase == soak_state::phase::silent_store)
+    {
+        state.oracle.add_violation("a daemon refuses calls to an added queue");
+    }
 }
 
 } // namespace
