--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -179,7 +179,7 @@
         }
         return;
     case store_purpose::probe:
-        return;
+        // That the store has answered is all that was asked.
     case store_purpose::remove_member:
     case store_purpose::write_layout:
         // The watch of the coordination area reports what was written.
