--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -335,11 +335,12 @@
         put_entry();
     }
     std::vector<std::pair<std::string, std::string>> ended;
-    auto const lapsed = !runs_.empty() && clock() > lease_until_;
-    if (lapsed)
+    auto const lapsed = lease_until_ > 0 && clock() > lease_until_;
+    if (lapsed && !lapse_noted_)
     {
         note(run_event::kind_of::lease_lapsed, "-", 0, {});
     }
+    lapse_noted_ = lapsed;
     for (auto const& [task, each] : runs_)
     {
         if (each.what.duration_ms > 0
--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -195,6 +195,7 @@
     std::int64_t entry_until_ = 0;
     std::uint64_t fence_ = 0;
     std::int64_t lease_until_ = 0;
+    bool lapse_noted_ = false;
     std::map<std::string, run_state> runs_;
     std::map<std::string, std::uint64_t> refused_;
     std::vector<end_entry> ends_;
