--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -585,6 +585,10 @@
 void daemon_process::start()
 {
     record("daemon " + node_ + " starts");
+    if (pid_ > 0)
+    {
+        return;
+    }
     pid_ = ::fork();
     if (pid_ == 0)
     {
@@ -607,8 +611,12 @@
 
 void daemon_process::signal(int number) const
 {
-    record("daemon " + node_ + " gets signal " + std::to_string(number));
-    ::kill(pid_, number);
+    // A process ID of -1 would address every process.
+    if (pid_ > 0)
+    {
+        record("daemon " + node_ + " gets signal " + std::to_string(number));
+        ::kill(pid_, number);
+    }
 }
 
 void daemon_process::wait()
