--- a/review/standin/case_fleet.cpp
+++ b/review/standin/case_fleet.cpp
@@ -46,7 +46,8 @@
     test.add_worker("i-0009", {"c", "r1-2"}, 16000);
     pause_ms(300);
     // The last submission of the traffic needs the new kind.
-    auto const body = R"({"spec":"d=2000 c=1000 m=100","steps":[{"count":2,"cpu":1000,"memMb":100,"estimateMs":2000,"requires":"c"}]})";
+    auto const body =
+        R"({"spec":"d=2000 c=1000 m=100","steps":[{"count":2,"cpu":1000,"memMb":100,"estimateMs":2000,"requires":"c"}]})";
     if (!test.submit("plan", submission_id(1), body))
     {
         record("a submission was not accepted");
