Store a worker that is listed while a transaction is in flight

Cause: entry_changed() set `fleet_changed`, and write_succeeded() cleared it when a transaction was stored that had been built before. The worker was then in no fleet record, so usable() refused it until another change.

With the clearing of the flag put back into the new code, record_log.a_worker_listed_during_a_transaction_is_stored_by_the_next fails.

Change: the fleet record has a version; a transaction notes the one that it includes, and only that one counts as stored. The same for workers whose address becomes known after a recovery, or changes: these were never stored (three tests in record_log_test.cpp).

--- a/include/jaydrift/schedule/record_log.hpp
+++ b/include/jaydrift/schedule/record_log.hpp
@@ -23,6 +23,10 @@
 void changed_with_waiting_caller(shard_context& ctx,
                                  submission_state& submission);
 
+/// Plans to store the fleet record, since a worker has come or gone or has
+/// another address.
+void fleet_changed(shard_context& ctx);
+
 /// Sends the next transaction soon, since a caller waits for it.
 void flush_soon(shard_context& ctx);
 
--- a/include/jaydrift/schedule/record_log_state.hpp
+++ b/include/jaydrift/schedule/record_log_state.hpp
@@ -71,8 +71,12 @@
     fleet_record fleet;
     fleet_record next_fleet;
 
-    /// Workers have come or gone since the last transaction.
-    bool fleet_changed = false;
+    /// Number of changes to what the fleet record must hold, and the last one
+    /// that the record in the store, or the transaction in flight, includes. A
+    /// worker may change while a transaction is in flight.
+    std::uint64_t fleet_version = 0;
+    std::uint64_t stored_fleet_version = 0;
+    std::uint64_t in_flight_fleet_version = 0;
 
     /// Earliest time at which the learned interference is stored again.
     time_ms next_interference;
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -31,9 +31,10 @@
     /// The owner has logged that the worker drains.
     bool drain_noted = false;
 
-    /// The stored fleet record names the worker, so a later owner will ask it
-    /// for its runs. No task starts on the worker before that, so a worker that
-    /// is new during an outage of the store gets none until its end.
+    /// The stored fleet record has the worker's address, so a later owner will
+    /// ask it for its runs. No task starts on the worker before that, so a
+    /// worker that is new during an outage of the store gets none until its
+    /// end.
     bool in_fleet_record = false;
 
     /// The worker has accepted this owner's fencing token, as its answer to a
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -189,6 +189,7 @@
     log.in_flight_removals.clear();
     log.in_flight_relocations.clear();
     log.next_fleet = current_fleet(ctx);
+    log.in_flight_fleet_version = log.fleet_version;
     if (log.next_fleet != log.fleet)
     {
         write.puts.emplace_back(shard_key(ctx, record_kind::fleet),
@@ -296,17 +297,17 @@
         }
     }
     log.fleet = log.next_fleet;
+    log.stored_fleet_version = log.in_flight_fleet_version;
     for (auto const& [id, address] : log.fleet.addresses)
     {
         auto const worker = ctx.shard.workers.find(id);
-        if (worker != ctx.shard.workers.end()
-            && !worker->second.in_fleet_record)
+        if (worker != ctx.shard.workers.end() && !worker->second.in_fleet_record
+            && worker->second.entry.address == address)
         {
             worker->second.in_fleet_record = true;
             ctx.shard.placement_due = true;
         }
     }
-    log.fleet_changed = false;
     auto const versions = std::move(log.in_flight_versions);
     auto const relocated = std::move(log.in_flight_relocations);
     for (auto const& id : log.in_flight_removals)
@@ -333,7 +334,7 @@
 {
     return log.dirty.empty() && log.expired_submissions.empty()
            && log.new_relocations.empty() && log.expired_relocations.empty()
-           && !log.fleet_changed;
+           && log.stored_fleet_version == log.fleet_version;
 }
 
 /// Returns the revision of the write serial if the reply shows that the
@@ -400,6 +401,8 @@
     flush_soon(ctx);
 }
 
+void fleet_changed(shard_context& ctx) { ++ctx.shard.record_log.fleet_version; }
+
 void flush_soon(shard_context& ctx)
 {
     auto& since = ctx.shard.record_log.caller_waits_since;
--- a/src/jaydrift/schedule/record_log_test.cpp
+++ b/src/jaydrift/schedule/record_log_test.cpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/workers.hpp>
 
 #include <gtest/gtest.h>
 
@@ -31,7 +32,6 @@
         state_.shards.resize(1);
         shard().ownership.role = owner_role::owner;
         shard().ownership.revision = 1;
-        shard().record_log.fleet_changed = false;
     }
 
     shard_state& shard() { return state_.shards[0]; }
@@ -53,6 +53,37 @@
             [&](shard_context& ctx) { record_log::changed(ctx, submission); });
     }
 
+    /// Lists a worker, or changes its entry.
+    void list(std::string const& worker, std::string const& address)
+    {
+        with_context([&](shard_context& ctx) {
+            worker_entry entry;
+            entry.id = worker;
+            entry.address = address;
+            workers::entry_changed(ctx, entry);
+        });
+    }
+
+    /// Adds a worker of which only a run is known, as a recovery does.
+    void add_without_address(std::string const& worker)
+    {
+        auto& added = shard().workers[worker];
+        added.entry.id = worker;
+        added.listed = false;
+    }
+
+    bool may_get_tasks(std::string const& worker)
+    {
+        return shard().workers.at(worker).in_fleet_record;
+    }
+
+    /// Address in the last fleet record that was sent; empty if there is none.
+    std::string stored_address(std::string const& worker) const
+    {
+        auto const found = sent_fleet_.addresses.find(worker);
+        return found == sent_fleet_.addresses.end() ? "" : found->second;
+    }
+
     /// Changes a submission for a caller that waits until it is stored.
     void change_for_caller(submission_state& submission)
     {
@@ -101,6 +132,11 @@
                 {
                     ids.push_back(key.name);
                 }
+                if (auto const* const fleet =
+                        std::get_if<fleet_record>(&record))
+                {
+                    sent_fleet_ = *fleet;
+                }
             }
             pending_ = {call->call,
                         now_ + std::min(reply_time_, call->time_limit)};
@@ -123,6 +159,7 @@
     }
 
     daemon_state state_;
+    fleet_record sent_fleet_;
     time_ms now_{1000};
     time_ms reply_time_;
     std::optional<std::pair<std::uint64_t, time_ms>> pending_;
@@ -189,6 +226,50 @@
     EXPECT_EQ(second.stored_version, second.version);
 }
 
+// Guards against a worker that is not used until the next change of another
+// record: it was listed while a transaction without it was in flight.
+TEST(record_log, a_worker_listed_during_a_transaction_is_stored_by_the_next)
+{
+    logging_owner owner(time_ms(120));
+    owner.list("w1", "10.0.0.1:80");
+    owner.add(1);
+    owner.advance(time_ms(100));
+    ASSERT_EQ(owner.sent.size(), 1U);
+    owner.list("w2", "10.0.0.2:80");
+    owner.advance(time_ms(1000));
+    EXPECT_TRUE(owner.may_get_tasks("w1"));
+    EXPECT_TRUE(owner.may_get_tasks("w2"));
+    EXPECT_EQ(owner.stored_address("w2"), "10.0.0.2:80");
+}
+
+// Guards against a worker that is not used since its address became known only
+// after a recovery had restored its runs.
+TEST(record_log, a_worker_whose_address_becomes_known_is_stored)
+{
+    logging_owner owner(time_ms(5));
+    owner.add_without_address("w1");
+    owner.advance(time_ms(200));
+    owner.list("w1", "10.0.0.1:80");
+    owner.advance(time_ms(200));
+    EXPECT_TRUE(owner.may_get_tasks("w1"));
+    EXPECT_EQ(owner.stored_address("w1"), "10.0.0.1:80");
+}
+
+// Guards against a later owner that asks a worker for its runs at an address
+// which the worker has left.
+TEST(record_log, a_new_address_of_a_worker_is_stored_before_it_gets_tasks)
+{
+    logging_owner owner(time_ms(120));
+    owner.list("w1", "10.0.0.1:80");
+    owner.advance(time_ms(1000));
+    ASSERT_TRUE(owner.may_get_tasks("w1"));
+    owner.list("w1", "10.0.0.9:80");
+    EXPECT_FALSE(owner.may_get_tasks("w1"));
+    owner.advance(time_ms(1000));
+    EXPECT_TRUE(owner.may_get_tasks("w1"));
+    EXPECT_EQ(owner.stored_address("w1"), "10.0.0.9:80");
+}
+
 // Guards against a second transaction where the store is fast.
 TEST(record_log, a_fast_store_gets_all_changes_with_those_of_a_caller)
 {
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -4,6 +4,7 @@
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/limits.hpp>
+#include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/start_flow.hpp>
 #include <jaydrift/schedule/store_session.hpp>
@@ -189,7 +190,7 @@
 void discard_state(shard_context& ctx)
 {
     ctx.shard.record_log = {};
-    ctx.shard.record_log.fleet_changed = true;
+    record_log::fleet_changed(ctx);
     ctx.shard.workers.clear();
     ctx.shard.submissions.clear();
     ctx.shard.relocations.clear();
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/workers.hpp>
 
+#include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/run_reports.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/start_flow.hpp>
@@ -259,7 +260,7 @@
     if (added)
     {
         worker.entry = entry;
-        ctx.shard.record_log.fleet_changed = true;
+        record_log::fleet_changed(ctx);
         if (ctx.shard.ownership.role == owner_role::owner)
         {
             // A new owner logs the number of workers instead.
@@ -283,6 +284,11 @@
         ctx.log(log_level::info, "worker",
                 entry.id + " listed in the store again");
     }
+    if (worker.entry.address != entry.address)
+    {
+        worker.in_fleet_record = false;
+        record_log::fleet_changed(ctx);
+    }
     auto const drained = std::exchange(worker.entry, entry).draining;
     worker.listed = true;
     if (drained && !entry.draining)
@@ -444,7 +450,7 @@
                return may_be_forgotten(ctx, each.second);
            }) > 0)
     {
-        ctx.shard.record_log.fleet_changed = true;
+        record_log::fleet_changed(ctx);
     }
 }
 
