Let workers change their shard for work that waits

Cause: a worker belonged to the shard of the hash of its ID for good, and the shard of a submission was decided once, at its acceptance; nothing asked again while work waited.

Change: the owner of a shard asks others for a worker; one that can spare a worker empties it and writes an assignment, on the condition that both shards still have the owners that it knows. The revision of the assignment is the token of later orders. A new owner reads the assignments after its claim.

--- a/include/jaydrift/schedule/daemon_state.hpp
+++ b/include/jaydrift/schedule/daemon_state.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/random.hpp>
 #include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/assignment_state.hpp>
 #include <jaydrift/schedule/configuration.hpp>
 #include <jaydrift/schedule/layout_state.hpp>
 #include <jaydrift/schedule/member_state.hpp>
@@ -61,6 +62,9 @@
     std::vector<shard_state> shards;
     layout_state layout;
 
+    /// Assignments of workers to shards, by the ID of the worker.
+    std::map<std::string, assignment_state, std::less<>> assignments;
+
     /// Entries of all workers; empty unless this daemon holds a shard.
     std::map<std::string, worker_entry, std::less<>> worker_entries;
 
--- a/include/jaydrift/schedule/layout.hpp
+++ b/include/jaydrift/schedule/layout.hpp
@@ -17,8 +17,8 @@
 namespace layout {
 
 /// Returns the first of the two shards that may take a submission: the owner of
-/// the first one decides which of them does. A worker belongs to the first
-/// shard of its ID. `count` is the number of shards.
+/// the first one decides which of them does. Without an assignment, a worker
+/// belongs to the first shard of its ID. `count` is the number of shards.
 /// @pre `count` is not 0.
 std::uint32_t first_shard_of(std::string_view id, std::size_t count);
 
--- a/include/jaydrift/schedule/long_running_moves.hpp
+++ b/include/jaydrift/schedule/long_running_moves.hpp
@@ -6,6 +6,7 @@
 struct shard_context;
 struct submission_state;
 struct task_id;
+struct worker_state;
 
 /// Moves long-running tasks between workers where the free room is scattered:
 /// each worker has some, but none has enough for a task that waits.
@@ -18,6 +19,11 @@
 bool make_room(shard_context& ctx, submission_state const& submission,
                task_id const& id);
 
+/// Looks for places on other workers for all long-running tasks of a worker. If
+/// each finds one, orders their runs to stop and keeps the places. Returns
+/// whether it did, or there was nothing to move.
+bool clear(shard_context& ctx, worker_state& from);
+
 } // namespace long_running_moves
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/member_record.hpp
+++ b/include/jaydrift/schedule/member_record.hpp
@@ -17,6 +17,10 @@
     /// preferred as owners.
     double cpu_share = 0.0;
     std::string region;
+
+    /// The daemon knows of assignments of workers; false if an earlier release
+    /// has written the record.
+    bool assigns_workers = false;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/member_state.hpp
+++ b/include/jaydrift/schedule/member_state.hpp
@@ -21,6 +21,9 @@
     double cpu_share = 0.0;
     std::string region;
 
+    /// It knows of assignments of workers.
+    bool assigns_workers = false;
+
     /// It is stopping and will not own a shard any more.
     bool stopping = false;
 
--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -83,8 +83,10 @@
     // Progress of a recovery.
     bool submissions_read = false;
 
-    /// Time of the next read of the submissions after a failed one, and the
-    /// number of failures in a row.
+    bool assignments_read = false;
+
+    /// Time of the next reads after a failed one, and the number of failures in
+    /// a row.
     std::optional<time_ms> read_again_at;
     std::uint32_t failed_reads = 0;
 
--- a/include/jaydrift/schedule/peer_message.hpp
+++ b/include/jaydrift/schedule/peer_message.hpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/heartbeat_reply.hpp>
 #include <jaydrift/schedule/owner_query.hpp>
 #include <jaydrift/schedule/owner_query_reply.hpp>
+#include <jaydrift/schedule/worker_request.hpp>
 #include <jaydrift/schedule/yield_request.hpp>
 
 #include <variant>
@@ -12,8 +13,9 @@
 namespace jaydrift::schedule {
 
 /// A datagram between daemons.
-using peer_message = std::variant<heartbeat, heartbeat_reply, owner_query,
-                                  owner_query_reply, yield_request>;
+using peer_message =
+    std::variant<heartbeat, heartbeat_reply, owner_query, owner_query_reply,
+                 yield_request, worker_request>;
 
 } // namespace jaydrift::schedule
 
--- a/include/jaydrift/schedule/record_kind.hpp
+++ b/include/jaydrift/schedule/record_kind.hpp
@@ -16,6 +16,9 @@
     roster,
     member,
 
+    /// Shard of a worker; see `assignment_record`.
+    assignment,
+
     /// Number of the last transaction of a record log; see `serial_record`.
     serial,
     fleet,
--- a/include/jaydrift/schedule/recovery.hpp
+++ b/include/jaydrift/schedule/recovery.hpp
@@ -19,6 +19,9 @@
 /// Handles the reply to the read of the submissions.
 void submissions_read(shard_context& ctx, store_replied const& reply);
 
+/// Handles the reply to the read of the assignments.
+void assignments_read(shard_context& ctx, store_replied const& reply);
+
 /// Reads again after a failure, and starts to serve once the workers are fenced
 /// or have had time to answer.
 void tick(shard_context& ctx);
--- a/include/jaydrift/schedule/relocation.hpp
+++ b/include/jaydrift/schedule/relocation.hpp
@@ -19,6 +19,12 @@
 /// Returns the load of a shard that this daemon holds.
 shard_load measure_load(shard_context const& ctx);
 
+/// Returns the processors, in thousandths, that firm tasks or only long-running
+/// ones hold or wait for, and that the workers have which may get new tasks.
+std::int64_t firm_millicores(shard_context const& ctx);
+std::int64_t long_running_millicores(shard_context const& ctx);
+std::int64_t usable_millicores(shard_context const& ctx);
+
 /// Returns whether the submission should go to its second shard: no worker here
 /// can run it, or the load there is clearly lower.
 bool should_relocate(shard_context const& ctx, std::string_view id,
--- a/include/jaydrift/schedule/shard_load.hpp
+++ b/include/jaydrift/schedule/shard_load.hpp
@@ -18,6 +18,9 @@
 
     /// Declared by opportunistic tasks that run or wait.
     std::int64_t opportunistic = load_unavailable;
+
+    /// The part of `firm` that is of long-running tasks.
+    std::int64_t long_running = load_unavailable;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -11,10 +11,12 @@
 #include <jaydrift/schedule/submission_state.hpp>
 #include <jaydrift/schedule/wait_counts.hpp>
 #include <jaydrift/schedule/worker_state.hpp>
+#include <jaydrift/schedule/worker_transfer.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -78,6 +80,18 @@
     /// What the last search found.
     wait_counts waiting;
 
+    /// Next search for tasks that need a worker of another shard, and how many
+    /// searches in a row have found some.
+    time_ms next_request;
+    std::uint32_t request_rounds = 0;
+
+    /// Worker that goes to another shard, and earliest time of the next one.
+    std::optional<worker_transfer> transfer;
+    time_ms next_transfer;
+
+    /// Next search for assignments of workers that are gone.
+    time_ms next_assignment_expiry;
+
     /// Next search for ended submissions whose retention is over.
     time_ms next_submission_expiry;
 };
--- a/include/jaydrift/schedule/start_flow.hpp
+++ b/include/jaydrift/schedule/start_flow.hpp
@@ -2,6 +2,7 @@
 #define JAYDRIFT_SCHEDULE_START_FLOW_HPP
 
 #include <cstdint>
+#include <string_view>
 
 namespace jaydrift::schedule {
 
@@ -33,6 +34,9 @@
 /// Forgets the orders in flight of a shard that this daemon has lost.
 void forget(shard_context& ctx);
 
+/// The same of a worker that has left the shard.
+void forget(shard_context& ctx, std::string_view worker);
+
 /// Sets the gauges.
 void tick(context& ctx);
 
--- a/include/jaydrift/schedule/store_area.hpp
+++ b/include/jaydrift/schedule/store_area.hpp
@@ -14,9 +14,12 @@
     /// Entries of the workers.
     workers,
 
-    /// Layout, owners, rosters and members.
+    /// Layout, owners, rosters, members and assignments of workers.
     coordination,
 
+    /// The assignments alone; a part of `coordination`. Read at a recovery.
+    assignments,
+
     /// Everything that the owner of a shard writes into its record log:
     /// submissions, their progress, relocations, the fleet, learned
     /// interference and the write serial. Read at a recovery, never watched.
--- a/include/jaydrift/schedule/store_purpose.hpp
+++ b/include/jaydrift/schedule/store_purpose.hpp
@@ -15,6 +15,7 @@
     read_workers,
     watch_workers,
     read_submissions,
+    read_assignments,
 
     /// Reads the worker entries to choose the number of shards.
     count_workers,
@@ -32,6 +33,10 @@
     read_serial,
     write_roster,
 
+    /// Assigns a worker to another shard, or removes an assignment.
+    assign_worker,
+    remove_assignment,
+
     /// Asks whether the store answers.
     probe,
 
--- a/include/jaydrift/schedule/store_record.hpp
+++ b/include/jaydrift/schedule/store_record.hpp
@@ -1,6 +1,7 @@
 #ifndef JAYDRIFT_SCHEDULE_STORE_RECORD_HPP
 #define JAYDRIFT_SCHEDULE_STORE_RECORD_HPP
 
+#include <jaydrift/schedule/assignment_record.hpp>
 #include <jaydrift/schedule/configuration.hpp>
 #include <jaydrift/schedule/fleet_record.hpp>
 #include <jaydrift/schedule/interference_record.hpp>
@@ -24,8 +25,9 @@
 using store_record =
     std::variant<unreadable_record, configuration, zone_closure, worker_entry,
                  layout_record, owner_record, roster_record, member_record,
-                 serial_record, fleet_record, submission_record,
-                 progress_record, relocation_record, interference_record>;
+                 assignment_record, serial_record, fleet_record,
+                 submission_record, progress_record, relocation_record,
+                 interference_record>;
 
 } // namespace jaydrift::schedule
 
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -73,6 +73,9 @@
     std::int64_t opportunistic_millicores = 0;
     std::int64_t long_running_millicores = 0;
 
+    /// The worker is about to go to another shard. No task starts on it.
+    bool leaving = false;
+
     /// Long-running task that waits for the worker's room.
     std::optional<task_id> kept_for;
 
--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -27,6 +27,11 @@
 /// Handles the removal of a worker's entry from the store.
 void entry_removed(shard_context& ctx, std::string_view id);
 
+/// Handles that a worker belongs to another shard now. If its state shows runs,
+/// which the transfer of a worker excludes, it is kept without an address until
+/// their leases have expired.
+void left_shard(shard_context& ctx, std::string_view id);
+
 /// Handles a restart of the worker's process. Its runs are kept until the first
 /// reply to a hold order tells which of them are gone: some may have been
 /// started in the new process before this daemon heard of it.
--- a/src/jaydrift/codec/peer_codec.cpp
+++ b/src/jaydrift/codec/peer_codec.cpp
@@ -19,8 +19,8 @@
 /// variant. A "sighting" is an `owner_query_reply`.
 std::string_view type_of(peer_message const& message)
 {
-    static constexpr std::string_view names[] = {"heartbeat", "reply", "query",
-                                                 "sighting", "yield"};
+    static constexpr std::string_view names[] = {
+        "heartbeat", "reply", "query", "sighting", "yield", "worker"};
     return names[message.index()];
 }
 
@@ -31,6 +31,7 @@
     put_field(out, "interval_ms", message.interval.count());
     put_field(out, "firm_load", message.load.firm);
     put_field(out, "opportunistic_load", message.load.opportunistic);
+    put_field(out, "long_running_load", message.load.long_running);
 }
 
 void write_fields(json_writer& out, heartbeat_reply const& message)
@@ -51,6 +52,20 @@
 
 void write_fields(json_writer&, yield_request const&) {}
 
+void write_fields(json_writer& out, worker_request const& message)
+{
+    put_field(out, "asking_shard", message.asking_shard);
+    put_field(out, "kind", static_cast<std::int64_t>(message.kind));
+    put_field(out, "service", message.service);
+    put_field(out, "required_label", message.required_label);
+    put_field(out, "millicores", message.demand.millicores);
+    put_field(out, "memory_mb", message.demand.memory_mb);
+    put_field(out, "accelerators", message.demand.accelerators);
+    put_field(out, "waited_ms", message.waited.count());
+    put_field(out, "long_running_millicores", message.long_running_millicores);
+    put_field(out, "usable_millicores", message.usable_millicores);
+}
+
 /// Returns a field from 0 to `max_number`.
 std::uint64_t number_field(json const& object, std::string_view name)
 {
@@ -74,7 +89,30 @@
     result.interval = time_ms(integer_between(
         value, "interval_ms", 1, limits::max_heartbeat_interval.count()));
     result.load = {load_field(value, "firm_load"),
-                   load_field(value, "opportunistic_load")};
+                   load_field(value, "opportunistic_load"),
+                   load_field(value, "long_running_load")};
+    return result;
+}
+
+worker_request read_worker_request(json const& value)
+{
+    worker_request result;
+    result.asking_shard = static_cast<std::uint32_t>(
+        integer_between(value, "asking_shard", 0, limits::max_shards - 1));
+    result.kind = static_cast<worker_request::shortage_kind>(
+        integer_between(value, "kind", 0,
+                        static_cast<int>(worker_request::shortage_kind::room)));
+    result.service = text(value, "service");
+    result.required_label = text(value, "required_label");
+    result.demand = {
+        integer_between(value, "millicores", 0, limits::max_demand_millicores),
+        integer_between(value, "memory_mb", 0, limits::max_amount),
+        integer_between(value, "accelerators", 0, limits::max_amount)};
+    result.waited = milliseconds_up_to(value, "waited_ms", limits::max_time);
+    result.long_running_millicores = integer_between(
+        value, "long_running_millicores", 0, limits::max_number);
+    result.usable_millicores =
+        integer_between(value, "usable_millicores", 0, limits::max_number);
     return result;
 }
 
@@ -137,6 +175,14 @@
     {
         return yield_request{shard, std::move(node), revision};
     }
+    if (type == "worker")
+    {
+        auto result = read_worker_request(value);
+        result.shard = shard;
+        result.node = std::move(node);
+        result.revision = revision;
+        return result;
+    }
     throw codec_error("unknown datagram type '" + printable(type) + "'");
 }
 
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -340,6 +340,15 @@
     put_key(out, "cpu_share");
     out.Double(record.cpu_share);
     put_field(out, "region", record.region);
+    put_boolean(out, "assigns_workers", record.assigns_workers);
+}
+
+void write_fields(json_writer& out, assignment_record const& record)
+{
+    put_field(out, "worker", record.worker);
+    put_field(out, "shard", record.shard);
+    put_field(out, "owner_revision",
+              static_cast<std::int64_t>(record.owner_revision));
 }
 
 void write_fields(json_writer& out, layout_record const& record)
@@ -515,7 +524,13 @@
         return member_record{
             required_name(value, "node"), required_address(value, "address"),
             number_between(value, "cpu_share", 0, limits::max_cpu_share),
-            short_text(value, "region")};
+            short_text(value, "region"), boolean(value, "assigns_workers")};
+    case record_kind::assignment:
+        return assignment_record{
+            required_name(value, "worker"),
+            static_cast<std::uint32_t>(
+                integer_between(value, "shard", 0, limits::max_shards - 1)),
+            number_field(value, "owner_revision")};
     case record_kind::layout:
         return layout_record{static_cast<std::uint32_t>(
             integer_between(value, "shards", 1, limits::max_shards))};
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/areas.hpp>
 
 #include <jaydrift/core/printable.hpp>
+#include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/configuration_changes.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
@@ -22,8 +23,7 @@
 /// Returns the shard that the worker belongs to. The layout must be known.
 shard_state& shard_of_worker(context& ctx, std::string_view worker)
 {
-    return ctx.state
-        .shards[layout::first_shard_of(worker, ctx.state.shards.size())];
+    return ctx.state.shards[assignments::shard_of(ctx.state, worker)];
 }
 
 void report_unreadable(context& ctx, store_item const& item)
@@ -124,6 +124,7 @@
         }
         member.cpu_share = record->cpu_share;
         member.region = record->region;
+        member.assigns_workers = record->assigns_workers;
     }
 }
 
@@ -193,6 +194,10 @@
     {
         apply_member(ctx, item);
     }
+    else if (item.key.kind == record_kind::assignment)
+    {
+        assignments::observe_item(ctx, item);
+    }
     else if (item.key.kind == record_kind::layout && !item.deleted)
     {
         layout::observe_item(ctx, item);
@@ -236,6 +241,7 @@
     std::erase_if(ctx.state.members, [&nodes](auto const& member) {
         return !nodes.contains(member.first);
     });
+    assignments::observe_all(ctx, items, ctx.state.store.coordination.revision);
     ctx.state.store.registered =
         ctx.state.store.registered && nodes.contains(ctx.state.options.node);
 }
--- a/src/jaydrift/schedule/long_running_moves.cpp
+++ b/src/jaydrift/schedule/long_running_moves.cpp
@@ -183,8 +183,78 @@
     return best;
 }
 
+/// Returns the worker with the most room for the task of the run once urgent
+/// tasks have ended; null if none has enough.
+worker_state* find_later_place(shard_context& ctx,
+                               std::vector<worker_state*> const& open,
+                               worker_state const& from, run_id const& id,
+                               run_state const& run)
+{
+    auto const& submission = *submissions::find(ctx, id.task.submission);
+    worker_state* best = nullptr;
+    std::int64_t most_room = 0;
+    for (auto* const worker : open)
+    {
+        auto const room = workers::room_without_urgent(*worker);
+        if (worker != &from && fits(run.demand, room)
+            && (!best || room.millicores > most_room)
+            && admits(*worker, submission, id.task))
+        {
+            best = worker;
+            most_room = room.millicores;
+        }
+    }
+    return best;
+}
+
+/// Returns whether a task of the same step is among the moves, and the step
+/// limits how many may be away.
+bool step_moves_already(shard_context& ctx,
+                        std::vector<possible_move> const& moves,
+                        task_id const& id)
+{
+    auto const& spec =
+        submissions::find(ctx, id.submission)->work.steps[id.step];
+    return spec.max_unavailable > 0
+           && std::any_of(moves.begin(), moves.end(), [&id](auto const& each) {
+                  auto const& other = each.run.task;
+                  return other.submission == id.submission
+                         && other.occurrence == id.occurrence
+                         && other.step == id.step;
+              });
+}
+
 } // namespace
 
+bool clear(shard_context& ctx, worker_state& from)
+{
+    std::vector<possible_move> moves;
+    auto open = open_workers(ctx);
+    for (auto const& [id, run] : from.runs)
+    {
+        if (!run.long_running || run.phase == run_phase::stopping)
+        {
+            continue;
+        }
+        auto* const to =
+            may_move(ctx, id, run) && !step_moves_already(ctx, moves, id.task)
+                ? find_later_place(ctx, open, from, id, run)
+                : nullptr;
+        if (!to)
+        {
+            return false;
+        }
+        std::erase(open, to);
+        moves.push_back({&from, to, id, run.demand.millicores});
+    }
+    for (auto const& each : moves)
+    {
+        each.to->kept_for = each.run.task;
+        workers::stop(ctx, from, each.run);
+    }
+    return true;
+}
+
 bool make_room(shard_context& ctx, submission_state const& submission,
                task_id const& id)
 {
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -1,8 +1,8 @@
 #include <jaydrift/schedule/recovery.hpp>
 
+#include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/interference.hpp>
-#include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
@@ -21,7 +21,7 @@
 
 namespace {
 
-/// Time limit of the read of the submissions; 1 MB takes 10 ms.
+/// Time limit of each read; 1 MB takes 10 ms.
 constexpr time_ms read_time_limit{2000};
 
 /// Time between a failed read and the next one.
@@ -46,6 +46,26 @@
                             read_time_limit, ctx.shard.ownership.failed_reads));
 }
 
+/// Reads the assignments of workers. The owner record of this daemon is in the
+/// store, so from now on only this daemon gives workers of the shard away.
+void read_assignments(shard_context& ctx)
+{
+    store_session::call(ctx, store_purpose::read_assignments,
+                        read_area{store_area::assignments},
+                        store_session::extended_time_limit(
+                            read_time_limit, ctx.shard.ownership.failed_reads));
+}
+
+/// Plans the next reads after one has failed.
+void read_failed(shard_context& ctx, std::string_view what)
+{
+    ctx.log(log_level::warning, "ownership",
+            "the " + std::string(what)
+                + " could not be read from the store, trying again");
+    ctx.shard.ownership.read_again_at = ctx.now + read_pause;
+    ++ctx.shard.ownership.failed_reads;
+}
+
 /// Returns whether all workers whose address is known have been fenced.
 bool all_fenced(shard_context const& ctx)
 {
@@ -75,6 +95,11 @@
 {
     for (auto const& [id, address] : ctx.shard.record_log.fleet.addresses)
     {
+        // A worker may have gone to another shard since the record was stored.
+        if (assignments::shard_of(ctx.state, id) != ctx.shard.number)
+        {
+            continue;
+        }
         auto& worker = ctx.shard.workers[id];
         worker.in_fleet_record = true;
         if (worker.entry.id.empty())
@@ -175,11 +200,11 @@
     ctx.shard.ownership.unaccounted_until =
         ctx.now + workers::lease_on_slowest_clock(ctx.state) + isolation_margin;
     read_submissions(ctx);
+    read_assignments(ctx);
     store_session::tick(ctx);
     for (auto const& [id, entry] : ctx.state.worker_entries)
     {
-        if (layout::first_shard_of(id, ctx.state.shards.size())
-            == ctx.shard.number)
+        if (assignments::shard_of(ctx.state, id) == ctx.shard.number)
         {
             workers::entry_changed(ctx, entry);
         }
@@ -200,7 +225,9 @@
         return each.second.shard == ctx.shard.number;
     });
     ctx.shard.interference = {};
+    ctx.shard.transfer.reset();
     ctx.shard.ownership.submissions_read = false;
+    ctx.shard.ownership.assignments_read = false;
     ctx.shard.ownership.workers_read = false;
     ctx.shard.ownership.read_again_at.reset();
     ctx.shard.ownership.failed_reads = 0;
@@ -216,11 +243,7 @@
     }
     if (reply.status != store_status::ok)
     {
-        ctx.log(
-            log_level::warning, "ownership",
-            "the submissions could not be read from the store, trying again");
-        ctx.shard.ownership.read_again_at = ctx.now + read_pause;
-        ++ctx.shard.ownership.failed_reads;
+        read_failed(ctx, "submissions");
         return;
     }
     for (auto const& item : reply.items)
@@ -269,6 +292,22 @@
     ctx.shard.ownership.submissions_read = true;
 }
 
+void assignments_read(shard_context& ctx, store_replied const& reply)
+{
+    auto& ownership = ctx.shard.ownership;
+    if (ownership.role != owner_role::recovering || ownership.assignments_read)
+    {
+        return;
+    }
+    if (reply.status != store_status::ok)
+    {
+        read_failed(ctx, "assignments of workers");
+        return;
+    }
+    assignments::observe_all(ctx, reply.items, reply.revision);
+    ownership.assignments_read = true;
+}
+
 void tick(shard_context& ctx)
 {
     auto& ownership = ctx.shard.ownership;
@@ -276,10 +315,17 @@
         && ctx.now >= *ownership.read_again_at)
     {
         ownership.read_again_at.reset();
-        read_submissions(ctx);
+        if (!ownership.submissions_read)
+        {
+            read_submissions(ctx);
+        }
+        if (!ownership.assignments_read)
+        {
+            read_assignments(ctx);
+        }
     }
     if (ownership.role != owner_role::recovering || !ownership.submissions_read
-        || !ownership.workers_read)
+        || !ownership.assignments_read || !ownership.workers_read)
     {
         return;
     }
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/reduce.hpp>
 
 #include <jaydrift/schedule/area_watch.hpp>
+#include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/calls.hpp>
 #include <jaydrift/schedule/daemon_state.hpp>
 #include <jaydrift/schedule/event.hpp>
@@ -19,6 +20,8 @@
 #include <jaydrift/schedule/view_age.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_replies.hpp>
+#include <jaydrift/schedule/worker_requests.hpp>
+#include <jaydrift/schedule/worker_transfers.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
 #include <algorithm>
@@ -50,6 +53,9 @@
         submissions::tick(shard_ctx);
         workers::tick(shard_ctx);
         relocation::tick(shard_ctx);
+        worker_requests::tick(shard_ctx);
+        worker_transfers::tick(shard_ctx);
+        assignments::tick(shard_ctx);
     }
     calls::tick(ctx);
     view_age::tick(ctx);
@@ -57,6 +63,18 @@
     stopping::tick(ctx);
 }
 
+/// Passes a message of another daemon to the part that handles it.
+template<class Message>
+void received(shard_context& ctx, Message const& message)
+{
+    ownership::received(ctx, message);
+}
+
+void received(shard_context& ctx, worker_request const& message)
+{
+    worker_transfers::received(ctx, message);
+}
+
 /// Passes an event to the part that handles it.
 struct event_handler
 {
@@ -109,7 +127,7 @@
                 {
                     shard_context shard_ctx(ctx,
                                             ctx.state.shards[message.shard]);
-                    ownership::received(shard_ctx, message);
+                    received(shard_ctx, message);
                 }
             },
             input.message);
--- a/src/jaydrift/schedule/relocation.cpp
+++ b/src/jaydrift/schedule/relocation.cpp
@@ -36,10 +36,11 @@
 /// Bounds the relocations that are removed in one pass.
 constexpr std::size_t max_expired_per_pass = 1000;
 
-/// Returns the demand of the tasks of a submission that wait for a place,
-/// either of its opportunistic steps or of the others.
+/// Returns the demand of the tasks of a submission that wait for a place, of
+/// the steps that `counts` selects.
+template<class Predicate>
 std::int64_t waiting_millicores(submission_state const& submission,
-                                bool opportunistic)
+                                Predicate counts)
 {
     std::int64_t result = 0;
     for (auto const& occurrence : submission.occurrences)
@@ -47,8 +48,7 @@
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
         {
             auto const& spec = submission.work.steps[step];
-            if (occurrence.steps[step].ready
-                && spec.opportunistic == opportunistic)
+            if (occurrence.steps[step].ready && counts(spec))
             {
                 result += occurrence.steps[step].waiting_tasks
                           * spec.demand.millicores;
@@ -58,21 +58,29 @@
     return result;
 }
 
-/// Returns the capacity of the workers that may get new tasks.
-std::int64_t usable_millicores(shard_context const& ctx)
+/// Returns the same of all submissions of the shard.
+template<class Predicate>
+std::int64_t waiting_millicores(shard_context const& ctx, Predicate counts)
 {
     std::int64_t result = 0;
-    for (auto const& [id, worker] : ctx.shard.workers)
+    for (auto const& id : ctx.shard.active)
     {
-        if (worker.listed && worker.fenced && !worker.entry.draining
-            && !ctx.state.closed_zones.contains(worker.entry.zone))
+        auto const& submission = ctx.shard.submissions.at(id);
+        if (submission.waiting_tasks > 0)
         {
-            result += worker.entry.capacity.millicores;
+            result += waiting_millicores(submission, counts);
         }
     }
     return result;
 }
 
+bool is_opportunistic(step_spec const& spec) { return spec.opportunistic; }
+bool is_firm(step_spec const& spec) { return !spec.opportunistic; }
+bool is_long_running(step_spec const& spec)
+{
+    return spec.long_running && !spec.opportunistic;
+}
+
 /// Returns `part` in thousandths of `all`.
 std::int64_t share_of(std::int64_t part, std::int64_t all)
 {
@@ -132,26 +140,52 @@
 
 } // namespace
 
+std::int64_t usable_millicores(shard_context const& ctx)
+{
+    std::int64_t result = 0;
+    for (auto const& [id, worker] : ctx.shard.workers)
+    {
+        if (worker.listed && worker.fenced && !worker.leaving
+            && !worker.entry.draining
+            && !ctx.state.closed_zones.contains(worker.entry.zone))
+        {
+            result += worker.entry.capacity.millicores;
+        }
+    }
+    return result;
+}
+
+std::int64_t firm_millicores(shard_context const& ctx)
+{
+    auto result = waiting_millicores(ctx, is_firm);
+    for (auto const& [id, worker] : ctx.shard.workers)
+    {
+        result += worker.used.millicores;
+    }
+    return result;
+}
+
+std::int64_t long_running_millicores(shard_context const& ctx)
+{
+    auto result = waiting_millicores(ctx, is_long_running);
+    for (auto const& [id, worker] : ctx.shard.workers)
+    {
+        result += worker.long_running_millicores;
+    }
+    return result;
+}
+
 shard_load measure_load(shard_context const& ctx)
 {
     auto const capacity = usable_millicores(ctx);
-    std::int64_t firm = 0;
-    std::int64_t opportunistic = 0;
+    auto opportunistic = waiting_millicores(ctx, is_opportunistic);
     for (auto const& [id, worker] : ctx.shard.workers)
     {
-        firm += worker.used.millicores;
         opportunistic += worker.opportunistic_millicores;
     }
-    for (auto const& id : ctx.shard.active)
-    {
-        auto const& submission = ctx.shard.submissions.at(id);
-        if (submission.waiting_tasks > 0)
-        {
-            firm += waiting_millicores(submission, false);
-            opportunistic += waiting_millicores(submission, true);
-        }
-    }
-    return {share_of(firm, capacity), share_of(opportunistic, capacity)};
+    return {share_of(firm_millicores(ctx), capacity),
+            share_of(opportunistic, capacity),
+            share_of(long_running_millicores(ctx), capacity)};
 }
 
 bool should_relocate(shard_context const& ctx, std::string_view id,
--- a/src/jaydrift/schedule/simulated_store_test.cpp
+++ b/src/jaydrift/schedule/simulated_store_test.cpp
@@ -17,6 +17,7 @@
     case record_kind::owner:
     case record_kind::roster:
     case record_kind::member:
+    case record_kind::assignment:
         return store_area::coordination;
     default:
         return store_area::submissions;
@@ -33,7 +34,10 @@
     for (auto const& [key, item] : items_)
     {
         auto const area = area_of(key.kind);
-        if (area == request.area
+        auto const listed = request.area == store_area::assignments
+                                ? key.kind == record_kind::assignment
+                                : area == request.area;
+        if (listed
             && (area != store_area::submissions || key.shard == request.shard))
         {
             reply.items.push_back(item);
--- a/src/jaydrift/schedule/start_flow.cpp
+++ b/src/jaydrift/schedule/start_flow.cpp
@@ -82,6 +82,17 @@
     }
 }
 
+void forget(shard_context& ctx, std::string_view worker)
+{
+    for (auto const& [number, call] : ctx.state.worker_calls)
+    {
+        if (call.shard == ctx.shard.number && call.worker == worker)
+        {
+            ctx.state.start_flow.window.dropped(call.bytes);
+        }
+    }
+}
+
 void tick(context& ctx)
 {
     auto& flow = ctx.state.start_flow;
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -9,6 +9,7 @@
 #include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/silent_calls.hpp>
+#include <jaydrift/schedule/worker_transfers.hpp>
 
 #include <algorithm>
 #include <span>
@@ -45,7 +46,8 @@
     write.puts.emplace_back(
         record_key{record_kind::member, ctx.state.options.node},
         member_record{ctx.state.options.node, ctx.state.options.address,
-                      ctx.state.options.cpu_share, ctx.state.options.region});
+                      ctx.state.options.cpu_share, ctx.state.options.region,
+                      true});
     call(ctx, store_purpose::register_member, std::move(write),
          registration_time_limit);
 }
@@ -108,6 +110,10 @@
     {
     case store_purpose::read_submissions:
         return recovery::submissions_read(ctx, reply);
+    case store_purpose::read_assignments:
+        return recovery::assignments_read(ctx, reply);
+    case store_purpose::assign_worker:
+        return worker_transfers::replied(ctx, reply);
     case store_purpose::claim:
         return ownership::claim_replied(ctx, reply);
     case store_purpose::verify_owner:
@@ -184,9 +190,12 @@
         // That the store has answered is all that was asked.
     case store_purpose::remove_member:
     case store_purpose::write_layout:
+    case store_purpose::remove_assignment:
         // The watch of the coordination area reports what was written.
         return;
     case store_purpose::read_submissions:
+    case store_purpose::read_assignments:
+    case store_purpose::assign_worker:
     case store_purpose::claim:
     case store_purpose::verify_owner:
     case store_purpose::read_serial:
--- a/src/jaydrift/schedule/worker_log_test.cpp
+++ b/src/jaydrift/schedule/worker_log_test.cpp
@@ -139,6 +139,7 @@
     add_long_running_run();
     answer();
     shard().ownership.submissions_read = true;
+    shard().ownership.assignments_read = true;
     shard().ownership.workers_read = true;
     shard().ownership.fencing_since = now_;
     auto ctx = context();
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/worker_replies.hpp>
 
+#include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/pacing.hpp>
@@ -264,19 +265,20 @@
     ctx.state.worker_calls.erase(found);
     start_flow::ended(ctx, sent, reply);
     shard_context shard_ctx(ctx, ctx.state.shards[sent.shard]);
+    auto const found_worker = shard_ctx.shard.workers.find(sent.worker);
+    if (found_worker == shard_ctx.shard.workers.end())
+    {
+        return;
+    }
     if (reply.status == worker_status::stale_token)
     {
         shard_ctx.log(log_level::warning, "ownership",
                       sent.worker + " has seen a higher fencing token than "
-                          + std::to_string(shard_ctx.shard.ownership.revision));
+                          + std::to_string(assignments::fencing_token(
+                              shard_ctx, sent.worker)));
         ownership::step_down(shard_ctx);
         return;
     }
-    auto const found_worker = shard_ctx.shard.workers.find(sent.worker);
-    if (found_worker == shard_ctx.shard.workers.end())
-    {
-        return;
-    }
     auto& worker = found_worker->second;
     note_silence(shard_ctx, worker, sent, reply.status);
     if (worker.process_confirmed && sent.kind != order_kind::hold)
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/workers.hpp>
 
+#include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/run_reports.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
@@ -70,8 +71,8 @@
                             std::move(run), percent, ctx.now, paced_bytes});
     start_flow::sent(ctx, paced_bytes);
     ctx.emit(worker_call{number, worker.entry.id, worker.entry.address,
-                         ctx.shard.ownership.revision, std::move(order),
-                         limit});
+                         assignments::fencing_token(ctx, worker.entry.id),
+                         std::move(order), limit});
     return number;
 }
 
@@ -344,6 +345,35 @@
     }
 }
 
+void left_shard(shard_context& ctx, std::string_view id)
+{
+    auto const found = ctx.shard.workers.find(id);
+    if (found == ctx.shard.workers.end())
+    {
+        return;
+    }
+    start_flow::forget(ctx, id);
+    std::erase_if(ctx.state.worker_calls, [&](auto const& each) {
+        return each.second.shard == ctx.shard.number
+               && each.second.worker == id;
+    });
+    auto& worker = found->second;
+    if (worker.runs.empty())
+    {
+        ctx.shard.workers.erase(found);
+    }
+    else
+    {
+        worker.entry.address.clear();
+        worker.listed = false;
+        worker.unlisted_at = ctx.now;
+        worker.fenced = false;
+        worker.hold_in_flight.reset();
+        worker.runs_gone_at = ctx.now + lease_on_slowest_clock(ctx.state);
+    }
+    record_log::fleet_changed(ctx);
+}
+
 run_state reservation(submission_state const& submission, std::uint32_t step)
 {
     auto const& spec = submission.work.steps[step];
@@ -468,8 +498,8 @@
 bool usable(shard_context const& ctx, worker_state const& worker)
 {
     return worker.listed && worker.fenced && worker.in_fleet_record
-           && !worker.entry.draining && worker.unanswered_orders == 0
-           && ctx.now >= worker.blocked_until
+           && !worker.leaving && !worker.entry.draining
+           && worker.unanswered_orders == 0 && ctx.now >= worker.blocked_until
            && !ctx.state.closed_zones.contains(worker.entry.zone);
 }
 
