Keep with a submission what its queue has given it

Cause: the stored record named the queue only. A new owner took the service, the attempts, the priority and the time allowed from the queue of that name in its present configuration; without it the service was empty, which no worker has.

Change: a submission has terms, stored in its record and compared with what is stored, so a change during a transaction is written by the next one. They follow the queue while it is configured; the last ones stay in force when it is removed. Records of an earlier release get terms at the first takeover; a daemon of an earlier release reads the new ones and never writes them again.

--- a/include/jaydrift/schedule/submission_record.hpp
+++ b/include/jaydrift/schedule/submission_record.hpp
@@ -3,14 +3,16 @@
 
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/submission.hpp>
+#include <jaydrift/schedule/submission_terms.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace jaydrift::schedule {
 
-/// Stored form of a submission; never changes. The submission is accepted once
-/// the store has the record.
+/// Stored form of a submission, which is accepted once the store has it. Only
+/// the terms change later.
 struct submission_record
 {
     std::string id;
@@ -22,6 +24,10 @@
     /// had it.
     time_ms accepted_at;
     submission work;
+
+    /// Terms that apply, also once the queue is gone. Absent in a record of an
+    /// earlier release.
+    std::optional<submission_terms> terms = std::nullopt;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/occurrence_state.hpp>
 #include <jaydrift/schedule/submission.hpp>
 #include <jaydrift/schedule/submission_phase.hpp>
+#include <jaydrift/schedule/submission_terms.hpp>
 #include <jaydrift/schedule/task_id.hpp>
 
 #include <cstdint>
@@ -22,10 +23,10 @@
     std::string queue;
     submission work;
 
-    /// From the configuration of the queue; kept if the queue is removed.
-    std::string service;
-    std::uint32_t priority = 0;
-    std::uint32_t max_attempts = 0;
+    /// Terms that apply, and those in the stored record, if that has any. The
+    /// last terms stay in force when the queue is removed.
+    submission_terms terms;
+    std::optional<submission_terms> stored_terms;
 
     std::vector<occurrence_state> occurrences;
     submission_phase phase = submission_phase::queued;
@@ -43,9 +44,6 @@
     /// decides the order of starts.
     time_ms objective;
 
-    /// Time from `accepted_at` to the objective.
-    time_ms time_allowed;
-
     /// Counts changes; `stored_version` is the last one in the store.
     std::uint64_t version = 1;
     std::uint64_t stored_version = 0;
--- a/src/jaydrift/codec/odd_records_test.cpp
+++ b/src/jaydrift/codec/odd_records_test.cpp
@@ -70,6 +70,7 @@
     submitted.work.steps = {step, step};
     submitted.work.steps[1].after = {0};
     submitted.work.repeat_count = 2;
+    submitted.terms = submission_terms{"svc", 1, 3, time_ms(9000)};
     progress_record progress;
     progress.id = submitted.id;
     task_progress task;
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -110,6 +110,32 @@
     return step;
 }
 
+void write(json_writer& out, submission_terms const& terms)
+{
+    out.StartObject();
+    put_field(out, "service", terms.service);
+    put_field(out, "priority", terms.priority);
+    put_field(out, "max_attempts", terms.max_attempts);
+    put_field(out, "time_allowed_ms", terms.time_allowed.count());
+    out.EndObject();
+}
+
+std::optional<submission_terms> read_terms(json const& submission)
+{
+    auto const* const value = find(submission, "terms");
+    if (!value)
+    {
+        return std::nullopt;
+    }
+    submission_terms terms;
+    terms.service = text(*value, "service");
+    terms.priority = count_field(*value, "priority");
+    terms.max_attempts = count_field(*value, "max_attempts");
+    terms.time_allowed =
+        milliseconds_up_to(*value, "time_allowed_ms", limits::max_time);
+    return terms;
+}
+
 void write_fields(json_writer& out, submission_record const& record)
 {
     put_field(out, "id", record.id);
@@ -119,6 +145,11 @@
     put_field(out, "first_due_ms", record.work.first_due.count());
     put_field(out, "interval_ms", record.work.interval.count());
     put_field(out, "repeat_count", record.work.repeat_count);
+    if (record.terms)
+    {
+        put_key(out, "terms");
+        write(out, *record.terms);
+    }
     put_key(out, "steps");
     out.StartArray();
     for (auto const& step : record.work.steps)
@@ -141,6 +172,7 @@
     record.work.interval =
         milliseconds_up_to(value, "interval_ms", limits::max_time);
     record.work.repeat_count = count_field(value, "repeat_count");
+    record.terms = read_terms(value);
     std::int64_t tasks = 0;
     if (auto const* const steps = array(value, "steps"))
     {
--- a/src/jaydrift/codec/record_codec_test.cpp
+++ b/src/jaydrift/codec/record_codec_test.cpp
@@ -89,6 +89,7 @@
     record.queue = "q";
     record.accepted_at = time_ms(1785000000000);
     record.work.payload = "text with \" and \n";
+    record.terms = submission_terms{"svc", 2, 7, time_ms(90000)};
     step_spec step;
     step.count = 4;
     step.demand = {500, 256, 1};
@@ -104,6 +105,7 @@
         decode_record(record_kind::submission, encode_record(record)));
     EXPECT_EQ(read.work.payload, record.work.payload);
     EXPECT_EQ(read.accepted_at, record.accepted_at);
+    EXPECT_EQ(read.terms, record.terms);
     ASSERT_EQ(read.work.steps.size(), 2U);
     EXPECT_EQ(read.work.steps[0].demand, step.demand);
     EXPECT_EQ(read.work.steps[0].latency_target, step.latency_target);
@@ -112,6 +114,16 @@
     EXPECT_TRUE(read.work.steps[1].opportunistic);
 }
 
+// Guards against accepted work of an earlier release that cannot be read since
+// its record has no terms.
+TEST(record_codec, reads_submissions_without_terms)
+{
+    auto const read = std::get<submission_record>(
+        decode_record(record_kind::submission,
+                      R"({"id":"a","queue":"q","steps":[{"count":1}]})"));
+    EXPECT_FALSE(read.terms);
+}
+
 // Guards against workers that are lost when the fleet is stored and read again,
 // so that a new owner does not fence them.
 TEST(record_codec, keeps_the_fleet)
--- a/src/jaydrift/schedule/kept_workers.cpp
+++ b/src/jaydrift/schedule/kept_workers.cpp
@@ -33,7 +33,8 @@
 {
     auto const& spec = submission.work.steps[id.step];
     return workers::usable(ctx, worker)
-           && workers::matches_step(worker.entry, submission.service, spec)
+           && workers::matches_step(worker.entry, submission.terms.service,
+                                    spec)
            && fits(spec.demand, workers::room_without_urgent(worker))
            && (spec.max_per_worker == 0
                || worker_choice::tasks_of_step_on(worker, id)
@@ -163,7 +164,7 @@
         {
             continue;
         }
-        if (limit_reached(ctx, submission.service)
+        if (limit_reached(ctx, submission.terms.service)
             || (!keep_worker(ctx, submission, id)
                 && !long_running_moves::make_room(ctx, submission, id)))
         {
--- a/src/jaydrift/schedule/long_running_moves.cpp
+++ b/src/jaydrift/schedule/long_running_moves.cpp
@@ -122,7 +122,7 @@
             task_id const& id)
 {
     auto const& spec = submission.work.steps[id.step];
-    return workers::matches_step(worker.entry, submission.service, spec)
+    return workers::matches_step(worker.entry, submission.terms.service, spec)
            && (spec.max_per_worker == 0
                || worker_choice::tasks_of_step_on(worker, id)
                       < spec.max_per_worker);
--- a/src/jaydrift/schedule/minimum_runs.cpp
+++ b/src/jaydrift/schedule/minimum_runs.cpp
@@ -49,7 +49,7 @@
     id.index = static_cast<std::uint32_t>(found - step.tasks.begin());
     placement_request request{id,
                               spec,
-                              submission.service,
+                              submission.terms.service,
                               found->failed_on,
                               found->waiting_since,
                               worker_choice::rack_for(ctx, spec, step)};
--- a/src/jaydrift/schedule/pacing.cpp
+++ b/src/jaydrift/schedule/pacing.cpp
@@ -221,7 +221,7 @@
         submission.occurrences[id.task.occurrence].steps[id.task.step];
     return submission.placed_tasks > 1
            || worker_choice::choose(ctx,
-                                    {id.task, spec, submission.service,
+                                    {id.task, spec, submission.terms.service,
                                      task.failed_on, task.waiting_since,
                                      worker_choice::rack_for(ctx, spec, step)})
                   .worker;
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -103,7 +103,8 @@
     {
         return 0;
     }
-    return -left.count() < (late_factor - 1) * submission.time_allowed.count()
+    return -left.count()
+                   < (late_factor - 1) * submission.terms.time_allowed.count()
                ? 1
                : 2;
 }
@@ -160,7 +161,7 @@
     constexpr int before_all_others = -1;
     auto const delay =
         time_ms(opportunistic_work_left(submission) / core_ms_per_delay_ms);
-    return std::make_tuple(submission.priority,
+    return std::make_tuple(submission.terms.priority,
                            has_long_running_steps(submission)
                                ? before_all_others
                                : lateness(ctx, submission),
@@ -220,7 +221,7 @@
         task_id const id{submission.id, occurrence_index, step_index, i};
         placement_request request{id,
                                   spec,
-                                  submission.service,
+                                  submission.terms.service,
                                   step.tasks[i].failed_on,
                                   step.tasks[i].waiting_since,
                                   worker_choice::rack_for(ctx, spec, step),
@@ -322,7 +323,7 @@
         placement_request const request{
             id,
             spec,
-            submission.service,
+            submission.terms.service,
             task.failed_on,
             task.waiting_since,
             worker_choice::rack_for(ctx, spec, step),
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -65,12 +65,14 @@
 void append(shard_context& ctx, store_transaction& write,
             submission_state& submission)
 {
-    if (!submission.record_stored)
+    if (!submission.record_stored
+        || submission.stored_terms != submission.terms)
     {
         write.puts.emplace_back(
             shard_key(ctx, record_kind::submission, submission.id),
             submission_record{submission.id, submission.queue,
-                              submission.accepted_at, submission.work});
+                              submission.accepted_at, submission.work,
+                              submission.terms});
     }
     write.puts.emplace_back(
         shard_key(ctx, record_kind::progress, submission.id),
@@ -288,13 +290,20 @@
     log.serial_revision = revision;
     for (auto const& [key, record] : log.in_flight->puts)
     {
-        auto const* const progress = std::get_if<progress_record>(&record);
-        auto* const submission =
-            progress ? submissions::find(ctx, progress->id) : nullptr;
-        if (submission)
+        auto* const submission = submissions::find(ctx, key.name);
+        if (!submission)
+        {
+            continue;
+        }
+        if (auto const* const progress = std::get_if<progress_record>(&record))
         {
             submission->stored_phase = progress->phase;
         }
+        else if (auto const* const stored =
+                     std::get_if<submission_record>(&record))
+        {
+            submission->stored_terms = stored->terms;
+        }
     }
     log.fleet = log.next_fleet;
     log.stored_fleet_version = log.in_flight_fleet_version;
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -289,6 +289,7 @@
             submissions::restore(ctx, *record);
         }
     }
+    submissions::store_new_terms(ctx);
     ctx.shard.ownership.submissions_read = true;
 }
 
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -154,8 +154,8 @@
                  "run " + std::to_string(run) + " of " + submission.id
                      + " failed on " + worker.entry.id + ", attempt "
                      + std::to_string(task.failed_runs.size()) + " of "
-                     + std::to_string(submission.max_attempts));
-    if (task.failed_runs.size() >= submission.max_attempts)
+                     + std::to_string(submission.terms.max_attempts));
+    if (task.failed_runs.size() >= submission.terms.max_attempts)
     {
         submissions::fail(ctx, submission);
     }
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -20,8 +20,8 @@
 /// A long-running task that has ended waits this long before it starts again.
 constexpr time_ms restart_pause{50};
 
-/// Attempts at a task if the queue of its submission is not in the
-/// configuration, or if that has not been read yet.
+/// Attempts at a task whose submission was stored without terms and whose queue
+/// is not in the configuration.
 constexpr std::uint32_t default_attempts = 3;
 
 /// Time between two searches for submissions whose retention is over.
@@ -41,11 +41,13 @@
     return found == queues.end() ? nullptr : &*found;
 }
 
-void apply(submission_state& submission, queue const& configured)
+/// Applies the present figures of a queue to terms that it has given. What they
+/// promise about time stays.
+void apply(submission_terms& terms, queue const& configured)
 {
-    submission.service = configured.service;
-    submission.priority = configured.priority;
-    submission.max_attempts = configured.max_attempts;
+    terms.service = configured.service;
+    terms.priority = configured.priority;
+    terms.max_attempts = configured.max_attempts;
 }
 
 /// Returns the sum of the estimates on the longest chain of steps.
@@ -66,6 +68,25 @@
     return longest;
 }
 
+/// Returns the terms of new work in a queue; those of a record without terms
+/// whose queue is gone have no service.
+submission_terms terms_of(queue const* configured, submission const& work)
+{
+    submission_terms result;
+    result.max_attempts = default_attempts;
+    auto factor = 1.0;
+    if (configured)
+    {
+        apply(result, *configured);
+        factor = configured->slack_factor;
+        result.time_allowed = configured->latency_objective;
+    }
+    auto const path_ms = static_cast<double>(critical_path(work).count());
+    result.time_allowed += time_ms(static_cast<std::int64_t>(path_ms * factor));
+    result.time_allowed = std::min(result.time_allowed, limits::max_time);
+    return result;
+}
+
 /// Marks the steps whose earlier steps are done as ready.
 void mark_ready_steps(submission_state& submission,
                       occurrence_state& occurrence, time_ms now)
@@ -258,9 +279,15 @@
     {
         auto& submission = *find(ctx, id);
         auto const found = queues.find(submission.queue);
-        if (found != queues.end())
+        if (found == queues.end())
+        {
+            continue;
+        }
+        auto const before = submission.terms;
+        apply(submission.terms, *found->second);
+        if (submission.terms != before)
         {
-            apply(submission, *found->second);
+            record_log::changed(ctx, submission);
         }
     }
 }
@@ -293,20 +320,22 @@
     submission.work = record.work;
     submission.accepted_at = record.accepted_at;
     auto const* const configured = queue_of(ctx, submission.queue);
-    submission.max_attempts = default_attempts;
-    auto factor = 1.0;
+    submission.stored_terms = record.terms;
+    submission.terms =
+        record.terms ? *record.terms : terms_of(configured, record.work);
     if (configured)
     {
-        apply(submission, *configured);
-        factor = configured->slack_factor;
-        submission.time_allowed = configured->latency_objective;
+        apply(submission.terms, *configured);
+    }
+    else if (!record.terms)
+    {
+        ctx.log_work(log_level::error, "submission",
+                     record.id + " waits for its queue " + record.queue
+                         + ", which is not configured any more; an earlier"
+                           " release has stored it without a service");
     }
-    auto const path_ms =
-        static_cast<double>(critical_path(record.work).count());
-    submission.time_allowed +=
-        time_ms(static_cast<std::int64_t>(path_ms * factor));
     auto const age = std::max(time_ms(0), ctx.wall_time() - record.accepted_at);
-    submission.objective = ctx.now - age + submission.time_allowed;
+    submission.objective = ctx.now - age + submission.terms.time_allowed;
     ctx.shard.active.insert(record.id);
     add_due_occurrences(ctx, submission);
     ctx.shard.placement_due = true;
@@ -368,6 +397,18 @@
     }
 }
 
+void store_new_terms(shard_context& ctx)
+{
+    for (auto const& id : ctx.shard.active)
+    {
+        auto& submission = *find(ctx, id);
+        if (submission.stored_terms != submission.terms)
+        {
+            record_log::changed(ctx, submission);
+        }
+    }
+}
+
 void requeue(shard_context& ctx, submission_state& submission,
              task_id const& id)
 {
--- a/src/jaydrift/schedule/waiting_tasks.cpp
+++ b/src/jaydrift/schedule/waiting_tasks.cpp
@@ -133,7 +133,8 @@
         std::find_if(all.begin(), all.end(), [&](auto const& each) {
             auto const& other = each.spec();
             return is_refusal(each.reason) && other.max_per_worker == 0
-                   && each.submission->service == skipped.submission->service
+                   && each.submission->terms.service
+                          == skipped.submission->terms.service
                    && (other.required_label.empty()
                        || other.required_label == spec.required_label)
                    && fits(other.demand, spec.demand)
@@ -185,7 +186,7 @@
         {waiting.submission->id, waiting.occurrence, waiting.step,
          waiting.first_task},
         waiting.spec(),
-        waiting.submission->service,
+        waiting.submission->terms.service,
         task.failed_on,
         task.waiting_since,
         {},
--- a/src/jaydrift/schedule/worker_requests.cpp
+++ b/src/jaydrift/schedule/worker_requests.cpp
@@ -62,7 +62,7 @@
                                          step_state const& step,
                                          step_spec const& spec)
 {
-    if (!has_suitable_worker(ctx, submission.service, spec))
+    if (!has_suitable_worker(ctx, submission.terms.service, spec))
     {
         return shortage_kind::suitable_worker;
     }
@@ -113,7 +113,7 @@
 {
     auto const waited = ctx.now - waiting_tasks::waiting_since(step, ctx.now);
     if (!step.ready || step.waiting_tasks == 0 || waited < wait_before_request
-        || submission.service.empty())
+        || submission.terms.service.empty())
     {
         return;
     }
@@ -127,7 +127,7 @@
     request.revision = ctx.shard.ownership.revision;
     request.asking_shard = ctx.shard.number;
     request.kind = *kind;
-    request.service = submission.service;
+    request.service = submission.terms.service;
     request.required_label = spec.required_label;
     request.demand = spec.demand;
     request.waited = waited;
--- a/src/jaydrift/schedule/worker_transfers.cpp
+++ b/src/jaydrift/schedule/worker_transfers.cpp
@@ -97,10 +97,11 @@
                 auto const& step = occurrence.steps[i];
                 auto const& spec = submission.work.steps[i];
                 if (step.done == step.tasks.size()
-                    || !workers::matches_step(worker.entry, submission.service,
-                                              spec)
+                    || !workers::matches_step(worker.entry,
+                                              submission.terms.service, spec)
                     || !fits(spec.demand, worker.entry.capacity)
-                    || has_other_worker(ctx, worker, submission.service, spec))
+                    || has_other_worker(ctx, worker, submission.terms.service,
+                                        spec))
                 {
                     continue;
                 }
