Remember the cancel of an unknown ID, and age calls by a standstill

Cause: a cancel of an ID that the shard did not know left no trace; and a call that a process read after it had stood still counted as new, so it was forwarded after its caller had given up.

Change: the owner stores such a cancel before it is acknowledged, in both shards of the ID, for as long as ended submissions; a submission with that ID is refused with 503. There are 2,000 at most; then a cancel of an unknown ID is answered 503 and none is pushed out. A gap of the clock is noted as a standstill, and calls read within 200 ms of its end count from its beginning.

--- a/include/jaydrift/schedule/calls.hpp
+++ b/include/jaydrift/schedule/calls.hpp
@@ -2,6 +2,7 @@
 #define JAYDRIFT_SCHEDULE_CALLS_HPP
 
 #include <cstdint>
+#include <string_view>
 
 namespace jaydrift::schedule {
 
@@ -28,6 +29,11 @@
 /// Answers a call that waited for a change of the shard to be stored.
 void stored(shard_context& ctx, std::uint64_t call);
 
+/// Goes on with a call that cancels an ID which the shard does not know, once
+/// that is stored.
+void cancellation_stored(shard_context& ctx, std::uint64_t call,
+                         std::string_view id);
+
 /// Passes a call on from the first shard of its submission to shard `to`, the
 /// second one. Either the submission was relocated there, or the first shard
 /// does not know it; then it may not exist.
--- a/include/jaydrift/schedule/daemon_state.hpp
+++ b/include/jaydrift/schedule/daemon_state.hpp
@@ -14,6 +14,7 @@
 #include <jaydrift/schedule/relay_state.hpp>
 #include <jaydrift/schedule/settings.hpp>
 #include <jaydrift/schedule/shard_state.hpp>
+#include <jaydrift/schedule/standstill.hpp>
 #include <jaydrift/schedule/start_flow_state.hpp>
 #include <jaydrift/schedule/store_session_state.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
@@ -37,6 +38,9 @@
     time_ms last_event_at;
     time_ms last_timer_at;
 
+    /// Absent if the process has not stood still.
+    std::optional<standstill> last_standstill;
+
     /// Wall clock time minus the time of events.
     time_ms wall_offset;
     time_ms next_tick;
--- a/include/jaydrift/schedule/ownership.hpp
+++ b/include/jaydrift/schedule/ownership.hpp
@@ -52,7 +52,7 @@
 
 /// Suspends the owner if no event came for so long that the process must have
 /// been frozen: another daemon may have taken over meanwhile.
-void suspend_after_clock_gap(shard_context& ctx);
+void suspend_after_standstill(shard_context& ctx);
 
 /// Does what the present role requires, such as sending heartbeats or claiming
 /// a shard whose owner is dead.
--- a/include/jaydrift/schedule/record_kind.hpp
+++ b/include/jaydrift/schedule/record_kind.hpp
@@ -25,6 +25,7 @@
     submission,
     progress,
     relocation,
+    cancellation,
     interference,
 
     /// A key that is none of the above; ignored.
--- a/include/jaydrift/schedule/record_log_state.hpp
+++ b/include/jaydrift/schedule/record_log_state.hpp
@@ -36,10 +36,11 @@
     std::optional<std::uint64_t> call;
 
     /// What the transaction in flight stores: versions by submission, and the
-    /// IDs of removed and of relocated submissions.
+    /// IDs of removed, of relocated and of cancelled unknown submissions.
     std::vector<std::pair<std::string, std::uint64_t>> in_flight_versions;
     std::vector<std::string> in_flight_removals;
     std::vector<std::string> in_flight_relocations;
+    std::vector<std::string> in_flight_cancellations;
 
     /// Time of the first attempt, and earliest time of the next one.
     time_ms first_sent;
@@ -85,6 +86,10 @@
     std::deque<std::string> new_relocations;
     std::deque<std::string> expired_relocations;
 
+    /// The same of cancels of unknown IDs.
+    std::deque<std::string> new_cancellations;
+    std::deque<std::string> expired_cancellations;
+
     /// Ended submissions that are to be removed, since their retention is over.
     std::deque<std::string> expired_submissions;
 };
--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/string_hash.hpp>
 #include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/cancellation_state.hpp>
 #include <jaydrift/schedule/interference_model.hpp>
 #include <jaydrift/schedule/ownership_state.hpp>
 #include <jaydrift/schedule/record_log_state.hpp>
@@ -51,6 +52,12 @@
     std::unordered_map<std::string, relocation_state> relocations;
     time_ms next_relocation_expiry;
 
+    /// Cancels of IDs that were not known, by ID.
+    std::unordered_map<std::string, cancellation_state, string_hash,
+                       std::equal_to<>>
+        cancellations;
+    time_ms next_cancellation_expiry;
+
     /// IDs of submissions that have not ended.
     std::set<std::string> active;
     interference_model interference;
--- a/include/jaydrift/schedule/store_area.hpp
+++ b/include/jaydrift/schedule/store_area.hpp
@@ -21,8 +21,9 @@
     assignments,
 
     /// Everything that the owner of a shard writes into its record log:
-    /// submissions, their progress, relocations, the fleet, learned
-    /// interference and the write serial. Read at a recovery, never watched.
+    /// submissions, their progress, relocations, cancels of unknown IDs, the
+    /// fleet, learned interference and the write serial. Read at a recovery,
+    /// never watched.
     submissions
 };
 
--- a/include/jaydrift/schedule/store_record.hpp
+++ b/include/jaydrift/schedule/store_record.hpp
@@ -2,6 +2,7 @@
 #define JAYDRIFT_SCHEDULE_STORE_RECORD_HPP
 
 #include <jaydrift/schedule/assignment_record.hpp>
+#include <jaydrift/schedule/cancellation_record.hpp>
 #include <jaydrift/schedule/configuration.hpp>
 #include <jaydrift/schedule/fleet_record.hpp>
 #include <jaydrift/schedule/interference_record.hpp>
@@ -27,7 +28,7 @@
                  layout_record, owner_record, roster_record, member_record,
                  assignment_record, serial_record, fleet_record,
                  submission_record, progress_record, relocation_record,
-                 interference_record>;
+                 cancellation_record, interference_record>;
 
 } // namespace jaydrift::schedule
 
--- a/src/jaydrift/codec/odd_records_test.cpp
+++ b/src/jaydrift/codec/odd_records_test.cpp
@@ -97,6 +97,8 @@
     add(record_kind::serial, serial_record{12});
     add(record_kind::fleet, fleet_record{{{"i-1", "10.0.0.1:80"}}});
     add(record_kind::relocation, relocation_record{"a1", 4, time_ms(99)});
+    add(record_kind::cancellation, cancellation_record{"a1", time_ms(99)});
+    add(record_kind::assignment, assignment_record{"i-1", 4, 99});
     return result;
 }
 
@@ -283,6 +285,8 @@
                           R"({"id":"a","to":)" + number + "}");
     }
     expect_unreadable(record_kind::relocation, R"({"id":"a","to":64})");
+    expect_unreadable(record_kind::assignment, R"({"worker":"a","shard":64})");
+    expect_unreadable(record_kind::assignment, R"({"shard":1})");
     for (std::string const weight :
          {"[1e300,1]", "[1,-1]", "[1,1e300]", "[-1e300,0]"})
     {
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -395,6 +395,12 @@
     put_field(out, "decided_ms", record.decided_at.count());
 }
 
+void write_fields(json_writer& out, cancellation_record const& record)
+{
+    put_field(out, "id", record.id);
+    put_field(out, "cancelled_ms", record.cancelled_at.count());
+}
+
 /// Writes an object by serving image of objects by image of the neighbour. Each
 /// weight is an array [weight, evidence].
 void write_fields(json_writer& out, interference_record const& record)
@@ -584,6 +590,10 @@
             static_cast<std::uint32_t>(
                 integer_between(value, "to", 0, limits::max_shards - 1)),
             milliseconds_up_to(value, "decided_ms", limits::max_time)};
+    case record_kind::cancellation:
+        return cancellation_record{
+            required_name(value, "id"),
+            milliseconds_up_to(value, "cancelled_ms", limits::max_time)};
     default:
         throw codec_error(
             "a record of the platform cannot be decoded by decode_record");
--- a/src/jaydrift/codec/record_codec_test.cpp
+++ b/src/jaydrift/codec/record_codec_test.cpp
@@ -164,6 +164,17 @@
         decode_record(record_kind::relocation,
                       encode_record(relocation_record{"a1", 4, time_ms(99)})));
     EXPECT_EQ(moved.id, "a1");
+    auto const assigned = std::get<assignment_record>(
+        decode_record(record_kind::assignment,
+                      encode_record(assignment_record{"i-1", 4, 99})));
+    EXPECT_EQ(assigned.worker, "i-1");
+    EXPECT_EQ(assigned.shard, 4U);
+    EXPECT_EQ(assigned.owner_revision, 99U);
+    auto const cancelled = std::get<cancellation_record>(
+        decode_record(record_kind::cancellation,
+                      encode_record(cancellation_record{"a1", time_ms(99)})));
+    EXPECT_EQ(cancelled.id, "a1");
+    EXPECT_EQ(cancelled.cancelled_at, time_ms(99));
     EXPECT_EQ(moved.second_shard, 4U);
     EXPECT_EQ(moved.decided_at, time_ms(99));
 }
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/calls.hpp>
 
 #include <jaydrift/core/printable.hpp>
+#include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/record_log.hpp>
@@ -42,6 +43,10 @@
 /// Bounds the memory of the owner; each submission takes a few KB.
 constexpr std::size_t max_submissions = 20000;
 
+/// What arrived while the process stood still has been read this long after it
+/// goes on.
+constexpr time_ms backlog_time{200};
+
 /// Longest part of a path that is logged. The ID stands at its end.
 constexpr std::size_t max_logged_path = 400;
 
@@ -202,6 +207,28 @@
            || ctx.shard.submissions.size() >= max_submissions;
 }
 
+/// Passes a call on if the submission was left to its second shard, once that
+/// is stored. Returns whether it was.
+bool follow_relocation(shard_context& ctx, std::uint64_t call,
+                       std::string const& id)
+{
+    auto const moved = ctx.shard.relocations.find(id);
+    if (moved == ctx.shard.relocations.end())
+    {
+        return false;
+    }
+    if (moved->second.stored)
+    {
+        redirect(ctx, call, moved->second.record.second_shard);
+    }
+    else
+    {
+        wait_for_log(ctx, call);
+        moved->second.waiters.push_back(call);
+    }
+    return true;
+}
+
 void submit(shard_context& ctx, std::uint64_t call, queue const& target,
             std::string const& id)
 {
@@ -217,16 +244,16 @@
         }
         return;
     }
-    if (auto const moved = ctx.shard.relocations.find(id);
-        moved != ctx.shard.relocations.end())
+    if (follow_relocation(ctx, call, id))
     {
-        if (moved->second.stored)
-        {
-            redirect(ctx, call, moved->second.record.second_shard);
-            return;
-        }
-        wait_for_log(ctx, call);
-        moved->second.waiters.push_back(call);
+        return;
+    }
+    if (cancellations::find(ctx, id))
+    {
+        ctx.count("submissions_refused_total", "cancelled");
+        ctx.log_work(log_level::info, "call",
+                     id + " refused, it was cancelled before it arrived");
+        finish(ctx, call, answer::code::unavailable);
         return;
     }
     if (overloaded(ctx) || ctx.state.stopping_since)
@@ -295,12 +322,40 @@
     finish(ctx, call, answer{answer::code::state, phase, 0, 0});
 }
 
+/// Cancels a submission that the shard does not know. It may still arrive, so
+/// the cancel is stored before it is acknowledged.
+void cancel_unknown(shard_context& ctx, std::uint64_t call,
+                    std::string const& id)
+{
+    auto* const cancelled = cancellations::find(ctx, id);
+    if (cancelled && cancelled->stored)
+    {
+        try_second_shard(ctx, call, id);
+    }
+    else if (cancelled)
+    {
+        wait_for_log(ctx, call);
+        cancelled->waiters.push_back(call);
+    }
+    else if (cancellations::add(ctx, call, id))
+    {
+        wait_for_log(ctx, call);
+    }
+    else
+    {
+        finish(ctx, call, answer::code::unavailable);
+    }
+}
+
 void cancel(shard_context& ctx, std::uint64_t call, std::string const& id)
 {
     auto* const submission = submissions::find(ctx, id);
     if (!submission)
     {
-        try_second_shard(ctx, call, id);
+        if (!follow_relocation(ctx, call, id))
+        {
+            cancel_unknown(ctx, call, id);
+        }
         return;
     }
     if (!ended(submission->phase))
@@ -455,19 +510,30 @@
     return result;
 }
 
+/// Returns the time since which a call that is read now may have been waiting.
+time_ms earliest_arrival(context const& ctx)
+{
+    auto const& gap = ctx.state.last_standstill;
+    return gap && ctx.now - gap->ended_at < backlog_time ? gap->began_at
+                                                         : ctx.now;
+}
+
 } // namespace
 
 void arrived(context& ctx, call_arrived const& request)
 {
     auto& call = ctx.state.calls[request.call];
     call.request = request;
-    call.arrived_at = ctx.now;
+    call.arrived_at = earliest_arrival(ctx);
     if (call.request.time_limit <= time_ms(0))
     {
         call.request.time_limit = default_time_limit;
     }
     auto const to = request.forwarded_to;
-    if (!ctx.state.config || ctx.state.shards.empty()
+    // Its caller may have given up, and even cancelled, while this process
+    // stood still.
+    auto const too_late = ctx.now >= answer_due(call);
+    if (too_late || !ctx.state.config || ctx.state.shards.empty()
         || (to && *to >= ctx.state.shards.size()))
     {
         finish(ctx, request.call, answer::code::unavailable);
@@ -539,6 +605,12 @@
     finish(ctx, call, answer::code::ok);
 }
 
+void cancellation_stored(shard_context& ctx, std::uint64_t call,
+                         std::string_view id)
+{
+    try_second_shard(ctx, call, std::string(id));
+}
+
 void redirect(shard_context& ctx, std::uint64_t number, std::uint32_t to)
 {
     auto const found = ctx.state.calls.find(number);
--- a/src/jaydrift/schedule/ownership.cpp
+++ b/src/jaydrift/schedule/ownership.cpp
@@ -32,10 +32,6 @@
 /// candidates differently.
 constexpr std::uint64_t claim_jitter_ms = 15;
 
-/// The owner ticks every 20 ms; a gap of this length means that the process was
-/// frozen.
-constexpr time_ms frozen_after{500};
-
 /// An owner without a reply of the store for this long hands the shard over to
 /// a peer that reaches the store.
 constexpr time_ms yield_after{500};
@@ -477,13 +473,16 @@
     }
 }
 
-void suspend_after_clock_gap(shard_context& ctx)
+void suspend_after_standstill(shard_context& ctx)
 {
-    auto const gap = ctx.now - ctx.state.last_event_at;
-    if (ctx.shard.ownership.role == owner_role::owner && gap >= frozen_after)
-    {
-        suspend(ctx, "no event for " + std::to_string(gap.count())
-                         + " ms, the process may have been frozen");
+    auto const& gap = ctx.state.last_standstill;
+    if (ctx.shard.ownership.role == owner_role::owner && gap
+        && gap->ended_at == ctx.now)
+    {
+        suspend(ctx,
+                "no event for "
+                    + std::to_string((gap->ended_at - gap->began_at).count())
+                    + " ms, the process may have been frozen");
     }
 }
 
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/record_log.hpp>
 
 #include <jaydrift/schedule/calls.hpp>
+#include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/ownership.hpp>
@@ -177,6 +178,34 @@
                  std::make_move_iterator(left_out.end()));
 }
 
+/// Adds records that are written once, as many as fit. Returns their IDs.
+template<class States>
+std::vector<std::string>
+append_new(shard_context& ctx, store_transaction& write, record_kind kind,
+           States const& states, std::deque<std::string>& ids)
+{
+    std::vector<std::string> result;
+    while (!ids.empty() && entry_count(write) < max_entries)
+    {
+        auto id = std::move(ids.front());
+        ids.pop_front();
+        write.puts.emplace_back(shard_key(ctx, kind, id), states.at(id).record);
+        result.push_back(std::move(id));
+    }
+    return result;
+}
+
+/// Removes such records, as many as fit.
+void append_expired(shard_context& ctx, store_transaction& write,
+                    record_kind kind, std::deque<std::string>& ids)
+{
+    while (!ids.empty() && entry_count(write) < max_entries)
+    {
+        write.removals.push_back(shard_key(ctx, kind, ids.front()));
+        ids.pop_front();
+    }
+}
+
 /// Puts as many waiting changes as fit into one transaction and sends it.
 void flush(shard_context& ctx, bool awaited_only)
 {
@@ -190,6 +219,7 @@
     log.in_flight_versions.clear();
     log.in_flight_removals.clear();
     log.in_flight_relocations.clear();
+    log.in_flight_cancellations.clear();
     log.next_fleet = current_fleet(ctx);
     log.in_flight_fleet_version = log.fleet_version;
     if (log.next_fleet != log.fleet)
@@ -205,14 +235,12 @@
             shard_key(ctx, record_kind::interference),
             interference::to_record(ctx.shard.interference));
     }
-    while (!log.new_relocations.empty() && entry_count(write) < max_entries)
-    {
-        auto id = std::move(log.new_relocations.front());
-        log.new_relocations.pop_front();
-        write.puts.emplace_back(shard_key(ctx, record_kind::relocation, id),
-                                ctx.shard.relocations.at(id).record);
-        log.in_flight_relocations.push_back(std::move(id));
-    }
+    log.in_flight_relocations =
+        append_new(ctx, write, record_kind::relocation, ctx.shard.relocations,
+                   log.new_relocations);
+    log.in_flight_cancellations =
+        append_new(ctx, write, record_kind::cancellation,
+                   ctx.shard.cancellations, log.new_cancellations);
     append_dirty(ctx, write, awaited_only);
     while (!log.expired_submissions.empty()
            && entry_count(write) + 2 <= max_entries)
@@ -223,12 +251,10 @@
         write.removals.push_back(shard_key(ctx, record_kind::progress, id));
         log.in_flight_removals.push_back(id);
     }
-    while (!log.expired_relocations.empty() && entry_count(write) < max_entries)
-    {
-        write.removals.push_back(shard_key(ctx, record_kind::relocation,
-                                           log.expired_relocations.front()));
-        log.expired_relocations.pop_front();
-    }
+    append_expired(ctx, write, record_kind::relocation,
+                   log.expired_relocations);
+    append_expired(ctx, write, record_kind::cancellation,
+                   log.expired_cancellations);
     if (!awaited_only)
     {
         log.dirty_since = ctx.now;
@@ -319,6 +345,7 @@
     }
     auto const versions = std::move(log.in_flight_versions);
     auto const relocated = std::move(log.in_flight_relocations);
+    auto const cancelled = std::move(log.in_flight_cancellations);
     for (auto const& id : log.in_flight_removals)
     {
         ctx.shard.submissions.erase(id);
@@ -335,6 +362,10 @@
     {
         relocation::stored(ctx, id);
     }
+    for (auto const& id : cancelled)
+    {
+        cancellations::stored(ctx, id);
+    }
     acknowledge_stored_ends(ctx);
 }
 
@@ -343,6 +374,7 @@
 {
     return log.dirty.empty() && log.expired_submissions.empty()
            && log.new_relocations.empty() && log.expired_relocations.empty()
+           && log.new_cancellations.empty() && log.expired_cancellations.empty()
            && log.stored_fleet_version == log.fleet_version;
 }
 
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/recovery.hpp>
 
 #include <jaydrift/schedule/assignments.hpp>
+#include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/limits.hpp>
@@ -219,6 +220,7 @@
     ctx.shard.workers.clear();
     ctx.shard.submissions.clear();
     ctx.shard.relocations.clear();
+    ctx.shard.cancellations.clear();
     ctx.shard.active.clear();
     start_flow::forget(ctx);
     std::erase_if(ctx.state.worker_calls, [&ctx](auto const& each) {
@@ -273,6 +275,11 @@
         {
             restore_relocation(ctx, *relocated);
         }
+        else if (auto const* const cancelled =
+                     std::get_if<cancellation_record>(&item.record))
+        {
+            cancellations::restore(ctx, *cancelled);
+        }
         else if (auto const* const learned =
                      std::get_if<interference_record>(&item.record))
         {
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/schedule/area_watch.hpp>
 #include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/calls.hpp>
+#include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/daemon_state.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/layout.hpp>
@@ -37,6 +38,16 @@
 constexpr time_ms owner_tick{20};
 constexpr time_ms follower_tick{50};
 
+/// Notes that the process stood still before this event.
+void note_standstill(context& ctx)
+{
+    auto const last = ctx.state.last_event_at;
+    if (ctx.now - last >= shortest_standstill)
+    {
+        ctx.state.last_standstill = {last, ctx.now};
+    }
+}
+
 /// Does what is due in all parts.
 void tick(context& ctx)
 {
@@ -53,6 +64,7 @@
         submissions::tick(shard_ctx);
         workers::tick(shard_ctx);
         relocation::tick(shard_ctx);
+        cancellations::tick(shard_ctx);
         worker_requests::tick(shard_ctx);
         worker_transfers::tick(shard_ctx);
         assignments::tick(shard_ctx);
@@ -159,12 +171,13 @@
 {
     effect_list result;
     context ctx{state, now, result};
+    note_standstill(ctx);
     // First, so that an owner that was frozen starts and stops no tasks because
     // of the event.
     for (auto& shard : state.shards)
     {
         shard_context shard_ctx(ctx, shard);
-        ownership::suspend_after_clock_gap(shard_ctx);
+        ownership::suspend_after_standstill(shard_ctx);
     }
     std::visit(event_handler{ctx}, input);
     if (now >= state.next_tick)
--- a/src/jaydrift/schedule/reduce_test.cpp
+++ b/src/jaydrift/schedule/reduce_test.cpp
@@ -4,6 +4,7 @@
 #include <jaydrift/schedule/event.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -79,6 +80,47 @@
     EXPECT_EQ(state.shards[0].ownership.role, owner_role::suspended);
 }
 
+// Guards against a submission that is forwarded although its caller has given
+// up and cancelled it: it arrived while the process stood still.
+TEST(reduce, refuses_calls_that_ran_out_while_the_process_stood_still)
+{
+    for (auto const& [gap, refused] :
+         {std::pair(time_ms(4000), true), std::pair(time_ms(600), false)})
+    {
+        auto state = initial_state(settings_with(1), time_ms(0));
+        configuration config;
+        config.queues.push_back({"batch", "jobs.example", "/batch/", "svc", 0,
+                                 3, 2.0, time_ms(1000)});
+        state.config = config;
+        state.shards.resize(1);
+        state.shards[0].ownership.revision = 5;
+        state.shards[0].ownership.record = {"d1", "10.0.0.2:7000", 1, 7};
+        // Otherwise the daemon would suspect the owner.
+        state.shards[0].ownership.next_claim = time_ms(1000000);
+        state.last_event_at = time_ms(1000);
+        auto const now = time_ms(1000) + gap;
+        static_cast<void>(reduce(state, timer_due{now}, now));
+        call_arrived call;
+        call.call = 1;
+        call.verb = call_verb::submit;
+        call.host = "jobs.example";
+        call.path = "/batch/00000000000000a1";
+        call.work.emplace().steps.resize(1);
+        call.time_limit = time_ms(3000);
+        auto const at_once = reduce(state, call, now + time_ms(5));
+        EXPECT_EQ(of_kind<forward_call>(at_once).empty(), refused);
+        auto const answers = of_kind<answer_call>(at_once);
+        EXPECT_EQ(!answers.empty(), refused);
+        if (!answers.empty())
+        {
+            EXPECT_EQ(answers[0].reply.result, answer::code::unavailable);
+        }
+        call.call = 2;
+        auto const later = reduce(state, call, now + time_ms(300));
+        EXPECT_EQ(of_kind<forward_call>(later).size(), 1U);
+    }
+}
+
 // Guards against an older configuration that replaces a newer one because it
 // arrives later.
 TEST(reduce, keeps_the_highest_configuration)
