Let the soak move the only worker of a kind between shards

The promise that no task runs twice is the risk of a transfer between shards, and the soak had no work that needs one. With several shards, worker 0 is now the only one of its kind, each of its processes has another ID, and one submission in eight needs it.

--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -58,6 +58,12 @@
     phase current_phase = phase::starting;
     time_ms phase_since;
 
+    /// With several shards, worker 0 is the only one of its kind. Each of its
+    /// processes has another ID, so its shard changes.
+    static constexpr std::size_t rare_worker = 0;
+    static constexpr char const* rare_kind = "b";
+    std::uint64_t rare_workers = 0;
+
     /// Daemons' requests to the store and the workers that still wait.
     std::vector<open_request> requests;
 
--- a/include/jaydrift/soak/submission_plan.hpp
+++ b/include/jaydrift/soak/submission_plan.hpp
@@ -26,6 +26,9 @@
     bool opportunistic = false;
     std::string image;
 
+    /// Label of the workers that may run the tasks; empty if all may.
+    std::string required_label;
+
     /// Bound on the tail latency of a long-running task; 0 if it has none.
     time_ms latency_target;
 };
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jaydrift::soak {
@@ -41,6 +42,9 @@
     void crash(oracle& oracle);
     void restart(time_ms now);
 
+    /// Lets the next process be another worker on the same machine.
+    void rename(std::string id) { id_ = std::move(id); }
+
     bool up() const { return up_; }
     std::string const& id() const { return id_; }
     std::string const& zone() const { return zone_; }
@@ -59,6 +63,9 @@
     std::uint64_t failing_percent = 0;
     bool draining = false;
 
+    /// Label that tasks may require.
+    std::string kind = "a";
+
     /// Serving tasks report tail latencies of 80 to 95% of their target, not of
     /// 30 to 45%, whatever runs beside them.
     bool high_tails = false;
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -24,6 +24,10 @@
 constexpr time_ms serving_target{200};
 constexpr std::size_t long_running_per_worker = 2;
 
+/// With several shards, one submission in so many needs the only worker of a
+/// kind.
+constexpr std::uint64_t rare_one_in = 8;
+
 /// Most submissions sent at the same time.
 constexpr std::size_t max_burst = 100;
 
@@ -80,6 +84,7 @@
         codec::put_boolean(writer, "longRunning", step.long_running);
         codec::put_boolean(writer, "fills", step.opportunistic);
         codec::put_field(writer, "image", step.image);
+        codec::put_field(writer, "requires", step.required_label);
         codec::put_field(writer, "targetMs", step.latency_target.count());
         writer.EndObject();
     }
@@ -207,8 +212,18 @@
 void submit(soak_state& state, work_kind kind, time_ms now,
             effect_list& effects)
 {
-    auto const id = submission_id(state.next_submission++);
-    state.oracle.planned(id, random_plan(state, id, kind));
+    auto const number = state.next_submission++;
+    auto const id = submission_id(number);
+    auto plan = random_plan(state, id, kind);
+    if (kind == work_kind::ordinary && number % rare_one_in == 0
+        && state.settings.shards > 1)
+    {
+        for (auto& step : plan.steps)
+        {
+            step.required_label = soak_state::rare_kind;
+        }
+    }
+    state.oracle.planned(id, std::move(plan));
     send_new(state, open_call::purpose_kind::submit, id, now, effects);
 }
 
--- a/src/jaydrift/soak/faults.cpp
+++ b/src/jaydrift/soak/faults.cpp
@@ -351,8 +351,7 @@
     std::erase_if(state.worker_restarts, [&](auto const& each) {
         if (now >= each.second)
         {
-            state.workers[each.first].restart(now);
-            simulated_platform::publish_worker(state, each.first);
+            simulated_platform::restart_worker(state, each.first, now);
         }
         return now >= each.second;
     });
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -272,6 +272,10 @@
         state.workers.emplace_back("i-" + std::to_string(i),
                                    worker_addresses[i], i % 2 == 0 ? "a" : "b",
                                    state.random.next());
+        if (i == soak_state::rare_worker && state.settings.shards > 1)
+        {
+            state.workers[i].kind = soak_state::rare_kind;
+        }
         simulated_platform::publish_worker(state, i);
     }
     if (state.settings.shards > 0)
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -274,6 +274,18 @@
     state.worker_restarts[worker] = until;
 }
 
+void restart_worker(soak_state& state, std::size_t worker, time_ms now)
+{
+    auto& restarted = state.workers[worker];
+    if (restarted.kind == soak_state::rare_kind)
+    {
+        state.store.remove("servers/" + restarted.id());
+        restarted.rename("rare-" + std::to_string(++state.rare_workers));
+    }
+    restarted.restart(now);
+    publish_worker(state, worker);
+}
+
 void publish_worker(soak_state& state, std::size_t worker)
 {
     state.store.put("servers/" + state.workers[worker].id(),
--- a/src/jaydrift/soak/simulated_platform.hpp
+++ b/src/jaydrift/soak/simulated_platform.hpp
@@ -26,6 +26,10 @@
 /// Crashes a worker that is up, until it restarts at `until`.
 void crash_worker(soak_state& state, std::size_t worker, time_ms until);
 
+/// Starts the process of a worker again. That of the only worker of its kind
+/// registers as another worker.
+void restart_worker(soak_state& state, std::size_t worker, time_ms now);
+
 /// Writes the worker's record to the store.
 void publish_worker(soak_state& state, std::size_t worker);
 
--- a/src/jaydrift/soak/task_worker.cpp
+++ b/src/jaydrift/soak/task_worker.cpp
@@ -312,7 +312,7 @@
     out.EndObject();
     codec::put_key(out, "labels");
     out.StartArray();
-    codec::put(out, "a");
+    codec::put(out, kind);
     codec::put(out, "rack-1");
     out.EndArray();
     codec::put_key(out, "born");
--- a/src/jaydrift/soak/waiting_check.cpp
+++ b/src/jaydrift/soak/waiting_check.cpp
@@ -16,7 +16,7 @@
 
 /// Returns whether a task could start twice and under half of the workers'
 /// capacity is in use.
-bool has_room(soak_state const& state, resources const& demand)
+bool has_room(soak_state const& state, step_plan const& step)
 {
     resources capacity;
     resources used;
@@ -29,9 +29,13 @@
         }
         capacity += worker.capacity();
         used += worker.used();
+        if (!step.required_label.empty() && step.required_label != worker.kind)
+        {
+            continue;
+        }
         auto const free = worker.capacity() - worker.used();
-        places += fits(demand, free) ? 1 : 0;
-        places += fits(demand, free - demand) ? 1 : 0;
+        places += fits(step.demand, free) ? 1 : 0;
+        places += fits(step.demand, free - step.demand) ? 1 : 0;
     }
     return places >= 2 && fits(used, capacity - used);
 }
@@ -50,8 +54,7 @@
         auto const* const step = state.oracle.ready_step(id);
         auto& since = state.waiting_since.try_emplace(id, now).first->second;
         if (!step || state.oracle.running_tasks(id) > 0
-            || state.oracle.last_start(id) >= since
-            || !has_room(state, step->demand))
+            || state.oracle.last_start(id) >= since || !has_room(state, *step))
         {
             since = now;
         }
