Give workers to a full shard only from one that has room

A shard gives a worker for long-running tasks only if these hold at most 85 % of what it keeps. The loads are computed once for each request, not for each worker.

--- a/src/jaydrift/schedule/worker_transfers.cpp
+++ b/src/jaydrift/schedule/worker_transfers.cpp
@@ -50,6 +50,12 @@
 /// for this much longer than those here.
 constexpr time_ms fair_lead{3000};
 
+/// Largest shares of the processors that a shard keeps which may be in use if
+/// it gives a worker away: by long-running tasks for those of another shard,
+/// and by firm tasks for a submission of which nothing runs.
+constexpr double max_long_running_share = 0.85;
+constexpr double max_firm_share = 0.5;
+
 /// Bounds the search for a worker that can be emptied.
 constexpr std::size_t max_candidates = 8;
 
@@ -127,25 +133,44 @@
                && request.waited >= *own + fair_lead);
 }
 
-/// Returns whether the loads of the shards justify that the worker moves.
-bool loads_allow(shard_context const& ctx, worker_state const& worker,
+/// Processors of this shard, in thousandths: what its usable workers have, and
+/// what firm tasks, or only long-running ones, hold or wait for.
+struct shard_processors
+{
+    explicit shard_processors(shard_context const& ctx)
+        : usable(static_cast<double>(relocation::usable_millicores(ctx))),
+          firm(static_cast<double>(relocation::firm_millicores(ctx))),
+          long_running(
+              static_cast<double>(relocation::long_running_millicores(ctx)))
+    {
+    }
+
+    double usable;
+    double firm;
+    double long_running;
+};
+
+/// Returns whether the loads of the shards justify that a worker with these
+/// processors moves.
+bool loads_allow(shard_processors const& own, double moved,
                  worker_request const& request)
 {
-    auto const moved = static_cast<double>(worker.entry.capacity.millicores);
-    auto const left =
-        static_cast<double>(relocation::usable_millicores(ctx)) - moved;
+    auto const left = own.usable - moved;
     switch (request.kind)
     {
     case shortage_kind::suitable_worker:
         return true;
     case shortage_kind::long_running_room:
-        // The shard that gives the worker is the less loaded one afterwards.
-        return static_cast<double>(relocation::long_running_millicores(ctx))
-                   * (static_cast<double>(request.usable_millicores) + moved)
-               < static_cast<double>(request.long_running_millicores) * left;
+        // The tasks of the worker must find places here at once, and this shard
+        // be the less loaded one afterwards.
+        return own.long_running <= left * max_long_running_share
+               && own.long_running
+                          * (static_cast<double>(request.usable_millicores)
+                             + moved)
+                      < static_cast<double>(request.long_running_millicores)
+                            * left;
     case shortage_kind::room:
-        return static_cast<double>(relocation::firm_millicores(ctx)) * 2
-               <= left;
+        return own.firm <= left * max_firm_share;
     }
     return false;
 }
@@ -174,13 +199,20 @@
 std::vector<worker_state*> candidates_for(shard_context& ctx,
                                           worker_request const& request)
 {
+    shard_processors const own(ctx);
     std::vector<worker_state*> result;
+    if (!loads_allow(own, 0.0, request))
+    {
+        return result;
+    }
     for (auto& [id, worker] : ctx.shard.workers)
     {
+        auto const moved =
+            static_cast<double>(worker.entry.capacity.millicores);
         if (workers::usable(ctx, worker) && worker.process_confirmed
             && !worker.kept_for && fits_request(worker.entry, request)
-            && stayed_long_enough(ctx, worker)
-            && loads_allow(ctx, worker, request) && !has_gang_run(ctx, worker))
+            && loads_allow(own, moved, request)
+            && stayed_long_enough(ctx, worker) && !has_gang_run(ctx, worker))
         {
             result.push_back(&worker);
         }
