--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -218,8 +218,6 @@
                             serial_record{log.serial + 1});
     log.in_flight_versions.clear();
     log.in_flight_removals.clear();
-    log.in_flight_relocations.clear();
-    log.in_flight_cancellations.clear();
     log.next_fleet = current_fleet(ctx);
     log.in_flight_fleet_version = log.fleet_version;
     if (log.next_fleet != log.fleet)
