Move several long-running tasks of a worker to the same other one

clear() counts the moves that it plans against the room of their worker. Each worker is kept for one of them; the others find their places in the order of all tasks, in which long-running ones come first.

long_running_moves.a_worker_is_cleared_into_the_room_of_a_single_one guards it.

--- a/src/jaydrift/schedule/long_running_moves.cpp
+++ b/src/jaydrift/schedule/long_running_moves.cpp
@@ -37,7 +37,7 @@
     worker_state* from = nullptr;
     worker_state* to = nullptr;
     run_id run;
-    std::int64_t millicores = 0;
+    resources demand;
 };
 
 /// Returns the workers that are not kept and may start tasks, those with the
@@ -169,33 +169,50 @@
         auto const room = workers::room_without_urgent(*from);
         for (auto const& [id, run] : from->runs)
         {
-            if ((best && run.demand.millicores >= best->millicores)
+            if ((best && run.demand.millicores >= best->demand.millicores)
                 || !fits(demand, room + run.demand) || !may_move(ctx, id, run))
             {
                 continue;
             }
             if (auto* const to = find_place(ctx, open, *from, id, run))
             {
-                best = {from, to, id, run.demand.millicores};
+                best = {from, to, id, run.demand};
             }
         }
     }
     return best;
 }
 
-/// Returns the worker with the most room for the task of the run once urgent
-/// tasks have ended; null if none has enough.
+/// Returns the room that a worker has for more moves once its urgent tasks have
+/// ended.
+resources room_beside(std::vector<possible_move> const& moves,
+                      worker_state const& worker)
+{
+    auto room = workers::room_without_urgent(worker);
+    for (auto const& each : moves)
+    {
+        if (each.to == &worker)
+        {
+            room -= each.demand;
+        }
+    }
+    return room;
+}
+
+/// Returns the worker with the most room for the task of the run, beside the
+/// moves that are planned already; null if none has enough.
 worker_state* find_later_place(shard_context& ctx,
                                std::vector<worker_state*> const& open,
                                worker_state const& from, run_id const& id,
-                               run_state const& run)
+                               run_state const& run,
+                               std::vector<possible_move> const& moves)
 {
     auto const& submission = *submissions::find(ctx, id.task.submission);
     worker_state* best = nullptr;
     std::int64_t most_room = 0;
     for (auto* const worker : open)
     {
-        auto const room = workers::room_without_urgent(*worker);
+        auto const room = room_beside(moves, *worker);
         if (worker != &from && fits(run.demand, room)
             && (!best || room.millicores > most_room)
             && admits(*worker, submission, id.task))
@@ -229,7 +246,7 @@
 bool clear(shard_context& ctx, worker_state& from)
 {
     std::vector<possible_move> moves;
-    auto open = open_workers(ctx);
+    auto const open = open_workers(ctx);
     for (auto const& [id, run] : from.runs)
     {
         if (!run.long_running || run.phase == run_phase::stopping)
@@ -238,18 +255,22 @@
         }
         auto* const to =
             may_move(ctx, id, run) && !step_moves_already(ctx, moves, id.task)
-                ? find_later_place(ctx, open, from, id, run)
+                ? find_later_place(ctx, open, from, id, run, moves)
                 : nullptr;
         if (!to)
         {
             return false;
         }
-        std::erase(open, to);
-        moves.push_back({&from, to, id, run.demand.millicores});
+        moves.push_back({&from, to, id, run.demand});
     }
     for (auto const& each : moves)
     {
-        each.to->kept_for = each.run.task;
+        // Of several tasks that move to one worker, the others find their place
+        // in the order of all tasks, in which long-running ones come first.
+        if (!each.to->kept_for)
+        {
+            each.to->kept_for = each.run.task;
+        }
         workers::stop(ctx, from, each.run);
     }
     return true;
--- a/src/jaydrift/schedule/long_running_moves_test.cpp
+++ b/src/jaydrift/schedule/long_running_moves_test.cpp
@@ -9,8 +9,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jaydrift::schedule::testing {
@@ -231,4 +233,105 @@
     EXPECT_EQ(owner.stopping(), 1U);
 }
 
+namespace {
+
+/// An owner of two workers. The first one has three small long-running tasks at
+/// work, the second one has the given capacity and no task.
+class clearing_owner
+{
+public:
+    explicit clearing_owner(resources capacity)
+    {
+        constexpr time_ms age{20000};
+        state_.shards.resize(1);
+        shard().ownership.role = owner_role::owner;
+        add_worker("w0", worker_capacity);
+        add_worker("w1", capacity);
+        auto work = chain_of({3});
+        work.steps[0].long_running = true;
+        work.steps[0].demand = small_demand;
+        with_context([&](shard_context& ctx) {
+            auto& added =
+                submissions::add(ctx, {id_of(1), "queue", now_, work});
+            added.terms.service = "svc";
+            for (std::uint32_t i = 0; i < 3; ++i)
+            {
+                task_id const id{added.id, 0, 0, i};
+                submissions::find_task(added, id)->place = placement{"w0", 1};
+                submissions::placed(added, id);
+                auto run = workers::reservation(added, 0);
+                run.phase = run_phase::running;
+                run.progress_percent = 100;
+                run.started_at = now_ - age;
+                workers::add_run(shard().workers.at("w0"), {id, 1},
+                                 std::move(run));
+            }
+        });
+    }
+
+    bool clear()
+    {
+        auto result = false;
+        with_context([&](shard_context& ctx) {
+            result = long_running_moves::clear(ctx, shard().workers.at("w0"));
+        });
+        return result;
+    }
+
+    std::size_t stopping()
+    {
+        auto const& runs = shard().workers.at("w0").runs;
+        return static_cast<std::size_t>(
+            std::count_if(runs.begin(), runs.end(), [](auto const& each) {
+                return each.second.phase == run_phase::stopping;
+            }));
+    }
+
+private:
+    shard_state& shard() { return state_.shards[0]; }
+
+    void add_worker(std::string const& id, resources capacity)
+    {
+        auto& worker = shard().workers[id];
+        worker.entry.id = id;
+        worker.entry.service = "svc";
+        worker.entry.address = "10.1.0.1:80";
+        worker.entry.capacity = capacity;
+        worker.in_fleet_record = true;
+        worker.fenced = true;
+        worker.clock = time_ms(0);
+    }
+
+    template<class Action>
+    void with_context(Action action)
+    {
+        effect_list effects;
+        shard_context ctx(context{state_, now_, effects}, shard());
+        action(ctx);
+    }
+
+    daemon_state state_;
+    time_ms now_{30000};
+};
+
+} // namespace
+
+// Guards against a worker that never leaves its shard, although tasks of
+// another one wait for it, since it has more long-running tasks than there are
+// other workers. Found by the soak (seed 9001 --shards 2 --workers 12).
+TEST(long_running_moves, a_worker_is_cleared_into_the_room_of_a_single_one)
+{
+    clearing_owner owner({18000, 30000, 0});
+    EXPECT_TRUE(owner.clear());
+    EXPECT_EQ(owner.stopping(), 3U);
+}
+
+// Guards against tasks that stop although only some of them find a place.
+TEST(long_running_moves, a_worker_is_not_cleared_in_part)
+{
+    clearing_owner owner({17000, 30000, 0});
+    EXPECT_FALSE(owner.clear());
+    EXPECT_EQ(owner.stopping(), 0U);
+}
+
 } // namespace jaydrift::schedule::testing
