--- a/src/jaydrift/schedule/worker_transfers_test.cpp
+++ b/src/jaydrift/schedule/worker_transfers_test.cpp
@@ -140,29 +140,40 @@
 }
 
 // Guards against tasks that run twice, or not at all, when an owner fails
-// between two steps of a transfer.
+// between two steps of a transfer: from the choice of the worker to the first
+// task that the other shard starts on it.
 TEST(worker_transfers, hold_when_an_owner_is_killed_at_any_step)
 {
-    constexpr time_ms first_kill{1000};
-    constexpr time_ms last_kill{3600};
-    constexpr time_ms kill_interval{40};
+    constexpr time_ms last_kill{120};
+    constexpr time_ms kill_interval{2};
+    constexpr time_ms transfer_limit{15000};
     std::uint64_t seed = 310;
-    for (auto at = first_kill; at < last_kill; at += kill_interval)
+    for (auto delay = time_ms(0); delay <= last_kill; delay += kill_interval)
     {
-        for (std::size_t shard = 0; shard < shards; ++shard)
+        for (std::size_t killed = 0; killed < shards; ++killed)
         {
             rare_deployment deployment(++seed, 6);
+            auto const giving = 1 - deployment.shard_of_rare_worker();
             auto const id = begin_transfer(deployment);
-            deployment.run_until(deployment.now() + at);
-            auto const owner = deployment.owner(shard);
+            auto const limit = deployment.now() + transfer_limit;
+            while (deployment.now() < limit
+                   && !deployment.daemon(*deployment.owner(giving))
+                           .shards[giving]
+                           .transfer)
+            {
+                deployment.run_until(deployment.now() + time_ms(1));
+            }
+            ASSERT_LT(deployment.now(), limit) << seed;
+            deployment.run_until(deployment.now() + delay);
+            auto const owner = deployment.owner(killed);
             ASSERT_TRUE(owner);
             deployment.kill(*owner);
             deployment.run_until(deployment.now() + time_ms(700));
             deployment.start(*owner);
             deployment.run_until(deployment.now() + time_ms(20000));
             EXPECT_TRUE(deployment.completed(id))
-                << "owner of shard " << shard << " killed after " << at.count()
-                << " ms, seed " << seed;
+                << "owner of shard " << killed << " killed " << delay.count()
+                << " ms after the transfer began, seed " << seed;
         }
     }
 }
