Run long-running tasks in the room of other shards

Cause: a task ran only on workers of the shard that has its submission. Whole workers change their shard since, but by 13 s all nine shards are nearly full of long-running tasks, and what is free is scattered over workers that cannot be emptied. A list of each shard's workers with the most room showed it: 33 processors free on one worker beside a shard with 168 waiting tasks, some for 17 s.

Change: a long-running task without a run may be assigned to another shard, by a transaction that expects the owner records of both. Its submission stays where it is: such tasks have no attempts and no successful end, so the record that names the shard is all that has to last. Requests, offers and refusals of room are datagrams.

The line about waiting tasks tells what they need.

--- a/include/jaydrift/schedule/daemon_state.hpp
+++ b/include/jaydrift/schedule/daemon_state.hpp
@@ -17,6 +17,7 @@
 #include <jaydrift/schedule/standstill.hpp>
 #include <jaydrift/schedule/start_flow_state.hpp>
 #include <jaydrift/schedule/store_session_state.hpp>
+#include <jaydrift/schedule/task_assignment_state.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
 
 #include <cstdint>
@@ -69,6 +70,11 @@
     /// Assignments of workers to shards, by the ID of the worker.
     std::map<std::string, assignment_state, std::less<>> assignments;
 
+    /// Assignments of tasks to shards, by the name of the record, and a number
+    /// that rises with each change of them.
+    std::map<std::string, task_assignment_state, std::less<>> task_assignments;
+    std::uint64_t task_assignments_version = 1;
+
     /// Entries of all workers; empty unless this daemon holds a shard.
     std::map<std::string, worker_entry, std::less<>> worker_entries;
 
--- a/include/jaydrift/schedule/kept_workers.hpp
+++ b/include/jaydrift/schedule/kept_workers.hpp
@@ -1,6 +1,8 @@
 #ifndef JAYDRIFT_SCHEDULE_KEPT_WORKERS_HPP
 #define JAYDRIFT_SCHEDULE_KEPT_WORKERS_HPP
 
+#include <jaydrift/core/resources.hpp>
+
 #include <span>
 
 namespace jaydrift::schedule {
@@ -22,8 +24,17 @@
 void update(shard_context& ctx, std::span<submission_state* const> waiting,
             bool unaccounted);
 
+/// Keeps the worker for a task.
+void keep(worker_state& worker, task_id const& id, resources const& demand);
+
+/// Returns whether the worker is kept for a task that does not fit before
+/// urgent tasks have ended there.
+bool waits_for_urgent(worker_state const& worker);
+
 /// Returns whether the worker is kept free of the task. It is open to
-/// opportunistic tasks and to all tasks of the step that it is kept for.
+/// opportunistic tasks, to all tasks of the step that it is kept for, and to
+/// other long-running tasks while `waits_for_urgent`: these would not serve
+/// meanwhile, though there is room for them.
 bool excludes(worker_state const& worker, placement_request const& request);
 
 /// Notes the place of a task. If the worker was kept for another task of the
--- a/include/jaydrift/schedule/member_record.hpp
+++ b/include/jaydrift/schedule/member_record.hpp
@@ -21,6 +21,9 @@
     /// The daemon knows of assignments of workers; false if an earlier release
     /// has written the record.
     bool assigns_workers = false;
+
+    /// The same for assignments of tasks.
+    bool assigns_tasks = false;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/member_state.hpp
+++ b/include/jaydrift/schedule/member_state.hpp
@@ -21,8 +21,9 @@
     double cpu_share = 0.0;
     std::string region;
 
-    /// It knows of assignments of workers.
+    /// It knows of assignments of workers, and of tasks.
     bool assigns_workers = false;
+    bool assigns_tasks = false;
 
     /// It is stopping and will not own a shard any more.
     bool stopping = false;
--- a/include/jaydrift/schedule/peer_message.hpp
+++ b/include/jaydrift/schedule/peer_message.hpp
@@ -5,6 +5,10 @@
 #include <jaydrift/schedule/heartbeat_reply.hpp>
 #include <jaydrift/schedule/owner_query.hpp>
 #include <jaydrift/schedule/owner_query_reply.hpp>
+#include <jaydrift/schedule/room_offer.hpp>
+#include <jaydrift/schedule/room_refusal.hpp>
+#include <jaydrift/schedule/room_request.hpp>
+#include <jaydrift/schedule/tasks_assigned.hpp>
 #include <jaydrift/schedule/worker_request.hpp>
 #include <jaydrift/schedule/yield_request.hpp>
 
@@ -15,7 +19,8 @@
 /// A datagram between daemons.
 using peer_message =
     std::variant<heartbeat, heartbeat_reply, owner_query, owner_query_reply,
-                 yield_request, worker_request>;
+                 yield_request, worker_request, room_request, room_offer,
+                 room_refusal, tasks_assigned>;
 
 } // namespace jaydrift::schedule
 
--- a/include/jaydrift/schedule/record_kind.hpp
+++ b/include/jaydrift/schedule/record_kind.hpp
@@ -19,6 +19,9 @@
     /// Shard of a worker; see `assignment_record`.
     assignment,
 
+    /// Shard of a task; see `task_assignment_record`.
+    task_assignment,
+
     /// Number of the last transaction of a record log; see `serial_record`.
     serial,
     fleet,
--- a/include/jaydrift/schedule/shard_state.hpp
+++ b/include/jaydrift/schedule/shard_state.hpp
@@ -4,17 +4,23 @@
 #include <jaydrift/core/string_hash.hpp>
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/cancellation_state.hpp>
+#include <jaydrift/schedule/guest_read.hpp>
 #include <jaydrift/schedule/interference_model.hpp>
 #include <jaydrift/schedule/ownership_state.hpp>
+#include <jaydrift/schedule/pending_room_offer.hpp>
 #include <jaydrift/schedule/record_log_state.hpp>
 #include <jaydrift/schedule/relocation_state.hpp>
+#include <jaydrift/schedule/remembered_demand.hpp>
 #include <jaydrift/schedule/shard_load.hpp>
 #include <jaydrift/schedule/submission_state.hpp>
+#include <jaydrift/schedule/task_id.hpp>
+#include <jaydrift/schedule/task_transfer.hpp>
 #include <jaydrift/schedule/wait_counts.hpp>
 #include <jaydrift/schedule/worker_state.hpp>
 #include <jaydrift/schedule/worker_transfer.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -96,6 +102,32 @@
     std::optional<worker_transfer> transfer;
     time_ms next_transfer;
 
+    /// Next search for long-running tasks that need room in another shard, and
+    /// how many searches in a row have found some.
+    time_ms next_room_request;
+    std::uint32_t room_request_rounds = 0;
+
+    /// Demands of other shards, by task, and the next search for room for them.
+    std::map<task_id, remembered_demand> room_demands;
+    time_ms next_offer_search;
+
+    /// Tasks that go to another shard, and offers of room for the next ones.
+    std::optional<schedule::task_transfer> task_transfer;
+    std::deque<pending_room_offer> room_offers;
+
+    /// Tasks of this shard's submissions that are elsewhere.
+    std::set<task_id> given_tasks;
+
+    /// Reads of submissions of other shards, by ID.
+    std::map<std::string, guest_read> guest_reads;
+
+    /// Version of the daemon's `task_assignments` that the tasks follow.
+    std::uint64_t task_assignments_version = 0;
+
+    /// Removal of assignments in flight, and earliest time of the next one.
+    std::optional<std::uint64_t> task_removal_call;
+    time_ms next_task_removal;
+
     /// Next search for assignments of workers that are gone.
     time_ms next_assignment_expiry;
 
--- a/include/jaydrift/schedule/store_area.hpp
+++ b/include/jaydrift/schedule/store_area.hpp
@@ -14,7 +14,7 @@
     /// Entries of the workers.
     workers,
 
-    /// Layout, owners, rosters, members and assignments of workers.
+    /// Layout, owners, rosters, members and assignments of workers and tasks.
     coordination,
 
     /// The assignments alone; a part of `coordination`. Read at a recovery.
--- a/include/jaydrift/schedule/store_purpose.hpp
+++ b/include/jaydrift/schedule/store_purpose.hpp
@@ -17,6 +17,9 @@
     read_submissions,
     read_assignments,
 
+    /// Reads a submission of another shard; see `guest_submissions`.
+    read_guest,
+
     /// Reads the worker entries to choose the number of shards.
     count_workers,
     write_layout,
@@ -37,6 +40,10 @@
     assign_worker,
     remove_assignment,
 
+    /// The same for tasks.
+    assign_tasks,
+    remove_task_assignments,
+
     /// Asks whether the store answers.
     probe,
 
--- a/include/jaydrift/schedule/store_record.hpp
+++ b/include/jaydrift/schedule/store_record.hpp
@@ -14,6 +14,7 @@
 #include <jaydrift/schedule/roster_record.hpp>
 #include <jaydrift/schedule/serial_record.hpp>
 #include <jaydrift/schedule/submission_record.hpp>
+#include <jaydrift/schedule/task_assignment_record.hpp>
 #include <jaydrift/schedule/unreadable_record.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
 #include <jaydrift/schedule/zone_closure.hpp>
@@ -26,9 +27,9 @@
 using store_record =
     std::variant<unreadable_record, configuration, zone_closure, worker_entry,
                  layout_record, owner_record, roster_record, member_record,
-                 assignment_record, serial_record, fleet_record,
-                 submission_record, progress_record, relocation_record,
-                 cancellation_record, interference_record>;
+                 assignment_record, task_assignment_record, serial_record,
+                 fleet_record, submission_record, progress_record,
+                 relocation_record, cancellation_record, interference_record>;
 
 } // namespace jaydrift::schedule
 
--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -23,6 +23,10 @@
     std::string queue;
     submission work;
 
+    /// Shard that has the submission, if that is another one: some of its tasks
+    /// were assigned to this shard, which writes none of its records.
+    std::optional<std::uint32_t> home;
+
     /// Terms that apply, and those in the stored record, if that has any. The
     /// last terms stay in force when the queue is removed.
     submission_terms terms;
--- a/include/jaydrift/schedule/submissions.hpp
+++ b/include/jaydrift/schedule/submissions.hpp
@@ -1,6 +1,7 @@
 #ifndef JAYDRIFT_SCHEDULE_SUBMISSIONS_HPP
 #define JAYDRIFT_SCHEDULE_SUBMISSIONS_HPP
 
+#include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/task_id.hpp>
 
 #include <cstdint>
@@ -17,9 +18,13 @@
 /// Changes the state of submissions and their tasks.
 namespace submissions {
 
-/// Returns the submission of the shard with this ID; null if there is none.
+/// Returns the submission with this ID that the shard has or runs tasks of;
+/// null if there is none.
 submission_state* find(shard_context& ctx, std::string_view id);
 
+/// The same, only if the shard has the submission.
+submission_state* find_own(shard_context& ctx, std::string_view id);
+
 /// Returns a task of the submission; null if the ID names none.
 task_state* find_task(submission_state& submission, task_id const& id);
 
@@ -52,6 +57,19 @@
 /// Adds a submission that a caller sent or that the store holds.
 submission_state& add(shard_context& ctx, submission_record const& record);
 
+/// Adds a submission that another shard has. None of its tasks is here until
+/// `take_task`.
+submission_state& add_guest(shard_context& ctx, submission_record const& record,
+                            std::uint32_t home);
+
+/// A task without a place leaves the shard.
+void give_task(submission_state& submission, task_id const& id);
+
+/// A task that was elsewhere comes to the shard, where it has waited since the
+/// given time.
+void take_task(shard_context& ctx, submission_state& submission,
+               task_id const& id, time_ms waiting_since);
+
 /// Applies stored progress to a submission; ignored if it is unknown.
 void restore(shard_context& ctx, progress_record const& record);
 
--- a/include/jaydrift/schedule/task_state.hpp
+++ b/include/jaydrift/schedule/task_state.hpp
@@ -49,8 +49,21 @@
     /// An earlier owner may have started the task on a worker that has not
     /// answered this owner yet.
     bool maybe_running = false;
+
+    /// Another shard has the task, or is about to get it. It has no place here.
+    bool elsewhere = false;
+
+    /// Shards that had the task before may have used numbers up to this one for
+    /// its runs.
+    std::uint64_t run_base = 0;
 };
 
+/// Returns whether the task waits for a place in this shard.
+inline bool waits(task_state const& task)
+{
+    return !task.done && !task.place && !task.elsewhere;
+}
+
 } // namespace jaydrift::schedule
 
 #endif // JAYDRIFT_SCHEDULE_TASK_STATE_HPP
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -76,8 +76,16 @@
     /// The worker is about to go to another shard. No task starts on it.
     bool leaving = false;
 
-    /// Long-running task that waits for the worker's room.
+    /// Long-running task that waits for the worker's room, and its demand.
     std::optional<task_id> kept_for;
+    resources kept_demand;
+
+    /// Until then it is kept also if the task is not in this shard yet: room
+    /// was offered to the shard that has it.
+    time_ms offered_until;
+
+    /// Number of that shard.
+    std::uint32_t offered_to = 0;
 
     /// Expected tail latencies of the serving tasks; computed when needed.
     std::vector<serving_image> serving_images;
--- a/src/jaydrift/codec/odd_records_test.cpp
+++ b/src/jaydrift/codec/odd_records_test.cpp
@@ -99,6 +99,9 @@
     add(record_kind::relocation, relocation_record{"a1", 4, time_ms(99)});
     add(record_kind::cancellation, cancellation_record{"a1", time_ms(99)});
     add(record_kind::assignment, assignment_record{"i-1", 4, 99});
+    add(record_kind::task_assignment,
+        task_assignment_record{
+            {"a1", 0, 1, 2}, 4, 5, 99, 7, 123, time_ms(1500)});
     return result;
 }
 
@@ -110,7 +113,20 @@
             encode_message(heartbeat_reply{2, "d1", 12, time_ms(40), true}),
             encode_message(owner_query{2, "d1", "10.0.0.1:7000", 12}),
             encode_message(owner_query_reply{3, "d1", 12, time_ms(40)}),
-            encode_message(yield_request{1, "d1", 12})};
+            encode_message(yield_request{1, "d1", 12}),
+            encode_message(room_request{
+                1,
+                "d1",
+                12,
+                2,
+                {{{"a1", 0, 1, 2}, "svc", "label", {9000, 64, 1}, 3}}}),
+            encode_message(room_offer{1, "d1", 12, 2, {{"a1", 0, 1, 2}}}),
+            encode_message(room_refusal{1, "d1", 12, {{"a1", 0, 1, 2}}}),
+            encode_message(tasks_assigned{
+                1,
+                "d1",
+                12,
+                {{{"a1", 0, 1, 2}, 4, 5, 99, 7, 123, time_ms(1500)}}})};
 }
 
 /// JSON values of any type.
@@ -287,6 +303,18 @@
     expect_unreadable(record_kind::relocation, R"({"id":"a","to":64})");
     expect_unreadable(record_kind::assignment, R"({"worker":"a","shard":64})");
     expect_unreadable(record_kind::assignment, R"({"shard":1})");
+    for (std::string const task :
+         {R"("a.0.0.1")", R"(["a",0,0])", R"(["",0,0,1])", R"(["a",-1,0,1])",
+          R"(["a",0,0,1.5])", R"(["a",0,0,9007199254740993])"})
+    {
+        expect_unreadable(record_kind::task_assignment,
+                          R"({"task":)" + task + R"(,"home":1,"shard":2})");
+    }
+    expect_unreadable(record_kind::task_assignment,
+                      R"({"task":["a",0,0,1],"home":64,"shard":2})");
+    expect_unreadable(
+        record_kind::task_assignment,
+        R"({"task":["a",0,0,1],"home":1,"shard":2,"run_base":9007199254740992})");
     for (std::string const weight :
          {"[1e300,1]", "[1,-1]", "[1,1e300]", "[-1e300,0]"})
     {
--- a/src/jaydrift/codec/peer_codec.cpp
+++ b/src/jaydrift/codec/peer_codec.cpp
@@ -2,12 +2,18 @@
 
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/codec/json.hpp>
+#include <jaydrift/codec/task_assignment_codec.hpp>
+#include <jaydrift/codec/task_id_codec.hpp>
 #include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/limits.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <span>
+#include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace jaydrift::codec {
 
@@ -20,7 +26,8 @@
 std::string_view type_of(peer_message const& message)
 {
     static constexpr std::string_view names[] = {
-        "heartbeat", "reply", "query", "sighting", "yield", "worker"};
+        "heartbeat", "reply", "query", "sighting", "yield",
+        "worker",    "room",  "offer", "refusal",  "assigned"};
     return names[message.index()];
 }
 
@@ -66,6 +73,62 @@
     put_field(out, "usable_millicores", message.usable_millicores);
 }
 
+void write_task_ids(json_writer& out, std::span<task_id const> tasks)
+{
+    put_key(out, "tasks");
+    out.StartArray();
+    for (auto const& each : tasks)
+    {
+        write_task_id(out, each);
+    }
+    out.EndArray();
+}
+
+/// Writes the demands as arrays.
+void write_fields(json_writer& out, room_request const& message)
+{
+    put_field(out, "asking_shard", message.asking_shard);
+    put_key(out, "demands");
+    out.StartArray();
+    for (auto const& each : message.demands)
+    {
+        out.StartArray();
+        write_task_id(out, each.task);
+        put(out, each.service);
+        put(out, each.required_label);
+        out.Int64(each.demand.millicores);
+        out.Int64(each.demand.memory_mb);
+        out.Int64(each.demand.accelerators);
+        out.Uint(each.max_per_worker);
+        out.EndArray();
+    }
+    out.EndArray();
+}
+
+void write_fields(json_writer& out, room_offer const& message)
+{
+    put_field(out, "offering_shard", message.offering_shard);
+    write_task_ids(out, message.tasks);
+}
+
+void write_fields(json_writer& out, room_refusal const& message)
+{
+    write_task_ids(out, message.tasks);
+}
+
+void write_fields(json_writer& out, tasks_assigned const& message)
+{
+    put_key(out, "records");
+    out.StartArray();
+    for (auto const& each : message.records)
+    {
+        out.StartObject();
+        write_task_assignment(out, each);
+        out.EndObject();
+    }
+    out.EndArray();
+}
+
 /// Returns a field from 0 to `max_number`.
 std::uint64_t number_field(json const& object, std::string_view name)
 {
@@ -116,6 +179,100 @@
     return result;
 }
 
+room_demand read_demand(json const& value)
+{
+    auto const fields = as_array(value);
+    constexpr rapidjson::SizeType field_count = 7;
+    if (fields.Size() != field_count)
+    {
+        throw codec_error("a demand has not seven fields");
+    }
+    room_demand result;
+    result.task = read_task_id(fields[0]);
+    result.service = as_text(fields[1]);
+    result.required_label = as_text(fields[2]);
+    result.demand = {
+        as_integer_between(fields[3], 0, limits::max_demand_millicores),
+        as_integer_between(fields[4], 0, limits::max_amount),
+        as_integer_between(fields[5], 0, limits::max_amount)};
+    result.max_per_worker = static_cast<std::uint32_t>(
+        as_integer_between(fields[6], 0, limits::max_count));
+    return result;
+}
+
+room_request read_room_request(json const& value)
+{
+    room_request result;
+    result.asking_shard = static_cast<std::uint32_t>(
+        integer_between(value, "asking_shard", 0, limits::max_shards - 1));
+    if (auto const* const demands = array(value, "demands"))
+    {
+        for (auto const& each : demands->GetArray())
+        {
+            result.demands.push_back(read_demand(each));
+        }
+    }
+    return result;
+}
+
+std::vector<task_id> read_task_ids(json const& value)
+{
+    std::vector<task_id> result;
+    if (auto const* const tasks = array(value, "tasks"))
+    {
+        for (auto const& each : tasks->GetArray())
+        {
+            result.push_back(read_task_id(each));
+        }
+    }
+    return result;
+}
+
+room_offer read_room_offer(json const& value)
+{
+    room_offer result;
+    result.offering_shard = static_cast<std::uint32_t>(
+        integer_between(value, "offering_shard", 0, limits::max_shards - 1));
+    result.tasks = read_task_ids(value);
+    return result;
+}
+
+tasks_assigned read_tasks_assigned(json const& value)
+{
+    tasks_assigned result;
+    if (auto const* const records = array(value, "records"))
+    {
+        for (auto const& each : records->GetArray())
+        {
+            if (!each.IsObject())
+            {
+                throw codec_error(
+                    "an element of field 'records' is not an object");
+            }
+            result.records.push_back(read_task_assignment(each));
+        }
+    }
+    return result;
+}
+
+room_refusal read_room_refusal(json const& value)
+{
+    room_refusal result;
+    result.tasks = read_task_ids(value);
+    return result;
+}
+
+/// Sets the fields that all messages have.
+template<class Message>
+Message with_header(Message message, std::uint32_t shard, std::string node,
+                    std::uint64_t revision)
+{
+    message.shard = shard;
+    message.node = std::move(node);
+    message.revision = revision;
+    return message;
+}
+
 } // namespace
 
 std::string encode_message(peer_message const& message)
@@ -147,11 +304,8 @@
     auto const revision = number_field(value, "revision");
     if (type == "heartbeat")
     {
-        auto result = read_heartbeat(value);
-        result.shard = shard;
-        result.node = std::move(node);
-        result.revision = revision;
-        return result;
+        return with_header(read_heartbeat(value), shard, std::move(node),
+                           revision);
     }
     if (type == "reply")
     {
@@ -177,11 +331,28 @@
     }
     if (type == "worker")
     {
-        auto result = read_worker_request(value);
-        result.shard = shard;
-        result.node = std::move(node);
-        result.revision = revision;
-        return result;
+        return with_header(read_worker_request(value), shard, std::move(node),
+                           revision);
+    }
+    if (type == "room")
+    {
+        return with_header(read_room_request(value), shard, std::move(node),
+                           revision);
+    }
+    if (type == "offer")
+    {
+        return with_header(read_room_offer(value), shard, std::move(node),
+                           revision);
+    }
+    if (type == "refusal")
+    {
+        return with_header(read_room_refusal(value), shard, std::move(node),
+                           revision);
+    }
+    if (type == "assigned")
+    {
+        return with_header(read_tasks_assigned(value), shard, std::move(node),
+                           revision);
     }
     throw codec_error("unknown datagram type '" + printable(type) + "'");
 }
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/codec/json.hpp>
+#include <jaydrift/codec/task_assignment_codec.hpp>
 #include <jaydrift/core/network_address.hpp>
 #include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/limits.hpp>
@@ -373,6 +374,7 @@
     out.Double(record.cpu_share);
     put_field(out, "region", record.region);
     put_boolean(out, "assigns_workers", record.assigns_workers);
+    put_boolean(out, "assigns_tasks", record.assigns_tasks);
 }
 
 void write_fields(json_writer& out, assignment_record const& record)
@@ -383,6 +385,11 @@
               static_cast<std::int64_t>(record.owner_revision));
 }
 
+void write_fields(json_writer& out, task_assignment_record const& record)
+{
+    write_task_assignment(out, record);
+}
+
 void write_fields(json_writer& out, layout_record const& record)
 {
     put_field(out, "shards", record.shards);
@@ -560,15 +567,20 @@
                             number_field(value, "incarnation")};
     case record_kind::member:
         return member_record{
-            required_name(value, "node"), required_address(value, "address"),
+            required_name(value, "node"),
+            required_address(value, "address"),
             number_between(value, "cpu_share", 0, limits::max_cpu_share),
-            short_text(value, "region"), boolean(value, "assigns_workers")};
+            short_text(value, "region"),
+            boolean(value, "assigns_workers"),
+            boolean(value, "assigns_tasks")};
     case record_kind::assignment:
         return assignment_record{
             required_name(value, "worker"),
             static_cast<std::uint32_t>(
                 integer_between(value, "shard", 0, limits::max_shards - 1)),
             number_field(value, "owner_revision")};
+    case record_kind::task_assignment:
+        return read_task_assignment(value);
     case record_kind::layout:
         return layout_record{static_cast<std::uint32_t>(
             integer_between(value, "shards", 1, limits::max_shards))};
--- a/src/jaydrift/codec/record_codec_test.cpp
+++ b/src/jaydrift/codec/record_codec_test.cpp
@@ -170,6 +170,11 @@
     EXPECT_EQ(assigned.worker, "i-1");
     EXPECT_EQ(assigned.shard, 4U);
     EXPECT_EQ(assigned.owner_revision, 99U);
+    task_assignment_record const task{{"a1", 0, 1, 2}, 4, 5, 99, 7, 123,
+                                      time_ms(1500)};
+    EXPECT_EQ(std::get<task_assignment_record>(decode_record(
+                  record_kind::task_assignment, encode_record(task))),
+              task);
     auto const cancelled = std::get<cancellation_record>(
         decode_record(record_kind::cancellation,
                       encode_record(cancellation_record{"a1", time_ms(99)})));
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -8,6 +8,7 @@
 #include <jaydrift/schedule/relayed_view.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/task_assignments.hpp>
 #include <jaydrift/schedule/unreadable.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -125,6 +126,7 @@
         member.cpu_share = record->cpu_share;
         member.region = record->region;
         member.assigns_workers = record->assigns_workers;
+        member.assigns_tasks = record->assigns_tasks;
     }
 }
 
@@ -198,6 +200,10 @@
     {
         assignments::observe_item(ctx, item);
     }
+    else if (item.key.kind == record_kind::task_assignment)
+    {
+        task_assignments::observe_item(ctx, item);
+    }
     else if (item.key.kind == record_kind::layout && !item.deleted)
     {
         layout::observe_item(ctx, item);
@@ -242,6 +248,8 @@
         return !nodes.contains(member.first);
     });
     assignments::observe_all(ctx, items, ctx.state.store.coordination.revision);
+    task_assignments::observe_all(ctx, items,
+                                  ctx.state.store.coordination.revision);
     ctx.state.store.registered =
         ctx.state.store.registered && nodes.contains(ctx.state.options.node);
 }
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -232,7 +232,7 @@
 void submit(shard_context& ctx, std::uint64_t call, queue const& target,
             std::string const& id)
 {
-    if (auto* const known = submissions::find(ctx, id))
+    if (auto* const known = submissions::find_own(ctx, id))
     {
         if (known->record_stored)
         {
@@ -248,6 +248,11 @@
     {
         return;
     }
+    if (auto const* const guest = submissions::find(ctx, id))
+    {
+        redirect(ctx, call, *guest->home);
+        return;
+    }
     if (cancellations::find(ctx, id))
     {
         ctx.count("submissions_refused_total", "cancelled");
@@ -307,7 +312,7 @@
 
 void show(shard_context& ctx, std::uint64_t call, std::string const& id)
 {
-    auto const* const submission = submissions::find(ctx, id);
+    auto const* const submission = submissions::find_own(ctx, id);
     if (!submission || !submission->record_stored)
     {
         try_second_shard(ctx, call, id);
@@ -349,7 +354,7 @@
 
 void cancel(shard_context& ctx, std::uint64_t call, std::string const& id)
 {
-    auto* const submission = submissions::find(ctx, id);
+    auto* const submission = submissions::find_own(ctx, id);
     if (!submission)
     {
         if (!follow_relocation(ctx, call, id))
--- a/src/jaydrift/schedule/invariants_test.cpp
+++ b/src/jaydrift/schedule/invariants_test.cpp
@@ -49,6 +49,10 @@
     {
         return "a done task has a place";
     }
+    if (task.elsewhere)
+    {
+        return "a task that is elsewhere has a place";
+    }
     auto const worker = shard.workers.find(task.place->worker);
     if (worker == shard.workers.end())
     {
@@ -77,9 +81,10 @@
     return first_of(
         {difference("step.done", step.done,
                     count([](auto const& task) { return task.done; })),
-         difference(
-             "step.waiting_tasks", step.waiting_tasks,
-             count([](auto const& task) { return !task.done && !task.place; })),
+         difference("step.waiting_tasks", step.waiting_tasks,
+                    count([](auto const& task) {
+                        return !task.done && !task.place && !task.elsewhere;
+                    })),
          // Nothing becomes ready in a submission that has ended.
          difference("step.ready", step.ready,
                     ready && (step.ready || !ended(submission.phase)))});
--- a/src/jaydrift/schedule/kept_workers.cpp
+++ b/src/jaydrift/schedule/kept_workers.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/step_spec.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/task_assignments.hpp>
 #include <jaydrift/schedule/task_placement.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_choice.hpp>
@@ -59,6 +60,17 @@
            && run->second.phase == run_phase::stopping;
 }
 
+/// Returns whether room on the worker is offered to a task of another shard
+/// that no third shard has got meanwhile.
+bool is_offered(shard_context const& ctx, worker_state const& worker)
+{
+    auto const* const known =
+        task_assignments::find(ctx.state, *worker.kept_for);
+    return ctx.now < worker.offered_until
+           && (!known || known->record.shard == ctx.shard.number
+               || known->record.shard == worker.offered_to);
+}
+
 /// Returns whether the task that the worker is kept for still waits and can use
 /// it.
 bool is_needed(shard_context& ctx, worker_state const& worker)
@@ -67,7 +79,11 @@
     auto* const submission = submissions::find(ctx, id.submission);
     auto const* const task =
         submission ? submissions::find_task(*submission, id) : nullptr;
-    return task && !ended(submission->phase) && !task->done
+    if (!task || task->elsewhere)
+    {
+        return is_offered(ctx, worker);
+    }
+    return !ended(submission->phase) && !task->done
            && waits_soon(ctx, id, *task)
            && may_be_kept(ctx, worker, *submission, id);
 }
@@ -114,7 +130,7 @@
     }
     if (best)
     {
-        best->kept_for = id;
+        keep(*best, id, submission.work.steps[id.step].demand);
     }
     return best != nullptr;
 }
@@ -139,7 +155,7 @@
 bool waits_for_long(shard_context const& ctx, step_state const& step,
                     task_state const& task, bool unaccounted)
 {
-    return !task.done && !task.place
+    return waits(task)
            && ctx.now - waiting_tasks::waiting_since(step, task)
                   >= wait_before_keeping
            && !task_placement::hindrance(ctx, task, unaccounted);
@@ -197,10 +213,34 @@
     }
 }
 
+void keep(worker_state& worker, task_id const& id, resources const& demand)
+{
+    worker.kept_for = id;
+    worker.kept_demand = demand;
+}
+
+bool waits_for_urgent(worker_state const& worker)
+{
+    if (!worker.kept_for)
+    {
+        return false;
+    }
+    auto room = worker.entry.capacity - worker.used;
+    for (auto const& [id, run] : worker.runs)
+    {
+        if (run.long_running && run.phase == run_phase::stopping)
+        {
+            room += run.demand;
+        }
+    }
+    return !fits(worker.kept_demand, room);
+}
+
 bool excludes(worker_state const& worker, placement_request const& request)
 {
     auto const& kept_for = worker.kept_for;
     return kept_for && !request.spec.opportunistic
+           && !(request.spec.long_running && waits_for_urgent(worker))
            && !(kept_for->submission == request.id.submission
                 && kept_for->occurrence == request.id.occurrence
                 && kept_for->step == request.id.step);
@@ -217,6 +257,7 @@
         if (other.kept_for == id)
         {
             std::swap(other.kept_for, worker.kept_for);
+            std::swap(other.kept_demand, worker.kept_demand);
             break;
         }
     }
--- a/src/jaydrift/schedule/long_running_moves.cpp
+++ b/src/jaydrift/schedule/long_running_moves.cpp
@@ -1,5 +1,6 @@
 #include <jaydrift/schedule/long_running_moves.hpp>
 
+#include <jaydrift/schedule/kept_workers.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/step_spec.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -152,6 +153,19 @@
     return nullptr;
 }
 
+/// Returns whether the room on the worker is enough for a task of another shard
+/// that asks for room. Such a task runs nowhere, so it comes before a move.
+bool is_asked_for(shard_context const& ctx, worker_state const& worker)
+{
+    auto const& demands = ctx.shard.room_demands;
+    auto const free = worker.entry.capacity - worker.used;
+    return std::any_of(demands.begin(), demands.end(), [&](auto const& each) {
+        auto const& demand = each.second.demand;
+        return demand.service == worker.entry.service
+               && demand.required_label.empty() && fits(demand.demand, free);
+    });
+}
+
 /// Finds the smallest run whose move makes room for the task.
 std::optional<possible_move> find_move(shard_context& ctx,
                                        submission_state const& submission,
@@ -159,6 +173,10 @@
 {
     auto const& demand = submission.work.steps[waiting.step].demand;
     auto const open = open_workers(ctx);
+    auto targets = open;
+    std::erase_if(targets, [&ctx](worker_state const* each) {
+        return is_asked_for(ctx, *each);
+    });
     std::optional<possible_move> best;
     for (auto* const from : open)
     {
@@ -174,7 +192,7 @@
             {
                 continue;
             }
-            if (auto* const to = find_place(ctx, open, *from, id, run))
+            if (auto* const to = find_place(ctx, targets, *from, id, run))
             {
                 best = {from, to, id, run.demand};
             }
@@ -269,7 +287,7 @@
         // in the order of all tasks, in which long-running ones come first.
         if (!each.to->kept_for)
         {
-            each.to->kept_for = each.run.task;
+            kept_workers::keep(*each.to, each.run.task, each.demand);
         }
         workers::stop(ctx, from, each.run);
     }
@@ -302,8 +320,8 @@
                      + std::to_string(id.step) + " task "
                      + std::to_string(id.index) + ", which has waited for "
                      + std::to_string(waited.count()) + " ms");
-    move->from->kept_for = id;
-    move->to->kept_for = task;
+    kept_workers::keep(*move->from, id, submission.work.steps[id.step].demand);
+    kept_workers::keep(*move->to, task, move->demand);
     workers::stop(ctx, *move->from, move->run);
     return true;
 }
--- a/src/jaydrift/schedule/minimum_runs.cpp
+++ b/src/jaydrift/schedule/minimum_runs.cpp
@@ -39,7 +39,7 @@
     auto const& spec = submission.work.steps[id.step];
     auto const found =
         std::find_if(step.tasks.begin(), step.tasks.end(), [&](auto& task) {
-            return !task.done && !task.place
+            return waits(task)
                    && !task_placement::hindrance(ctx, task, unaccounted);
         });
     if (found == step.tasks.end())
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -197,7 +197,7 @@
     std::uint64_t number = 0;
     for (auto const& task : step.tasks)
     {
-        if (task.done || task.place)
+        if (!waits(task))
         {
             step.reason = wait_reason::incomplete_gang;
             return;
@@ -306,7 +306,7 @@
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         auto& task = step.tasks[i];
-        if (task.done || task.place)
+        if (!waits(task))
         {
             continue;
         }
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -420,6 +420,10 @@
 
 void changed(shard_context& ctx, submission_state& submission)
 {
+    if (submission.home)
+    {
+        return;
+    }
     ++submission.version;
     auto& log = ctx.shard.record_log;
     if (!submission.dirty)
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/guest_submissions.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/record_log.hpp>
@@ -10,6 +11,7 @@
 #include <jaydrift/schedule/start_flow.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/task_assignments.hpp>
 #include <jaydrift/schedule/unreadable.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -228,6 +230,13 @@
     });
     ctx.shard.interference = {};
     ctx.shard.transfer.reset();
+    ctx.shard.task_transfer.reset();
+    ctx.shard.room_offers.clear();
+    ctx.shard.room_demands.clear();
+    ctx.shard.given_tasks.clear();
+    ctx.shard.guest_reads.clear();
+    ctx.shard.task_assignments_version = 0;
+    ctx.shard.task_removal_call.reset();
     ctx.shard.ownership.submissions_read = false;
     ctx.shard.ownership.assignments_read = false;
     ctx.shard.ownership.workers_read = false;
@@ -313,6 +322,7 @@
         return;
     }
     assignments::observe_all(ctx, reply.items, reply.revision);
+    task_assignments::observe_all(ctx, reply.items, reply.revision);
     ownership.assignments_read = true;
 }
 
@@ -339,6 +349,11 @@
     }
     if (!ownership.fencing_since)
     {
+        task_assignments::reconcile(ctx);
+        if (!guest_submissions::all_loaded(ctx))
+        {
+            return;
+        }
         ownership.fencing_since = ctx.now;
         restore_fleet(ctx);
         restore_runs(ctx);
--- a/src/jaydrift/schedule/reduce.cpp
+++ b/src/jaydrift/schedule/reduce.cpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/daemon_state.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/guest_submissions.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/placement_policy.hpp>
@@ -13,11 +14,14 @@
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/relay.hpp>
 #include <jaydrift/schedule/relocation.hpp>
+#include <jaydrift/schedule/room_requests.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/start_flow.hpp>
 #include <jaydrift/schedule/stopping.hpp>
 #include <jaydrift/schedule/store_session.hpp>
 #include <jaydrift/schedule/submissions.hpp>
+#include <jaydrift/schedule/task_assignments.hpp>
+#include <jaydrift/schedule/task_transfers.hpp>
 #include <jaydrift/schedule/view_age.hpp>
 #include <jaydrift/schedule/waiting_tasks.hpp>
 #include <jaydrift/schedule/worker_replies.hpp>
@@ -68,6 +72,10 @@
         worker_requests::tick(shard_ctx);
         worker_transfers::tick(shard_ctx);
         assignments::tick(shard_ctx);
+        guest_submissions::tick(shard_ctx);
+        task_assignments::tick(shard_ctx);
+        room_requests::tick(shard_ctx);
+        task_transfers::tick(shard_ctx);
     }
     calls::tick(ctx);
     view_age::tick(ctx);
@@ -87,6 +95,26 @@
     worker_transfers::received(ctx, message);
 }
 
+void received(shard_context& ctx, room_request const& message)
+{
+    room_requests::received(ctx, message);
+}
+
+void received(shard_context& ctx, room_offer const& message)
+{
+    task_transfers::offered(ctx, message);
+}
+
+void received(shard_context& ctx, room_refusal const& message)
+{
+    room_requests::refused(ctx, message);
+}
+
+void received(shard_context& ctx, tasks_assigned const& message)
+{
+    task_assignments::received(ctx, message);
+}
+
 /// Passes an event to the part that handles it.
 struct event_handler
 {
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -213,6 +213,12 @@
                           end.run.number);
         }
     }
+    if (submission->home)
+    {
+        // What has to last of a long-running task is its assignment.
+        worker.pending_ends.push_back({end.number, {}, 0});
+        return;
+    }
     record_log::changed(ctx, *submission);
     worker.pending_ends.push_back(
         {end.number, submission->id, submission->version});
@@ -264,7 +270,7 @@
            submission_state& submission, task_state& task,
            reported_run const& reported)
 {
-    if (ended(submission.phase) || task.done
+    if (ended(submission.phase) || task.done || task.elsewhere
         || reported.run.number <= task.highest_ended_run)
     {
         return false;
--- a/src/jaydrift/schedule/silent_calls.cpp
+++ b/src/jaydrift/schedule/silent_calls.cpp
@@ -44,6 +44,8 @@
         return "watch the workers";
     case store_purpose::read_submissions:
         return "read the submissions";
+    case store_purpose::read_guest:
+        return "read a submission of another shard";
     case store_purpose::verify_owner:
         return "read the owner record";
     case store_purpose::read_serial:
--- a/src/jaydrift/schedule/simulated_store_test.cpp
+++ b/src/jaydrift/schedule/simulated_store_test.cpp
@@ -18,6 +18,7 @@
     case record_kind::roster:
     case record_kind::member:
     case record_kind::assignment:
+    case record_kind::task_assignment:
         return store_area::coordination;
     default:
         return store_area::submissions;
@@ -34,9 +35,11 @@
     for (auto const& [key, item] : items_)
     {
         auto const area = area_of(key.kind);
-        auto const listed = request.area == store_area::assignments
-                                ? key.kind == record_kind::assignment
-                                : area == request.area;
+        auto const listed =
+            request.area == store_area::assignments
+                ? key.kind == record_kind::assignment
+                      || key.kind == record_kind::task_assignment
+                : area == request.area;
         if (listed
             && (area != store_area::submissions || key.shard == request.shard))
         {
--- a/src/jaydrift/schedule/store_session.cpp
+++ b/src/jaydrift/schedule/store_session.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/schedule/area_watch.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/guest_submissions.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/record_log.hpp>
@@ -9,6 +10,8 @@
 #include <jaydrift/schedule/roster.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/silent_calls.hpp>
+#include <jaydrift/schedule/task_assignments.hpp>
+#include <jaydrift/schedule/task_transfers.hpp>
 #include <jaydrift/schedule/worker_transfers.hpp>
 
 #include <algorithm>
@@ -47,7 +50,7 @@
         record_key{record_kind::member, ctx.state.options.node},
         member_record{ctx.state.options.node, ctx.state.options.address,
                       ctx.state.options.cpu_share, ctx.state.options.region,
-                      true});
+                      true, true});
     call(ctx, store_purpose::register_member, std::move(write),
          registration_time_limit);
 }
@@ -112,8 +115,14 @@
         return recovery::submissions_read(ctx, reply);
     case store_purpose::read_assignments:
         return recovery::assignments_read(ctx, reply);
+    case store_purpose::read_guest:
+        return guest_submissions::replied(ctx, reply);
     case store_purpose::assign_worker:
         return worker_transfers::replied(ctx, reply);
+    case store_purpose::assign_tasks:
+        return task_transfers::replied(ctx, reply);
+    case store_purpose::remove_task_assignments:
+        return task_assignments::removal_replied(ctx, reply);
     case store_purpose::claim:
         return ownership::claim_replied(ctx, reply);
     case store_purpose::verify_owner:
@@ -195,7 +204,10 @@
         return;
     case store_purpose::read_submissions:
     case store_purpose::read_assignments:
+    case store_purpose::read_guest:
     case store_purpose::assign_worker:
+    case store_purpose::assign_tasks:
+    case store_purpose::remove_task_assignments:
     case store_purpose::claim:
     case store_purpose::verify_owner:
     case store_purpose::read_serial:
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -312,6 +312,12 @@
     return &steps[id.step].tasks[id.index];
 }
 
+submission_state* find_own(shard_context& ctx, std::string_view id)
+{
+    auto* const found = find(ctx, id);
+    return found && !found->home ? found : nullptr;
+}
+
 submission_state& add(shard_context& ctx, submission_record const& record)
 {
     auto& submission = ctx.shard.submissions[record.id];
@@ -342,6 +348,56 @@
     return submission;
 }
 
+submission_state& add_guest(shard_context& ctx, submission_record const& record,
+                            std::uint32_t home)
+{
+    auto& submission = add(ctx, record);
+    submission.home = home;
+    submission.record_stored = true;
+    submission.started = true;
+    submission.phase = submission_phase::running;
+    submission.stored_phase = submission.phase;
+    for_each_task(submission, [&submission](task_id const& id, auto const&) {
+        give_task(submission, id);
+    });
+    // Its steps have been ready for longer than this shard knows of them.
+    for (auto& step : submission.occurrences.front().steps)
+    {
+        step.ready_since = submission.objective - submission.terms.time_allowed;
+    }
+    return submission;
+}
+
+void give_task(submission_state& submission, task_id const& id)
+{
+    auto& step = step_of(submission, id);
+    step.tasks[id.index].elsewhere = true;
+    --step.waiting_tasks;
+    if (step.ready && !ended(submission.phase))
+    {
+        --submission.waiting_tasks;
+    }
+}
+
+void take_task(shard_context& ctx, submission_state& submission,
+               task_id const& id, time_ms waiting_since)
+{
+    auto& step = step_of(submission, id);
+    auto& task = step.tasks[id.index];
+    task.elsewhere = false;
+    task.waiting_since = waiting_since;
+    if (step.waiting_tasks++ == 0)
+    {
+        step.reason = wait_reason::not_tried;
+    }
+    if (step.ready && !ended(submission.phase))
+    {
+        ++submission.waiting_tasks;
+        submission.idle_since = ctx.now;
+    }
+    ctx.shard.placement_due = true;
+}
+
 void restore(shard_context& ctx, progress_record const& record)
 {
     auto* const submission = find(ctx, record.id);
@@ -421,7 +477,8 @@
     // The stored place may be older than the last order of the earlier owner,
     // which may have started the task elsewhere.
     task.maybe_running =
-        task.place->run <= run_number_base(ctx.shard.ownership.record)
+        task.place->run <= std::max(run_number_base(ctx.shard.ownership.record),
+                                    task.run_base)
         && recovery::any_worker_unaccounted(ctx);
     remove_place(ctx, submission, id, task);
     task.waiting_since = ctx.now;
--- a/src/jaydrift/schedule/task_placement.cpp
+++ b/src/jaydrift/schedule/task_placement.cpp
@@ -12,7 +12,7 @@
 
 std::uint64_t next_run(shard_context const& ctx, task_state const& task)
 {
-    return std::max({task.last_run, task.highest_ended_run,
+    return std::max({task.last_run, task.highest_ended_run, task.run_base,
                      run_number_base(ctx.shard.ownership.record)})
            + 1;
 }
--- a/src/jaydrift/schedule/waiting_tasks.cpp
+++ b/src/jaydrift/schedule/waiting_tasks.cpp
@@ -65,8 +65,6 @@
 constexpr time_ms short_wait{1000};
 constexpr time_ms medium_wait{10000};
 
-bool waits(task_state const& task) { return !task.done && !task.place; }
-
 /// Sets `first_task` and `since`.
 void find_first_task(waiting_step& waiting, time_ms now)
 {
@@ -196,7 +194,11 @@
     auto text = waiting.name() + ": " + std::to_string(step.waiting_tasks)
                 + " tasks wait, task " + std::to_string(waiting.first_task)
                 + " for " + std::to_string(waited.count()) + " ms, reason "
-                + reason_text(all, waiting) + "; " + survey_text(survey);
+                + reason_text(all, waiting) + "; needs "
+                + std::to_string(waiting.spec().demand.millicores)
+                + " millicores and "
+                + std::to_string(waiting.spec().demand.memory_mb) + " MB; "
+                + survey_text(survey);
     if (survey.lowest_tail)
     {
         text += "; lowest expected tail " + percent(*survey.lowest_tail)
--- a/src/jaydrift/schedule/worker_requests.cpp
+++ b/src/jaydrift/schedule/worker_requests.cpp
@@ -156,25 +156,6 @@
     return result;
 }
 
-/// Returns the other shards that have an owner, those with the least
-/// long-running work first.
-std::vector<shard_state*> other_shards(shard_context& ctx)
-{
-    std::vector<shard_state*> result;
-    for (auto& each : ctx.state.shards)
-    {
-        if (each.number != ctx.shard.number && each.ownership.revision != 0)
-        {
-            result.push_back(&each);
-        }
-    }
-    std::stable_sort(
-        result.begin(), result.end(), [](auto const* left, auto const* right) {
-            return left->load.long_running < right->load.long_running;
-        });
-    return result;
-}
-
 /// Returns how many shards to ask: more in each round and, for long-running
 /// tasks, at once one for each worker that they would fill.
 std::size_t targets_of(shard_context const& ctx, shortage const& lack)
@@ -245,6 +226,23 @@
         [](auto const& each) { return each.second.assigns_workers; });
 }
 
+std::vector<shard_state*> other_shards(shard_context& ctx)
+{
+    std::vector<shard_state*> result;
+    for (auto& each : ctx.state.shards)
+    {
+        if (each.number != ctx.shard.number && each.ownership.revision != 0)
+        {
+            result.push_back(&each);
+        }
+    }
+    std::stable_sort(
+        result.begin(), result.end(), [](auto const* left, auto const* right) {
+            return left->load.long_running < right->load.long_running;
+        });
+    return result;
+}
+
 void tick(shard_context& ctx)
 {
     if (ctx.shard.ownership.role != owner_role::owner
