Attribute answers to the calls of the simulation that they answer

Cause, from a trace: the cancel was answered `unavailable` at once by a daemon that had no configuration yet; the answer to the submission, `ok`, came 100 ms later. The simulation kept the last answer by the ID of the submission, so the test took the latter for an acknowledged cancel. The product was right.

Change: the simulation keeps the answers to cancels apart. The check is as strict as before for cancels that were acknowledged, and no longer passes over one whose `ok` is followed by the submission's answer.

Also passes a name as a view in the codec of datagrams (lint).

--- a/src/jaydrift/codec/peer_codec.cpp
+++ b/src/jaydrift/codec/peer_codec.cpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -264,11 +265,11 @@
 
 /// Sets the fields that all messages have.
 template<class Message>
-Message with_header(Message message, std::uint32_t shard, std::string node,
+Message with_header(Message message, std::uint32_t shard, std::string_view node,
                     std::uint64_t revision)
 {
     message.shard = shard;
-    message.node = std::move(node);
+    message.node = node;
     message.revision = revision;
     return message;
 }
@@ -304,8 +305,7 @@
     auto const revision = number_field(value, "revision");
     if (type == "heartbeat")
     {
-        return with_header(read_heartbeat(value), shard, std::move(node),
-                           revision);
+        return with_header(read_heartbeat(value), shard, node, revision);
     }
     if (type == "reply")
     {
@@ -331,28 +331,23 @@
     }
     if (type == "worker")
     {
-        return with_header(read_worker_request(value), shard, std::move(node),
-                           revision);
+        return with_header(read_worker_request(value), shard, node, revision);
     }
     if (type == "room")
     {
-        return with_header(read_room_request(value), shard, std::move(node),
-                           revision);
+        return with_header(read_room_request(value), shard, node, revision);
     }
     if (type == "offer")
     {
-        return with_header(read_room_offer(value), shard, std::move(node),
-                           revision);
+        return with_header(read_room_offer(value), shard, node, revision);
     }
     if (type == "refusal")
     {
-        return with_header(read_room_refusal(value), shard, std::move(node),
-                           revision);
+        return with_header(read_room_refusal(value), shard, node, revision);
     }
     if (type == "assigned")
     {
-        return with_header(read_tasks_assigned(value), shard, std::move(node),
-                           revision);
+        return with_header(read_tasks_assigned(value), shard, node, revision);
     }
     throw codec_error("unknown datagram type '" + printable(type) + "'");
 }
--- a/src/jaydrift/schedule/cancellations_test.cpp
+++ b/src/jaydrift/schedule/cancellations_test.cpp
@@ -196,9 +196,9 @@
             deployment.cancel(random.below(daemons), id);
         }
         deployment.run_until(deployment.now() + time_ms(3500));
-        auto const reply = deployment.answers.find(id);
+        auto const reply = deployment.cancel_answers.find(id);
         auto const acknowledged =
-            reply != deployment.answers.end()
+            reply != deployment.cancel_answers.end()
             && (reply->second.result == answer::code::ok
                 || reply->second.result == answer::code::no_submission);
         if (!acknowledged)
@@ -219,6 +219,13 @@
 
 } // namespace
 
+// Guards against an answer to a submission that is taken for the answer to its
+// cancel, which another daemon has refused before.
+TEST(cancellations, are_acknowledged_only_by_their_own_answer)
+{
+    EXPECT_EQ(late_start_under_faults(588, 1), "");
+}
+
 // Guards the promise that nothing starts after an acknowledged cancel, in
 // whatever order the calls arrive and whichever daemon fails meanwhile.
 RC_GTEST_PROP(cancellations, hold_under_random_faults,
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -430,6 +430,10 @@
         return;
     }
     answers[call.submission] = effect.reply;
+    if (call.request.verb == call_verb::cancel)
+    {
+        cancel_answers[call.submission] = effect.reply;
+    }
 }
 
 void simulated_deployment::carry_out(std::size_t daemon,
@@ -488,6 +492,7 @@
     request.path = prefix + id;
     calls_[request.call] = {id, {}, 0, request};
     answers.erase(id);
+    cancel_answers.erase(id);
     deliver(daemon, daemons_[daemon].incarnation, request, network_delay);
 }
 
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -128,6 +128,10 @@
     /// Last answer to a call about a submission, by its ID.
     std::map<std::string, answer> answers;
 
+    /// The same for cancels alone: the answer to the submission may come after
+    /// that to its cancel.
+    std::map<std::string, answer> cancel_answers;
+
     /// Descriptions of the guarantees that were broken, in the order found.
     std::vector<std::string> violations;
 
--- a/src/jaydrift/schedule/task_transfers_test.cpp
+++ b/src/jaydrift/schedule/task_transfers_test.cpp
@@ -205,7 +205,7 @@
         deployment.run_until(deployment.now() + delay);
         deployment.cancel(1, deployment.small());
         deployment.run_until(deployment.now() + time_ms(3000));
-        EXPECT_EQ(deployment.answers[deployment.small()].result,
+        EXPECT_EQ(deployment.cancel_answers[deployment.small()].result,
                   answer::code::ok);
         EXPECT_FALSE(deployment.runs_any(deployment.small()))
             << delay.count() << " ms after the transaction, seed " << seed;
