Take runs for vanished only if the list of ends is complete

Cause: a worker lists 500 ends at a time, and none can be acknowledged while the store is out. A run whose end comes later is in neither list, and drop_missing() took it for vanished.

Change: platform/ tells that a worker may have more ends than it lists. While that is so, runs in neither list stay, are not judged to hang, and a new owner starts no task that may have ended there. A line tells when a list begins and ceases to be cut off.

--- a/include/jaydrift/schedule/worker_replied.hpp
+++ b/include/jaydrift/schedule/worker_replied.hpp
@@ -30,6 +30,10 @@
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
 
+    /// The worker may have more ends than it lists: a run in neither list may
+    /// have ended with any outcome.
+    bool more_ends = false;
+
     /// Rows of these lists that cannot be read. An end whose number and run can
     /// be read is not among them.
     std::size_t unreadable_runs = 0;
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -44,7 +44,7 @@
     bool fenced = false;
 
     /// The worker may run tasks of an earlier owner that this owner does not
-    /// know of.
+    /// know of, or have ends of them that it has not listed yet.
     bool unaccounted = false;
 
     /// Time at which the leases of an earlier owner, or of the process before a
@@ -65,6 +65,9 @@
     std::uint64_t acknowledged_end = 0;
     std::deque<pending_end> pending_ends;
 
+    /// The last list of ends was cut off.
+    bool more_ends = false;
+
     std::map<run_id, run_state> runs;
 
     /// Sums over `runs`. `used` leaves out the processors of opportunistic
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -171,16 +171,18 @@
 {
     auto const duration = ctx.now - ctx.shard.ownership.role_since;
     std::size_t unfenced = 0;
+    auto any_unaccounted = false;
     for (auto& [id, worker] : ctx.shard.workers)
     {
-        worker.unaccounted = !worker.fenced;
+        worker.unaccounted = !worker.fenced || worker.more_ends;
         // A worker may have been listed, or have started again, since the runs
         // were restored.
         worker.runs_gone_at = std::max(worker.runs_gone_at,
                                        ctx.shard.ownership.unaccounted_until);
         unfenced += worker.fenced ? 0 : 1;
+        any_unaccounted = any_unaccounted || worker.unaccounted;
     }
-    if (unfenced > 0)
+    if (any_unaccounted)
     {
         mark_unplaced_tasks(ctx);
     }
@@ -368,10 +370,14 @@
 
 bool any_worker_unaccounted(shard_context const& ctx)
 {
-    return ctx.now < ctx.shard.ownership.unaccounted_until
-           && std::any_of(
-               ctx.shard.workers.begin(), ctx.shard.workers.end(),
-               [](auto const& item) { return item.second.unaccounted; });
+    auto const leases_hold = ctx.now < ctx.shard.ownership.unaccounted_until;
+    return std::any_of(ctx.shard.workers.begin(), ctx.shard.workers.end(),
+                       [leases_hold](auto const& item) {
+                           // A worker that answers still has to list the ends.
+                           auto const& worker = item.second;
+                           return worker.unaccounted
+                                  && (leases_hold || worker.fenced);
+                       });
 }
 
 } // namespace jaydrift::schedule::recovery
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -419,15 +419,17 @@
     return (ctx.now - run.progress_at) * pace >= hang_limit * unslowed_pace;
 }
 
-/// Stops the runs that hang. If they are of several submissions, the worker is
-/// at fault and gets no tasks for a while.
-void stop_hanging(shard_context& ctx, worker_state& worker)
+/// Stops the runs that hang, of those that the worker lists. If they are of
+/// several submissions, the worker is at fault and gets no tasks for a while.
+void stop_hanging(shard_context& ctx, worker_state& worker,
+                  std::set<run_id> const& listed)
 {
     std::vector<run_id> hanging;
     std::set<std::string> affected;
     for (auto const& [id, run] : worker.runs)
     {
-        if (hangs(ctx, run))
+        // One that is not listed may have ended.
+        if (hangs(ctx, run) && (!worker.more_ends || listed.contains(id)))
         {
             hanging.push_back(id);
             affected.insert(id.task.submission);
@@ -476,6 +478,26 @@
     worker.unreadable_rows = rows > 0;
 }
 
+/// Logs when the list of ends begins or ceases to be cut off.
+void note_more_ends(shard_context& ctx, worker_state& worker,
+                    worker_replied const& reply)
+{
+    if (worker.more_ends == reply.more_ends)
+    {
+        return;
+    }
+    worker.more_ends = reply.more_ends;
+    ctx.log(log_level::info, "worker",
+            worker.entry.id
+                + (reply.more_ends
+                       ? " lists " + std::to_string(reply.ended.size())
+                             + " ends and may have more, "
+                       : " lists all ends again, ")
+                + std::to_string(worker.runs.size()) + " runs known, end "
+                + std::to_string(worker.acknowledged_end) + " acknowledged, "
+                + std::to_string(worker.last_handled_end) + " handled");
+}
+
 } // namespace
 
 void received(shard_context& ctx, worker_state& worker,
@@ -498,8 +520,12 @@
         listed.insert(reported.run);
         handle_running(ctx, worker, reported);
     }
-    drop_missing(ctx, worker, listed, sent, reply.unreadable_runs == 0);
-    stop_hanging(ctx, worker);
+    note_more_ends(ctx, worker, reply);
+    if (!reply.more_ends)
+    {
+        drop_missing(ctx, worker, listed, sent, reply.unreadable_runs == 0);
+    }
+    stop_hanging(ctx, worker, listed);
     pacing::reported(ctx, worker);
     while (!worker.pending_ends.empty()
            && worker.pending_ends.front().submission.empty())
--- a/src/jaydrift/schedule/simulated_worker_test.cpp
+++ b/src/jaydrift/schedule/simulated_worker_test.cpp
@@ -87,7 +87,11 @@
         result.running.push_back(interference ? report(id, each)
                                               : timed_report(id, each, now));
     }
-    result.ended = ended_;
+    result.ended.assign(ended_.begin(),
+                        ended_.begin()
+                            + static_cast<std::ptrdiff_t>(
+                                std::min(ended_.size(), max_listed_ends)));
+    result.more_ends = ended_.size() >= max_listed_ends;
     return result;
 }
 
--- a/src/jaydrift/schedule/simulated_worker_test.hpp
+++ b/src/jaydrift/schedule/simulated_worker_test.hpp
@@ -10,6 +10,7 @@
 #include <jaydrift/schedule/worker_entry.hpp>
 #include <jaydrift/schedule/worker_replied.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -61,6 +62,9 @@
     /// Otherwise all runs end after a random time and report no load.
     std::optional<simulated_interference> interference;
 
+    /// Ends that the worker lists in one reply.
+    std::size_t max_listed_ends = 500;
+
     /// Orders reach the worker.
     bool reachable = true;
 
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -131,7 +131,7 @@
         ctx.shard.placement_due = true;
     }
     run_reports::received(ctx, worker, reply, sent.sent_at);
-    worker.unaccounted = false;
+    worker.unaccounted = worker.unaccounted && worker.more_ends;
     if (!worker.pending_ends.empty() || reply.unreadable_ends > 0)
     {
         worker.next_hold_at = ctx.now + unstored_pause;
--- a/src/jaydrift/schedule/worker_transfers.cpp
+++ b/src/jaydrift/schedule/worker_transfers.cpp
@@ -293,6 +293,7 @@
 bool is_empty(worker_state const& worker)
 {
     return worker.runs.empty() && worker.pending_ends.empty()
+           && !worker.more_ends
            && worker.acknowledged_end == worker.last_handled_end;
 }
 
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -193,12 +193,14 @@
     auto const passed = static_cast<std::int64_t>(
         static_cast<double>((ctx.now - worker.clock_received_at).count())
         * slowest_clock);
-    if (!worker.runs.empty() && asked_in_vain(ctx, worker)
+    if ((!worker.runs.empty() || worker.unaccounted)
+        && asked_in_vain(ctx, worker)
         && *worker.clock + time_ms(passed) > worker.lease_until + expiry_margin)
     {
         ctx.log(log_level::warning, "worker",
                 worker.entry.id + ": lease expired, "
                     + std::to_string(worker.runs.size()) + " runs are gone");
+        worker.unaccounted = false;
         run_reports::all_lost(ctx, worker);
     }
 }
@@ -320,6 +322,7 @@
     worker.clock.reset();
     worker.fenced = false;
     worker.unaccounted = false;
+    worker.more_ends = false;
     worker.last_handled_end = 0;
     worker.acknowledged_end = 0;
     worker.pending_ends.clear();
