Ignore messages about assignments that are older than the view

Seen by reading the diff, and by a test: a datagram about an assignment that comes late or twice, after the submission was cancelled and its record removed, gave the task to the shard again, where it started ("UNASKED"). No later change of the store would have corrected that.

Change: a message whose revision the view of the coordination area has passed is ignored: what is left of it is in the view.

Test: task_transfers.a_late_message_about_an_assignment_starts_nothing; without the change "state.task_assignments.empty() Actual: false".

--- a/src/jaydrift/schedule/task_assignments.cpp
+++ b/src/jaydrift/schedule/task_assignments.cpp
@@ -309,7 +309,9 @@
 
 void received(shard_context& ctx, tasks_assigned const& message)
 {
-    if (ctx.shard.ownership.role != owner_role::owner)
+    // A message that is older than the view may name records that were removed.
+    if (ctx.shard.ownership.role != owner_role::owner
+        || message.revision <= ctx.state.store.coordination.revision)
     {
         return;
     }
--- a/src/jaydrift/schedule/task_transfers_test.cpp
+++ b/src/jaydrift/schedule/task_transfers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <jaydrift/core/random.hpp>
 #include <jaydrift/schedule/layout.hpp>
+#include <jaydrift/schedule/reduce.hpp>
 #include <jaydrift/schedule/submission_state.hpp>
 #include <jaydrift/schedule/task_assignments.hpp>
 
@@ -213,6 +214,28 @@
     }
 }
 
+// Guards against a task that starts after its cancel since a datagram about its
+// assignment comes late or twice.
+TEST(task_transfers, a_late_message_about_an_assignment_starts_nothing)
+{
+    scattered_room deployment(407);
+    deployment.lose_worker(0);
+    deployment.run_until(deployment.now() + time_ms(12000));
+    ASSERT_EQ(deployment.assignments(), 1U);
+    auto const owner = deployment.owner(other_shard);
+    ASSERT_TRUE(owner);
+    auto const& known =
+        deployment.daemon(*owner).task_assignments.begin()->second;
+    tasks_assigned const message{
+        other_shard, "d9", known.revision, {known.record}};
+    deployment.cancel(0, deployment.small());
+    deployment.run_until(deployment.now() + time_ms(3000));
+    auto state = deployment.daemon(*owner);
+    ASSERT_TRUE(state.task_assignments.empty());
+    reduce(state, message_arrived{"", message}, deployment.now());
+    EXPECT_TRUE(state.task_assignments.empty());
+}
+
 // Guards against callers that are told by the shard which only runs a task of
 // a submission that the submission is unknown.
 TEST(task_transfers, every_daemon_shows_a_submission_with_a_task_elsewhere)
