Wait for the longest lease of a worker that does not answer

Cause: times of leases are on the worker's clock, which starts again with its process. An order with a time on the earlier clock that reaches the next process grants the longest lease that the platform allows, 10 s there.

Change: whoever has no answer of a worker waits for the longest lease that it accepts, on the slowest clock.

--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -98,8 +98,7 @@
 
     /// Time by which the runs that an earlier owner started on workers that
     /// have not been fenced have ended, since their leases have expired. Tasks
-    /// that may be such runs do not start before it. The earlier owner is taken
-    /// to have granted leases of the same length as this daemon.
+    /// that may be such runs do not start before it.
     time_ms unaccounted_until;
 };
 
--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -76,9 +76,11 @@
 /// Returns the length of the leases that an owner grants.
 time_ms lease_length(daemon_state const& state);
 
-/// Returns the time after which such a lease has expired even on the slowest
-/// clock of a worker.
-time_ms lease_on_slowest_clock(daemon_state const& state);
+/// Returns the time after which any lease has expired, even on the slowest
+/// clock of a worker. It may be longer than those that owners grant: a worker
+/// that started again may take an order with a time on its earlier clock, which
+/// grants the longest lease.
+time_ms longest_lease(daemon_state const& state);
 
 /// Returns whether tasks may be started on the worker now.
 bool usable(shard_context const& ctx, worker_state const& worker);
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -203,7 +203,7 @@
 {
     discard_state(ctx);
     ctx.shard.ownership.unaccounted_until =
-        ctx.now + workers::lease_on_slowest_clock(ctx.state) + isolation_margin;
+        ctx.now + workers::longest_lease(ctx.state) + isolation_margin;
     read_submissions(ctx);
     read_assignments(ctx);
     store_session::tick(ctx);
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -144,6 +144,7 @@
     auto const share = shares.find(daemon);
     options.cpu_share = share == shares.end() ? 1.0 : share->second;
     options.region = region == regions.end() ? "north" : region->second;
+    options.max_lease = max_lease;
     options.incarnation = random_.next();
     auto& process = daemons_[daemon];
     process.state =
--- a/src/jaydrift/schedule/simulated_deployment_test.hpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.hpp
@@ -111,6 +111,10 @@
     /// absent. Datagrams are lost while the queue of a link is full.
     std::optional<std::int64_t> uplink_bytes_per_ms;
 
+    /// Longest lease of the workers, as daemons that start from now on are
+    /// told.
+    time_ms max_lease{6000};
+
     /// Shares of a core of daemons that start from now on; 1 if absent.
     std::map<std::size_t, double> shares;
 
--- a/src/jaydrift/schedule/simulated_worker_test.cpp
+++ b/src/jaydrift/schedule/simulated_worker_test.cpp
@@ -10,7 +10,6 @@
 
 constexpr time_ms shortest_run{200};
 constexpr std::uint64_t run_spread_ms = 800;
-constexpr time_ms longest_lease{6000};
 
 /// A run reports 1 % less progress for each of these intervals that it has
 /// left, and at most this much.
--- a/src/jaydrift/schedule/simulated_worker_test.hpp
+++ b/src/jaydrift/schedule/simulated_worker_test.hpp
@@ -62,6 +62,9 @@
     /// Otherwise all runs end after a random time and report no load.
     std::optional<simulated_interference> interference;
 
+    /// A longer lease is shortened to this.
+    time_ms longest_lease{6000};
+
     /// Ends that the worker lists in one reply.
     std::size_t max_listed_ends = 500;
 
--- a/src/jaydrift/schedule/task_assignments.cpp
+++ b/src/jaydrift/schedule/task_assignments.cpp
@@ -183,7 +183,7 @@
         {
             submissions::take_task(ctx, *submission, id, ctx.now);
             submissions::find_task(*submission, id)->not_before =
-                ctx.now + workers::lease_on_slowest_clock(ctx.state)
+                ctx.now + workers::longest_lease(ctx.state)
                 + lost_record_margin;
             ctx.log_work(log_level::warning, "placement",
                          name_of(id)
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -317,7 +317,7 @@
         run.next_stop_at = ctx.now;
     }
     worker.process_confirmed = false;
-    worker.runs_gone_at = ctx.now + lease_on_slowest_clock(ctx.state);
+    worker.runs_gone_at = ctx.now + longest_lease(ctx.state);
     worker.entry.process_started_at = process_started_at;
     worker.clock.reset();
     worker.fenced = false;
@@ -372,7 +372,7 @@
         worker.unlisted_at = ctx.now;
         worker.fenced = false;
         worker.hold_in_flight.reset();
-        worker.runs_gone_at = ctx.now + lease_on_slowest_clock(ctx.state);
+        worker.runs_gone_at = ctx.now + longest_lease(ctx.state);
     }
     record_log::fleet_changed(ctx);
 }
@@ -492,10 +492,10 @@
     return std::min(preferred_lease, state.options.max_lease);
 }
 
-time_ms lease_on_slowest_clock(daemon_state const& state)
+time_ms longest_lease(daemon_state const& state)
 {
     return time_ms(static_cast<std::int64_t>(
-        static_cast<double>(lease_length(state).count()) / slowest_clock));
+        static_cast<double>(state.options.max_lease.count()) / slowest_clock));
 }
 
 bool usable(shard_context const& ctx, worker_state const& worker)
