Ignore assignments of tasks of repeated submissions

Seen by reading the diff: a record of another writer that assigns a task of a submission whose first occurrence is not due yet ends the process of the owner of the other shard.

Change: such a submission is not read as a guest.

Test: task_transfers.an_odd_assignment_of_a_repeated_submission_is_ignored; without the change the test program ends by a signal.

--- a/src/jaydrift/schedule/guest_submissions.cpp
+++ b/src/jaydrift/schedule/guest_submissions.cpp
@@ -91,7 +91,8 @@
         reply.items.empty()
             ? nullptr
             : std::get_if<submission_record>(&reply.items.front().record);
-    if (!record || record->id != id)
+    // Occurrences of a repeated submission have no assignments.
+    if (!record || record->id != id || record->work.repeat_count > 0)
     {
         read.absent = true;
         read.retry_at = ctx.now + absent_pause;
--- a/src/jaydrift/schedule/room_requests.cpp
+++ b/src/jaydrift/schedule/room_requests.cpp
@@ -125,7 +125,7 @@
                                   : std::optional(std::move(result));
 }
 
-/// Returns such tasks of all submissions, those that have waited longest first.
+/// Returns such tasks of all submissions.
 std::vector<waiting_group> find_groups(shard_context& ctx)
 {
     std::vector<waiting_group> result;
@@ -145,8 +145,6 @@
             }
         }
     }
-    std::sort(result.begin(), result.end(),
-              [](auto const& a, auto const& b) { return a.waited > b.waited; });
     return result;
 }
 
--- a/src/jaydrift/schedule/task_transfers_test.cpp
+++ b/src/jaydrift/schedule/task_transfers_test.cpp
@@ -340,6 +340,35 @@
     EXPECT_TRUE(deployment.all_small_tasks_run());
 }
 
+// Guards against an assignment of another writer that names a task which cannot
+// be assigned: one of a submission that has no occurrence yet.
+TEST(task_transfers, an_odd_assignment_of_a_repeated_submission_is_ignored)
+{
+    scattered_room deployment(408);
+    auto work = long_running_work(2, 1000);
+    work.repeat_count = 2;
+    work.first_due = time_ms(1000000000);
+    work.interval = time_ms(1000);
+    auto const id = id_in(full_shard, 500);
+    deployment.submit(0, id, work);
+    deployment.run_until(deployment.now() + time_ms(500));
+    ASSERT_EQ(deployment.answers[id].result, answer::code::ok);
+    // It may have been left to its second shard.
+    auto const owner = deployment.owner(full_shard);
+    ASSERT_TRUE(owner);
+    auto const home =
+        deployment.daemon(*owner).shards[full_shard].submissions.contains(id)
+            ? full_shard
+            : other_shard;
+    task_id const task{id, 0, 0, 1};
+    deployment.store.put(
+        {record_kind::task_assignment, task_assignments::name_of(task)},
+        task_assignment_record{task, home, 1 - home});
+    deployment.run_until(deployment.now() + time_ms(3000));
+    EXPECT_EQ(deployment.show(1, id).phase, submission_phase::queued);
+    EXPECT_TRUE(deployment.all_small_tasks_run());
+}
+
 namespace {
 
 /// Loses and returns workers, cancels and submits work under random faults, so
