Name the process, the token and the lease in lines about workers

From the logs one could not tell which process of a worker an order was meant for, which token and lease it carried, or what the owner took the lease to be when it gave the runs up; a refused start printed a number.

Change: lines about a restart, an expired lease, a start without a reply and a refused start name the process, the token and the end of the lease.

Test: worker_log.lines_name_the_process_the_token_and_the_lease. The text in worker_log.a_worker_that_never_answers_a_new_owner_leaves_one_line grows by the same words and is compared as a whole, as before.

--- a/include/jaydrift/schedule/pending_worker_call.hpp
+++ b/include/jaydrift/schedule/pending_worker_call.hpp
@@ -1,9 +1,11 @@
 #ifndef JAYDRIFT_SCHEDULE_PENDING_WORKER_CALL_HPP
 #define JAYDRIFT_SCHEDULE_PENDING_WORKER_CALL_HPP
 
+#include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/run_id.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace jaydrift::schedule {
@@ -31,6 +33,14 @@
     std::uint32_t pace_percent = 0;
     time_ms sent_at;
 
+    /// Fencing token of the order, and the end of the lease that it grants on
+    /// the worker's clock, if it grants one.
+    std::uint64_t token = 0;
+    std::optional<time_ms> lease_until;
+
+    /// Process of the worker that the order was meant for; 0 if unknown.
+    time_ms process_started_at;
+
     /// Bytes that `start_flow` counts; 0 for other orders than starts.
     std::int64_t bytes = 0;
 };
--- a/include/jaydrift/schedule/worker_status.hpp
+++ b/include/jaydrift/schedule/worker_status.hpp
@@ -1,7 +1,9 @@
 #ifndef JAYDRIFT_SCHEDULE_WORKER_STATUS_HPP
 #define JAYDRIFT_SCHEDULE_WORKER_STATUS_HPP
 
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace jaydrift::schedule {
 
@@ -45,6 +47,12 @@
     lost
 };
 
+inline constexpr std::size_t worker_statuses =
+    static_cast<std::size_t>(worker_status::lost) + 1;
+
+/// Returns the name of the status in log lines.
+std::string_view name_of(worker_status status);
+
 } // namespace jaydrift::schedule
 
 #endif // JAYDRIFT_SCHEDULE_WORKER_STATUS_HPP
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -44,6 +44,20 @@
 /// A task whose start was refused waits this long before the next one.
 constexpr time_ms refused_start_pause{20};
 
+/// Describes an order for log lines: the process that it was meant for, its
+/// token, and the end of the lease that it grants.
+std::string describe(pending_worker_call const& sent)
+{
+    auto text = "meant for process "
+                + std::to_string(sent.process_started_at.count()) + ", token "
+                + std::to_string(sent.token);
+    if (sent.lease_until)
+    {
+        text += ", lease until " + std::to_string(sent.lease_until->count());
+    }
+    return text;
+}
+
 /// Counts an order that had no reply. A hold order that was refused counts as
 /// well: the worker does not tell what it runs, so its lease must not be
 /// renewed for ever.
@@ -161,9 +175,10 @@
     }
 }
 
-void start_replied(shard_context& ctx, worker_state& worker, run_id const& id,
-                   worker_replied const& reply)
+void start_replied(shard_context& ctx, worker_state& worker,
+                   pending_worker_call const& sent, worker_replied const& reply)
 {
+    auto const& id = sent.run;
     auto const found = worker.runs.find(id);
     if (found == worker.runs.end())
     {
@@ -186,7 +201,7 @@
         ctx.log_work(log_level::warning, "worker",
                      "no answer to the start of " + id.task.submission + " on "
                          + worker.entry.id + ", stopping run "
-                         + std::to_string(id.number));
+                         + std::to_string(id.number) + ", " + describe(sent));
         workers::stop(ctx, worker, id);
         return;
     case worker_status::no_room:
@@ -201,10 +216,11 @@
         break;
     default:
         ctx.count("starts_refused_total", "other");
-        ctx.log_work(log_level::info, "worker",
-                     worker.entry.id + " refused the start of "
-                         + id.task.submission + ", status "
-                         + std::to_string(static_cast<int>(reply.status)));
+        ctx.log_work(
+            log_level::info, "worker",
+            worker.entry.id + " refused the start of " + id.task.submission
+                + ", run " + std::to_string(id.number) + ", status "
+                + std::string(name_of(reply.status)) + ", " + describe(sent));
         break;
     }
     withdraw(ctx, worker, id, refused_start_pause);
@@ -273,9 +289,8 @@
     if (reply.status == worker_status::stale_token)
     {
         shard_ctx.log(log_level::warning, "ownership",
-                      sent.worker + " has seen a higher fencing token than "
-                          + std::to_string(assignments::fencing_token(
-                              shard_ctx, sent.worker)));
+                      sent.worker + " has seen a higher fencing token, order "
+                          + describe(sent));
         ownership::step_down(shard_ctx);
         return;
     }
@@ -294,7 +309,7 @@
         }
         return;
     case order_kind::start:
-        return start_replied(shard_ctx, worker, sent.run, reply);
+        return start_replied(shard_ctx, worker, sent, reply);
     case order_kind::stop:
         return stop_replied(shard_ctx, worker, sent.run, reply);
     case order_kind::pace:
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -58,6 +59,20 @@
     return until;
 }
 
+/// Returns the end of the lease that an order grants, if it grants one.
+template<class Order>
+std::optional<time_ms> granted_lease(Order const& order)
+{
+    if constexpr (requires { order.lease_until; })
+    {
+        return order.lease_until;
+    }
+    else
+    {
+        return std::nullopt;
+    }
+}
+
 /// Sends an order and returns its number.
 template<class Order>
 std::uint64_t send(shard_context& ctx, worker_state const& worker,
@@ -65,13 +80,14 @@
                    Order order, time_ms limit, std::int64_t paced_bytes = 0)
 {
     auto const number = ctx.state.next_worker_call++;
+    auto const token = assignments::fencing_token(ctx, worker.entry.id);
     ctx.state.worker_calls.emplace(
-        number,
-        pending_worker_call{kind, ctx.shard.number, worker.entry.id,
-                            std::move(run), percent, ctx.now, paced_bytes});
+        number, pending_worker_call{
+                    kind, ctx.shard.number, worker.entry.id, std::move(run),
+                    percent, ctx.now, token, granted_lease(order),
+                    worker.entry.process_started_at, paced_bytes});
     start_flow::sent(ctx, paced_bytes);
-    ctx.emit(worker_call{number, worker.entry.id, worker.entry.address,
-                         assignments::fencing_token(ctx, worker.entry.id),
+    ctx.emit(worker_call{number, worker.entry.id, worker.entry.address, token,
                          std::move(order), limit});
     return number;
 }
@@ -150,6 +166,23 @@
     }
 }
 
+/// Describes the lease that the owner takes the worker to hold, for log lines.
+std::string describe_lease(shard_context const& ctx, worker_state const& worker)
+{
+    auto text =
+        "process " + std::to_string(worker.entry.process_started_at.count())
+        + ", token "
+        + std::to_string(assignments::fencing_token(ctx, worker.entry.id))
+        + ", lease until " + std::to_string(worker.lease_until.count());
+    if (worker.clock)
+    {
+        text += ", clock " + std::to_string(worker.clock->count()) + " "
+                + std::to_string((ctx.now - worker.clock_received_at).count())
+                + " ms ago";
+    }
+    return text;
+}
+
 /// Drops the runs of a worker that has not answered this owner, once the leases
 /// of the earlier owner have expired. A missing entry does not prove that they
 /// are gone: a worker that is cut off from the store loses its entry and works
@@ -160,10 +193,11 @@
     {
         if (worker.unaccounted || !worker.runs.empty())
         {
-            ctx.log(
-                log_level::warning, "worker",
-                worker.entry.id + " did not answer before all leases expired, "
-                    + std::to_string(worker.runs.size()) + " runs are gone");
+            ctx.log(log_level::warning, "worker",
+                    worker.entry.id
+                        + " did not answer before all leases expired, "
+                        + std::to_string(worker.runs.size())
+                        + " runs are gone; " + describe_lease(ctx, worker));
         }
         worker.unaccounted = false;
         run_reports::all_lost(ctx, worker);
@@ -199,7 +233,8 @@
     {
         ctx.log(log_level::warning, "worker",
                 worker.entry.id + ": lease expired, "
-                    + std::to_string(worker.runs.size()) + " runs are gone");
+                    + std::to_string(worker.runs.size()) + " runs are gone; "
+                    + describe_lease(ctx, worker));
         worker.unaccounted = false;
         run_reports::all_lost(ctx, worker);
     }
@@ -310,7 +345,10 @@
 {
     ctx.log(log_level::info, "worker",
             worker.entry.id + " started again, "
-                + std::to_string(worker.runs.size()) + " runs may be gone");
+                + std::to_string(worker.runs.size())
+                + " runs may be gone, the new process is "
+                + std::to_string(process_started_at.count())
+                + "; the last one: " + describe_lease(ctx, worker));
     for (auto& [id, run] : worker.runs)
     {
         run.stop_confirmed_at.reset();
