Give each process of a worker a higher fencing token

Cause: an order that was meant for an earlier process of a worker, with times on that process's clock, is carried out by a later one. Its time is far in the future there, so it extends the lease of everything that runs to the longest one, or starts a run that was given up. The owner's wait began when it learned of the new process, and an order has no limit on how late it is.

Change: the token of the orders to a worker rises with each of its processes once an order with the present one has granted a lease. An owner takes the numbers from the revision of its owner record to that of its last write, so each later owner record and each assignment is higher; nothing more is stored, and a restart in an outage of the store has a number too. A process is fenced only by its reply to an order with its own token. From then on it refuses what was meant for earlier ones, its lease is what it held at most then and what the owner grants, and a run that it does not list cannot start any more. A refusal of a lower token than the present one deposes no owner.

earlier_clock.* keeps its order from before the first contact: its token is that of the present process, since the earlier one is refused now.

--- a/include/jaydrift/schedule/ownership_state.hpp
+++ b/include/jaydrift/schedule/ownership_state.hpp
@@ -26,6 +26,14 @@
     owner_record record;
     std::uint64_t revision = 0;
 
+    /// Revision of the last write of this daemon in its present ownership; 0
+    /// before the first one.
+    std::uint64_t written_revision = 0;
+
+    /// Highest fencing token of a worker whose state was removed; 0 if there is
+    /// none.
+    std::uint64_t forgotten_token = 0;
+
     /// Revision that the last claim expected.
     std::uint64_t claimed_revision = 0;
 
--- a/include/jaydrift/schedule/run_state.hpp
+++ b/include/jaydrift/schedule/run_state.hpp
@@ -25,6 +25,9 @@
     time_ms latency_target;
     time_ms estimate;
 
+    /// Fencing token of the start order; 0 if another daemon sent it.
+    std::uint64_t token = 0;
+
     /// Time of the start order.
     time_ms started_at;
 
--- a/include/jaydrift/schedule/worker_call.hpp
+++ b/include/jaydrift/schedule/worker_call.hpp
@@ -21,8 +21,8 @@
     std::string worker;
     std::string address;
 
-    /// Fencing token: the revision of the owner record. The worker refuses
-    /// tokens lower than the highest one that it has seen.
+    /// The worker refuses tokens lower than the highest one that it has seen;
+    /// see `fencing_tokens`.
     std::uint64_t token = 0;
     std::variant<hold_order, start_order, stop_order, pace_order> order;
     time_ms time_limit;
--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -37,12 +37,25 @@
     /// end.
     bool in_fleet_record = false;
 
-    /// The worker has accepted this owner's fencing token, as its answer to a
-    /// hold order shows, so it refuses orders of earlier owners. Tasks start
+    /// The present process of the worker has accepted its fencing token, as its
+    /// answer to a hold order shows, so it refuses orders of earlier owners and
+    /// orders that were meant for earlier processes. Tasks start
     /// only on such workers. An owner that is shut out itself gets
     /// `worker_status::stale_token`.
     bool fenced = false;
 
+    /// Fencing token, if it was raised above that of the shard for a new
+    /// process of the worker.
+    std::uint64_t token = 0;
+
+    /// A higher token is due, but no number is free: nothing is sent to the
+    /// worker.
+    bool token_due = false;
+
+    /// An order with the present token granted a lease, so a later process that
+    /// takes it could hold one.
+    bool lease_granted = false;
+
     /// The worker may run tasks of an earlier owner that this owner does not
     /// know of, or have ends of them that it has not listed yet.
     bool unaccounted = false;
--- a/src/jaydrift/schedule/earlier_clock_test.cpp
+++ b/src/jaydrift/schedule/earlier_clock_test.cpp
@@ -46,8 +46,11 @@
     late.order = hold_order{time_ms(25000), 0, time_ms(0)};
     auto const owner = deployment.owner();
     ASSERT_TRUE(owner);
-    late.token = deployment.daemon(*owner).shards[0].ownership.revision;
-    deployment.worker(0).execute(late, deployment.now());
+    // That of the present process: it stands for an order that came before the
+    // first one of the owner.
+    late.token = deployment.daemon(*owner).shards[0].workers.at("w0").token;
+    ASSERT_EQ(deployment.worker(0).execute(late, deployment.now()).status,
+              worker_status::ok);
     deployment.cut_workers = {0};
     deployment.kill(*owner);
     deployment.run_until(deployment.now() + time_ms(20000));
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/schedule/calls.hpp>
 #include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/fencing_tokens.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/relocation.hpp>
@@ -312,6 +313,7 @@
     ctx.observe("record_log_ms", ctx.now - log.first_sent);
     ++log.serial;
     log.serial_revision = revision;
+    fencing_tokens::note_write(ctx, revision);
     for (auto const& [key, record] : log.in_flight->puts)
     {
         auto* const submission = submissions::find(ctx, key.name);
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -239,6 +239,8 @@
     ctx.shard.guest_reads.clear();
     ctx.shard.task_assignments_version = 0;
     ctx.shard.task_removal_call.reset();
+    ctx.shard.ownership.written_revision = 0;
+    ctx.shard.ownership.forgotten_token = 0;
     ctx.shard.ownership.submissions_read = false;
     ctx.shard.ownership.assignments_read = false;
     ctx.shard.ownership.workers_read = false;
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/run_reports.hpp>
 
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/fencing_tokens.hpp>
 #include <jaydrift/schedule/pacing.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
@@ -294,6 +295,7 @@
     task.maybe_running = false;
     submissions::placed(submission, reported.run.task);
     auto run = workers::reservation(submission, reported.run.task.step);
+    run.token = fencing_tokens::of(ctx, worker);
     run.pace_unknown = run.opportunistic;
     run.phase = run_phase::running;
     run.started_at = ctx.now;
@@ -314,6 +316,7 @@
     {
         run = workers::reservation(*submission, reported.run.task.step);
     }
+    run.token = fencing_tokens::of(ctx, worker);
     run.phase = run_phase::running;
     run.confirmed_at = ctx.now;
     workers::add_run(worker, reported.run, std::move(run));
@@ -355,10 +358,16 @@
 }
 
 /// Returns whether a run that is missing in a report has ended or will never
-/// start. Only a report asked for at `sent`, after the worker had confirmed the
-/// start or the stop, proves that.
-bool has_vanished(run_state const& run, time_ms sent)
+/// start. That is proved by a report of a process that refuses the token of the
+/// start order, or by one asked for at `sent`, after the worker had confirmed
+/// the start or the stop.
+bool has_vanished(shard_context const& ctx, worker_state const& worker,
+                  run_state const& run, time_ms sent)
 {
+    if (run.token < fencing_tokens::of(ctx, worker))
+    {
+        return true;
+    }
     if (run.phase == run_phase::stopping)
     {
         return run.stop_confirmed_at && *run.stop_confirmed_at < sent;
@@ -384,7 +393,7 @@
     for (auto const& [id, run] : worker.runs)
     {
         if (!listed.contains(id)
-            && (complete ? has_vanished(run, sent)
+            && (complete ? has_vanished(ctx, worker, run, sent)
                          : has_stopped(ctx, run, sent)))
         {
             missing.push_back(id);
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -325,11 +325,13 @@
         after(min_late_delay + time_ms(spread),
               [this, worker, effect,
                process_started_at = worker->entry().process_started_at] {
-                  // An order does not reach a later process of the worker,
-                  // since its connection ends with the earlier one.
-                  if (worker->up
-                      && worker->entry().process_started_at
-                             == process_started_at)
+                  // A later process may carry the order out, but not one with
+                  // another ID at the same address. One that no owner has
+                  // reached yet has nothing to refuse the order by.
+                  auto const same_process =
+                      worker->entry().process_started_at == process_started_at;
+                  if (worker->up && worker->entry().id == effect.worker
+                      && (same_process || worker->has_token()))
                   {
                       static_cast<void>(worker->execute(effect, now_));
                   }
--- a/src/jaydrift/schedule/simulated_worker_test.hpp
+++ b/src/jaydrift/schedule/simulated_worker_test.hpp
@@ -45,6 +45,9 @@
     /// Carries an order out and returns the reply.
     worker_replied execute(worker_call const& call, time_ms now);
 
+    /// Returns whether the present process has seen a fencing token.
+    bool has_token() const { return token_ > 0; }
+
     /// Ends runs whose work is done or whose lease has passed.
     void advance(time_ms now);
 
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -1,7 +1,7 @@
 #include <jaydrift/schedule/worker_replies.hpp>
 
-#include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/event.hpp>
+#include <jaydrift/schedule/fencing_tokens.hpp>
 #include <jaydrift/schedule/ownership.hpp>
 #include <jaydrift/schedule/pacing.hpp>
 #include <jaydrift/schedule/run_reports.hpp>
@@ -131,8 +131,10 @@
         && *reply.process_started_at != worker.entry.process_started_at)
     {
         // The order was sent to the process that the entry tells of, so a reply
-        // from an earlier one shows that the entry is wrong.
+        // from an earlier one shows that the entry is wrong. The process that
+        // has replied is fenced by the next hold order, with its own token.
         workers::process_restarted(ctx, worker, *reply.process_started_at);
+        return;
     }
     worker.process_confirmed = true;
     note_answer(ctx, worker, reply);
@@ -286,7 +288,14 @@
     {
         return;
     }
-    if (reply.status == worker_status::stale_token)
+    auto& worker = found_worker->second;
+    auto const for_earlier_process =
+        sent.token < fencing_tokens::of(shard_ctx, worker);
+    if (reply.status == worker_status::stale_token && for_earlier_process)
+    {
+        shard_ctx.count("orders_fenced_total", "");
+    }
+    else if (reply.status == worker_status::stale_token)
     {
         shard_ctx.log(log_level::warning, "ownership",
                       sent.worker + " has seen a higher fencing token, order "
@@ -294,11 +303,13 @@
         ownership::step_down(shard_ctx);
         return;
     }
-    auto& worker = found_worker->second;
-    note_silence(shard_ctx, worker, sent, reply.status);
-    if (worker.process_confirmed && sent.kind != order_kind::hold)
+    if (!for_earlier_process)
     {
-        note_answer(shard_ctx, worker, reply);
+        note_silence(shard_ctx, worker, sent, reply.status);
+        if (worker.process_confirmed && sent.kind != order_kind::hold)
+        {
+            note_answer(shard_ctx, worker, reply);
+        }
     }
     switch (sent.kind)
     {
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -1,6 +1,6 @@
 #include <jaydrift/schedule/workers.hpp>
 
-#include <jaydrift/schedule/assignments.hpp>
+#include <jaydrift/schedule/fencing_tokens.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/run_reports.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
@@ -56,6 +56,7 @@
     auto const clock = *worker.clock + (ctx.now - worker.clock_received_at);
     auto const until = clock + lease_length(ctx.state);
     worker.lease_until = std::max(worker.lease_until, until);
+    worker.lease_granted = true;
     return until;
 }
 
@@ -80,7 +81,7 @@
                    Order order, time_ms limit, std::int64_t paced_bytes = 0)
 {
     auto const number = ctx.state.next_worker_call++;
-    auto const token = assignments::fencing_token(ctx, worker.entry.id);
+    auto const token = fencing_tokens::of(ctx, worker);
     ctx.state.worker_calls.emplace(
         number, pending_worker_call{
                     kind, ctx.shard.number, worker.entry.id, std::move(run),
@@ -131,7 +132,7 @@
 void send_stop(shard_context& ctx, worker_state& worker, run_id const& id,
                run_state& run)
 {
-    if (worker.entry.address.empty())
+    if (worker.entry.address.empty() || worker.token_due)
     {
         return;
     }
@@ -169,11 +170,10 @@
 /// Describes the lease that the owner takes the worker to hold, for log lines.
 std::string describe_lease(shard_context const& ctx, worker_state const& worker)
 {
-    auto text =
-        "process " + std::to_string(worker.entry.process_started_at.count())
-        + ", token "
-        + std::to_string(assignments::fencing_token(ctx, worker.entry.id))
-        + ", lease until " + std::to_string(worker.lease_until.count());
+    auto text = "process "
+                + std::to_string(worker.entry.process_started_at.count())
+                + ", token " + std::to_string(fencing_tokens::of(ctx, worker))
+                + ", lease until " + std::to_string(worker.lease_until.count());
     if (worker.clock)
     {
         text += ", clock " + std::to_string(worker.clock->count()) + " "
@@ -298,6 +298,7 @@
     if (added)
     {
         worker.entry = entry;
+        fencing_tokens::begin(ctx, worker);
         record_log::fleet_changed(ctx);
         if (ctx.shard.ownership.role == owner_role::owner)
         {
@@ -354,6 +355,7 @@
         run.stop_confirmed_at.reset();
         run.next_stop_at = ctx.now;
     }
+    fencing_tokens::raise(ctx, worker);
     worker.process_confirmed = false;
     worker.runs_gone_at = ctx.now + longest_lease(ctx.state);
     worker.entry.process_started_at = process_started_at;
@@ -399,6 +401,7 @@
                && each.second.worker == id;
     });
     auto& worker = found->second;
+    fencing_tokens::forget(ctx, worker);
     if (worker.runs.empty())
     {
         ctx.shard.workers.erase(found);
@@ -466,6 +469,7 @@
     start_order order{run, submission.work.payload, grant_lease(ctx, worker),
                       task.checkpoint};
     auto const bytes = start_flow::size_of(order);
+    worker.runs.at(run).token = fencing_tokens::of(ctx, worker);
     send(ctx, worker, order_kind::start, run, 0, std::move(order),
          start_order_limit, bytes);
     view_age::note_start(ctx);
@@ -504,7 +508,9 @@
     for (auto& [id, worker] : ctx.shard.workers)
     {
         check_lease_expiry(ctx, worker);
-        if (!worker.hold_in_flight && !worker.entry.address.empty()
+        fencing_tokens::tick(ctx, worker);
+        if (!worker.hold_in_flight && !worker.token_due
+            && !worker.entry.address.empty()
             && (worker.listed || !worker.runs.empty() || worker.unaccounted)
             && ctx.now >= worker.next_hold_at)
         {
@@ -518,7 +524,12 @@
     }
     if (role == owner_role::owner
         && std::erase_if(ctx.shard.workers, [&ctx](auto const& each) {
-               return may_be_forgotten(ctx, each.second);
+               auto const forgotten = may_be_forgotten(ctx, each.second);
+               if (forgotten)
+               {
+                   fencing_tokens::forget(ctx, each.second);
+               }
+               return forgotten;
            }) > 0)
     {
         record_log::fleet_changed(ctx);
