Notice a new process of a worker by its clock

Cause: orders went on to a worker whose process had changed, with leases on the clock of the earlier one. A reply with a lower clock was passed over as one that others had overtaken, so the new process was known only once its entry or a hold order told of it, up to 1.8 s later.

Change: a reply whose clock is behind the last reading from before its order is from a later process. That one gets its own token, and is asked for its runs at once.

Test: fencing.a_lower_clock_in_a_reply_shows_a_new_process; without the check the worker stays fenced with the token of the earlier process. fencing.a_reply_ that_was_overtaken_shows_no_new_process holds with and without it.

--- a/include/jaydrift/schedule/pending_worker_call.hpp
+++ b/include/jaydrift/schedule/pending_worker_call.hpp
@@ -38,6 +38,9 @@
     std::uint64_t token = 0;
     std::optional<time_ms> lease_until;
 
+    /// Last reading of the worker's clock before the order, if there is one.
+    std::optional<time_ms> clock;
+
     /// Process of the worker that the order was meant for; 0 if unknown.
     time_ms process_started_at;
 
--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -32,7 +32,8 @@
 /// their leases have expired.
 void left_shard(shard_context& ctx, std::string_view id);
 
-/// Handles a restart of the worker's process. Its runs are kept until the first
+/// Handles a restart of the worker's process; `process_started_at` is 0 if the
+/// time of its start is not known yet. Its runs are kept until the first
 /// reply to a hold order tells which of them are gone: some may have been
 /// started in the new process before this daemon heard of it.
 void process_restarted(shard_context& ctx, worker_state& worker,
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -95,7 +95,8 @@
     /// Orders a stop, as an order that is no hold order; returns its number.
     std::uint64_t order_stop()
     {
-        run_id const run{{"00000000000000a1", 0, 0, 0}, 1};
+        run_id const run{{"00000000000000a1", 0, 0, 0},
+                         state_.next_worker_call};
         auto ctx = context();
         workers::add_run(worker(), run, {});
         workers::stop(ctx, worker(), run);
@@ -179,6 +180,33 @@
     EXPECT_EQ(shard().ownership.role, owner_role::follower);
 }
 
+// Guards against orders with leases on the clock of a process that is gone: the
+// reply to the first order that the next one takes shows that its clock has
+// started again.
+TEST_F(fencing, a_lower_clock_in_a_reply_shows_a_new_process)
+{
+    note_write(revision + 10);
+    reply(order_stop(), worker_status::ok, time_ms(30));
+    EXPECT_FALSE(worker().fenced);
+    EXPECT_EQ(token(), revision + 1);
+    tick();
+    entry_.process_started_at += time_ms(1);
+    answer_hold(time_ms(40), entry_.process_started_at);
+    EXPECT_TRUE(worker().fenced);
+    change_entry();
+    EXPECT_TRUE(worker().fenced);
+}
+
+// Guards against a new process that is seen where replies overtake each other.
+TEST_F(fencing, a_reply_that_was_overtaken_shows_no_new_process)
+{
+    auto const first = order_stop();
+    auto const second = order_stop();
+    reply(second, worker_status::ok, time_ms(50030));
+    reply(first, worker_status::ok, time_ms(50010));
+    EXPECT_TRUE(worker().fenced);
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -88,6 +88,16 @@
     }
 }
 
+/// Returns whether a reply is from a later process than the one that the order
+/// was meant for: its clock has started again. A reply from the same process is
+/// never behind a reading from before the order, also if others overtake it.
+bool shows_later_process(pending_worker_call const& sent,
+                         worker_replied const& reply)
+{
+    return sent.clock && reply.clock && *reply.clock < *sent.clock
+           && !reply.process_started_at;
+}
+
 /// Takes over the clock reading of a reply.
 void note_answer(shard_context& ctx, worker_state& worker,
                  worker_replied const& reply)
@@ -305,6 +315,10 @@
     }
     if (!for_earlier_process)
     {
+        if (shows_later_process(sent, reply))
+        {
+            workers::process_restarted(shard_ctx, worker, time_ms(0));
+        }
         note_silence(shard_ctx, worker, sent, reply.status);
         if (worker.process_confirmed && sent.kind != order_kind::hold)
         {
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -82,11 +82,18 @@
 {
     auto const number = ctx.state.next_worker_call++;
     auto const token = fencing_tokens::of(ctx, worker);
-    ctx.state.worker_calls.emplace(
-        number, pending_worker_call{
-                    kind, ctx.shard.number, worker.entry.id, std::move(run),
-                    percent, ctx.now, token, granted_lease(order),
-                    worker.entry.process_started_at, paced_bytes});
+    auto& sent = ctx.state.worker_calls[number];
+    sent.kind = kind;
+    sent.shard = ctx.shard.number;
+    sent.worker = worker.entry.id;
+    sent.run = std::move(run);
+    sent.pace_percent = percent;
+    sent.sent_at = ctx.now;
+    sent.token = token;
+    sent.lease_until = granted_lease(order);
+    sent.clock = worker.clock;
+    sent.process_started_at = worker.entry.process_started_at;
+    sent.bytes = paced_bytes;
     start_flow::sent(ctx, paced_bytes);
     ctx.emit(worker_call{number, worker.entry.id, worker.entry.address, token,
                          std::move(order), limit});
@@ -348,7 +355,9 @@
             worker.entry.id + " started again, "
                 + std::to_string(worker.runs.size())
                 + " runs may be gone, the new process is "
-                + std::to_string(process_started_at.count())
+                + (process_started_at > time_ms(0)
+                       ? std::to_string(process_started_at.count())
+                       : "unknown")
                 + "; the last one: " + describe_lease(ctx, worker));
     for (auto& [id, run] : worker.runs)
     {
