Wait for leases from the end of the last order for an earlier process

Cause: the wait for the leases of a process that no order has reached began when the owner learned of it. Start orders for the earlier process were still within their time limit then; the new process took them 0.03 to 0.32 s later, with the longest lease, and was cut off before it had seen its token.

Change: the reply to each order that grants a lease to an earlier process, and the end of its time limit, prolong the wait, unless the order was refused for its token.

Test: fencing.an_order_for_an_earlier_process_prolongs_the_wait_for_leases; without the change the wait ends 300 and 1000 ms too early.

--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -60,9 +60,9 @@
     /// know of, or have ends of them that it has not listed yet.
     bool unaccounted = false;
 
-    /// Time at which the leases of an earlier owner, or of the process before a
-    /// restart, have expired. A worker that has not been fenced by then runs
-    /// nothing any more.
+    /// Time at which the leases have expired that an earlier owner granted, or
+    /// orders that were meant for a process before a restart. A worker that has
+    /// not been fenced by then runs nothing any more.
     time_ms runs_gone_at;
 
     /// Last reading of the worker's clock, and when it arrived.
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -1,5 +1,7 @@
 #include <jaydrift/schedule/fencing_tokens.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/submission_record.hpp>
+#include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
 #include <jaydrift/schedule/worker_replied.hpp>
 #include <jaydrift/schedule/worker_replies.hpp>
@@ -14,6 +16,7 @@
 namespace {
 
 constexpr char const* id = "i-1";
+constexpr char const* submission_id = "00000000000000a1";
 constexpr std::uint64_t revision = 100;
 
 /// A shard that this daemon owns, with one worker that answers.
@@ -95,14 +98,30 @@
     /// Orders a stop, as an order that is no hold order; returns its number.
     std::uint64_t order_stop()
     {
-        run_id const run{{"00000000000000a1", 0, 0, 0},
-                         state_.next_worker_call};
+        run_id const run{{submission_id, 0, 0, 0}, state_.next_worker_call};
         auto ctx = context();
         workers::add_run(worker(), run, {});
         workers::stop(ctx, worker(), run);
         return state_.next_worker_call - 1;
     }
 
+    /// Orders a start; returns its number.
+    std::uint64_t order_start()
+    {
+        auto ctx = context();
+        auto const id = ctx.state.next_worker_call;
+        submission work;
+        work.steps.resize(1);
+        submission_record record;
+        record.id = submission_id;
+        record.work = work;
+        submissions::add(ctx, record);
+        run_id const run{{submission_id, 0, 0, 0}, id};
+        workers::add_run(worker(), run, {});
+        workers::start(ctx, worker(), run);
+        return id;
+    }
+
     daemon_state state_;
     effect_list effects_;
     time_ms now_{10000};
@@ -207,6 +226,29 @@
     EXPECT_TRUE(worker().fenced);
 }
 
+// Guards against a wait for leases that begins when the owner learns of a new
+// process, while that one still takes an order for the earlier process.
+TEST_F(fencing, an_order_for_an_earlier_process_prolongs_the_wait_for_leases)
+{
+    note_write(revision + 10);
+    auto const longest = workers::longest_lease(state_);
+    auto const started = order_start();
+    auto const lost = order_start();
+    auto const refused = order_start();
+    restart();
+    EXPECT_EQ(worker().runs_gone_at, now_ + longest);
+    now_ += time_ms(300);
+    // The lease holds although the start is refused.
+    reply(started, worker_status::old_run, time_ms(10));
+    EXPECT_EQ(worker().runs_gone_at, now_ + longest);
+    now_ += time_ms(700);
+    reply(lost, worker_status::lost, {});
+    EXPECT_EQ(worker().runs_gone_at, now_ + longest);
+    now_ += time_ms(100);
+    reply(refused, worker_status::stale_token, time_ms(10));
+    EXPECT_LT(worker().runs_gone_at, now_ + longest);
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -305,6 +305,13 @@
     {
         shard_ctx.count("orders_fenced_total", "");
     }
+    else if (for_earlier_process && !worker.fenced && sent.lease_until)
+    {
+        // The present process may have carried the order out just now.
+        worker.runs_gone_at =
+            std::max(worker.runs_gone_at,
+                     shard_ctx.now + workers::longest_lease(shard_ctx.state));
+    }
     else if (reply.status == worker_status::stale_token)
     {
         shard_ctx.log(log_level::warning, "ownership",
