Keep runs that a silent worker has not listed until all leases have expired

Cause: when a worker falls silent, the owner gives its runs up at the end of the lease on the clock of the process that it knows. A start that had no report yet may have been taken by a later process, whose clock has started again and which therefore holds the longest lease.

Change: at that moment only the runs go that the known process has listed. The others go when the longest lease after the last order that granted one has passed, or when a report of the present process decides.

Test: fencing.a_run_that_is_not_listed_may_be_in_a_later_process; before, both runs were given up at the end of the lease.

--- a/include/jaydrift/schedule/run_reports.hpp
+++ b/include/jaydrift/schedule/run_reports.hpp
@@ -19,6 +19,9 @@
 /// Handles the loss of all runs of the worker: their tasks wait again.
 void all_lost(shard_context& ctx, worker_state& worker);
 
+/// Does the same with the runs that the worker has listed.
+void listed_lost(shard_context& ctx, worker_state& worker);
+
 } // namespace run_reports
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/run_state.hpp
+++ b/include/jaydrift/schedule/run_state.hpp
@@ -35,6 +35,10 @@
     /// listing the run.
     std::optional<time_ms> confirmed_at;
 
+    /// The present process of the worker, as far as it is known, has listed the
+    /// run.
+    bool listed = false;
+
     /// Time at which the worker confirmed the stop.
     std::optional<time_ms> stop_confirmed_at;
 
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -249,6 +249,35 @@
     EXPECT_LT(worker().runs_gone_at, now_ + longest);
 }
 
+// Guards against a task that runs twice: its start reaches a process that the
+// owner does not know of, which takes the lease for the longest one, and the
+// worker is cut off before it lists the run.
+TEST_F(fencing, a_run_that_is_not_listed_may_be_in_a_later_process)
+{
+    state_.options.max_lease = time_ms(10000);
+    order_start();
+    run_id const listed{{submission_id, 0, 0, 0}, 1};
+    run_state known;
+    known.listed = true;
+    {
+        auto ctx = context();
+        workers::add_run(worker(), listed, known);
+    }
+    worker().lease_until = *worker().clock + time_ms(5000);
+    worker().unanswered_orders = 1;
+    worker().unanswered_sent_at = now_;
+    auto const granted = worker().lease_granted_at;
+    now_ += time_ms(5500);
+    tick();
+    EXPECT_FALSE(worker().runs.contains(listed));
+    EXPECT_EQ(worker().runs.size(), 1U);
+    now_ = granted + workers::longest_lease(state_) - time_ms(2);
+    tick();
+    EXPECT_EQ(worker().runs.size(), 1U);
+    tick();
+    EXPECT_TRUE(worker().runs.empty());
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -244,6 +245,7 @@
         run.progress_at = ctx.now;
     }
     run.load = reported.load;
+    run.listed = true;
     if (run.pace_unknown)
     {
         run.pace_unknown = false;
@@ -384,6 +386,21 @@
            && sent - *run.stop_confirmed_at >= ctx.state.options.max_lease;
 }
 
+/// Removes runs from the worker; their tasks wait again.
+void remove_runs(shard_context& ctx, worker_state& worker,
+                 std::span<run_id const> runs)
+{
+    for (auto const& id : runs)
+    {
+        workers::remove_run(worker, id);
+        if (auto* const submission = submissions::find(ctx, id.task.submission))
+        {
+            release(ctx, *submission, id);
+            record_log::changed(ctx, *submission);
+        }
+    }
+}
+
 /// Removes the runs that the worker no longer lists; their tasks wait again.
 /// The list is complete unless it had rows that cannot be read.
 void drop_missing(shard_context& ctx, worker_state& worker,
@@ -399,16 +416,7 @@
             missing.push_back(id);
         }
     }
-    for (auto const& id : missing)
-    {
-        workers::remove_run(worker, id);
-        auto* const submission = submissions::find(ctx, id.task.submission);
-        if (submission)
-        {
-            release(ctx, *submission, id);
-            record_log::changed(ctx, *submission);
-        }
-    }
+    remove_runs(ctx, worker, missing);
 }
 
 /// Returns whether a run has made no progress for too long.
@@ -507,6 +515,21 @@
                 + std::to_string(worker.last_handled_end) + " handled");
 }
 
+/// Removes the runs for which the condition holds; their tasks wait again.
+template<class Condition>
+void lose_if(shard_context& ctx, worker_state& worker, Condition condition)
+{
+    std::vector<run_id> lost;
+    for (auto const& [id, run] : worker.runs)
+    {
+        if (condition(run))
+        {
+            lost.push_back(id);
+        }
+    }
+    remove_runs(ctx, worker, lost);
+}
+
 } // namespace
 
 void received(shard_context& ctx, worker_state& worker,
@@ -546,16 +569,12 @@
 
 void all_lost(shard_context& ctx, worker_state& worker)
 {
-    while (!worker.runs.empty())
-    {
-        auto const id = worker.runs.begin()->first;
-        workers::remove_run(worker, id);
-        if (auto* const submission = submissions::find(ctx, id.task.submission))
-        {
-            release(ctx, *submission, id);
-            record_log::changed(ctx, *submission);
-        }
-    }
+    lose_if(ctx, worker, [](run_state const&) { return true; });
+}
+
+void listed_lost(shard_context& ctx, worker_state& worker)
+{
+    lose_if(ctx, worker, [](run_state const& run) { return run.listed; });
 }
 
 } // namespace jaydrift::schedule::run_reports
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -57,6 +57,7 @@
     auto const until = clock + lease_length(ctx.state);
     worker.lease_until = std::max(worker.lease_until, until);
     worker.lease_granted = true;
+    worker.lease_granted_at = ctx.now;
     return until;
 }
 
@@ -223,7 +224,9 @@
 }
 
 /// Drops the runs of a worker that does not answer and whose lease has expired
-/// on its clock, even if that is slow.
+/// on its clock, even if that is slow. A run that it has not listed may be in a
+/// later process, which holds the longest lease by an order that was meant for
+/// this one.
 void check_lease_expiry(shard_context& ctx, worker_state& worker)
 {
     if (!worker.fenced)
@@ -238,12 +241,26 @@
         && asked_in_vain(ctx, worker)
         && *worker.clock + time_ms(passed) > worker.lease_until + expiry_margin)
     {
-        ctx.log(log_level::warning, "worker",
-                worker.entry.id + ": lease expired, "
-                    + std::to_string(worker.runs.size()) + " runs are gone; "
-                    + describe_lease(ctx, worker));
+        auto const before = worker.runs.size();
+        if (ctx.now >= worker.lease_granted_at + longest_lease(ctx.state))
+        {
+            run_reports::all_lost(ctx, worker);
+        }
+        else
+        {
+            run_reports::listed_lost(ctx, worker);
+        }
+        if (worker.unaccounted || worker.runs.size() != before)
+        {
+            ctx.log(log_level::warning, "worker",
+                    worker.entry.id + ": lease expired, "
+                        + std::to_string(before - worker.runs.size())
+                        + " runs are gone, "
+                        + std::to_string(worker.runs.size())
+                        + " may be in a later process; "
+                        + describe_lease(ctx, worker));
+        }
         worker.unaccounted = false;
-        run_reports::all_lost(ctx, worker);
     }
 }
 
@@ -361,6 +378,7 @@
                 + "; the last one: " + describe_lease(ctx, worker));
     for (auto& [id, run] : worker.runs)
     {
+        run.listed = false;
         run.stop_confirmed_at.reset();
         run.next_stop_at = ctx.now;
     }
