--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -60,9 +60,9 @@
     /// know of, or have ends of them that it has not listed yet.
     bool unaccounted = false;
 
-    /// Time at which the leases of an earlier owner, or of the process before a
-    /// restart, have expired. A worker that has not been fenced by then runs
-    /// nothing any more.
+    /// Time at which the leases have expired that an earlier owner granted, or
+    /// orders that were meant for a process before a restart. A worker that has
+    /// not been fenced by then runs nothing any more.
     time_ms runs_gone_at;
 
     /// Last reading of the worker's clock, and when it arrived.
@@ -72,6 +72,9 @@
     /// Latest end of the lease in any order so far, on the worker's clock.
     time_ms lease_until;
 
+    /// Time of the last order that granted a lease.
+    time_ms lease_granted_at;
+
     /// Highest number of an end that was handled and of one that may be
     /// acknowledged; and the ends in between, whose effect is not stored yet.
     std::uint64_t last_handled_end = 0;
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -1,5 +1,7 @@
 #include <jaydrift/schedule/fencing_tokens.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
+#include <jaydrift/schedule/submission_record.hpp>
+#include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/worker_entry.hpp>
 #include <jaydrift/schedule/worker_replied.hpp>
 #include <jaydrift/schedule/worker_replies.hpp>
@@ -14,6 +16,7 @@
 namespace {
 
 constexpr char const* id = "i-1";
+constexpr char const* submission_id = "00000000000000a1";
 constexpr std::uint64_t revision = 100;
 
 /// A shard that this daemon owns, with one worker that answers.
@@ -95,13 +98,30 @@
     /// Orders a stop, as an order that is no hold order; returns its number.
     std::uint64_t order_stop()
     {
-        run_id const run{{"00000000000000a1", 0, 0, 0}, 1};
+        run_id const run{{submission_id, 0, 0, 0}, state_.next_worker_call};
         auto ctx = context();
         workers::add_run(worker(), run, {});
         workers::stop(ctx, worker(), run);
         return state_.next_worker_call - 1;
     }
 
+    /// Orders a start; returns its number.
+    std::uint64_t order_start()
+    {
+        auto ctx = context();
+        auto const id = ctx.state.next_worker_call;
+        submission work;
+        work.steps.resize(1);
+        submission_record record;
+        record.id = submission_id;
+        record.work = work;
+        submissions::add(ctx, record);
+        run_id const run{{submission_id, 0, 0, 0}, id};
+        workers::add_run(worker(), run, {});
+        workers::start(ctx, worker(), run);
+        return id;
+    }
+
     daemon_state state_;
     effect_list effects_;
     time_ms now_{10000};
@@ -179,6 +199,85 @@
     EXPECT_EQ(shard().ownership.role, owner_role::follower);
 }
 
+// Guards against orders with leases on the clock of a process that is gone: the
+// reply to the first order that the next one takes shows that its clock has
+// started again.
+TEST_F(fencing, a_lower_clock_in_a_reply_shows_a_new_process)
+{
+    note_write(revision + 10);
+    reply(order_stop(), worker_status::ok, time_ms(30));
+    EXPECT_FALSE(worker().fenced);
+    EXPECT_EQ(token(), revision + 1);
+    tick();
+    entry_.process_started_at += time_ms(1);
+    answer_hold(time_ms(40), entry_.process_started_at);
+    EXPECT_TRUE(worker().fenced);
+    change_entry();
+    EXPECT_TRUE(worker().fenced);
+}
+
+// Guards against a new process that is seen where replies overtake each other.
+TEST_F(fencing, a_reply_that_was_overtaken_shows_no_new_process)
+{
+    auto const first = order_stop();
+    auto const second = order_stop();
+    reply(second, worker_status::ok, time_ms(50030));
+    reply(first, worker_status::ok, time_ms(50010));
+    EXPECT_TRUE(worker().fenced);
+}
+
+// Guards against a wait for leases that begins when the owner learns of a new
+// process, while that one still takes an order for the earlier process.
+TEST_F(fencing, an_order_for_an_earlier_process_prolongs_the_wait_for_leases)
+{
+    note_write(revision + 10);
+    auto const longest = workers::longest_lease(state_);
+    auto const started = order_start();
+    auto const lost = order_start();
+    auto const refused = order_start();
+    restart();
+    EXPECT_EQ(worker().runs_gone_at, now_ + longest);
+    now_ += time_ms(300);
+    // The lease holds although the start is refused.
+    reply(started, worker_status::old_run, time_ms(10));
+    EXPECT_EQ(worker().runs_gone_at, now_ + longest);
+    now_ += time_ms(700);
+    reply(lost, worker_status::lost, {});
+    EXPECT_EQ(worker().runs_gone_at, now_ + longest);
+    now_ += time_ms(100);
+    reply(refused, worker_status::stale_token, time_ms(10));
+    EXPECT_LT(worker().runs_gone_at, now_ + longest);
+}
+
+// Guards against a task that runs twice: its start reaches a process that the
+// owner does not know of, which takes the lease for the longest one, and the
+// worker is cut off before it lists the run.
+TEST_F(fencing, a_run_that_is_not_listed_may_be_in_a_later_process)
+{
+    state_.options.max_lease = time_ms(10000);
+    order_start();
+    run_id const listed{{submission_id, 0, 0, 0}, 1};
+    run_state known;
+    known.listed = true;
+    {
+        auto ctx = context();
+        workers::add_run(worker(), listed, known);
+    }
+    worker().lease_until = *worker().clock + time_ms(5000);
+    worker().unanswered_orders = 1;
+    worker().unanswered_sent_at = now_;
+    auto const granted = worker().lease_granted_at;
+    now_ += time_ms(5500);
+    tick();
+    EXPECT_FALSE(worker().runs.contains(listed));
+    EXPECT_EQ(worker().runs.size(), 1U);
+    now_ = granted + workers::longest_lease(state_) - time_ms(2);
+    tick();
+    EXPECT_EQ(worker().runs.size(), 1U);
+    tick();
+    EXPECT_TRUE(worker().runs.empty());
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
