Count a submission as pending until a worker confirms a run

Cause: a submission counted as begun once a start order was sent, also when all of its starts were refused or not sent and it waited again.

Test: shards.a_submission_is_pending_until_a_worker_confirms_a_run; before, the submission counts as begun 400 ms after its starts were lost.

--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -64,7 +64,7 @@
     /// Tasks of ready steps that wait for a place; 0 once the submission ended.
     std::uint32_t waiting_tasks = 0;
 
-    /// A task has had a place, under this owner or an earlier one.
+    /// A worker has confirmed a run, or an earlier owner had placed a task.
     bool started = false;
 
     /// Number of tasks that have a place.
--- a/src/jaydrift/schedule/placement_policy.cpp
+++ b/src/jaydrift/schedule/placement_policy.cpp
@@ -213,7 +213,6 @@
     // it finds room, as a single task would; pacing slows it down.
     auto const starved =
         spec.opportunistic && minimum_runs::is_starved(ctx, submission);
-    auto const started_before = submission.started;
     auto const phase_before = submission.phase;
     std::vector<std::pair<run_id, worker_state*>> members;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
@@ -260,7 +259,6 @@
     }
     else
     {
-        submission.started = started_before;
         submission.phase = phase_before;
     }
 }
--- a/src/jaydrift/schedule/shards_test.cpp
+++ b/src/jaydrift/schedule/shards_test.cpp
@@ -209,6 +209,30 @@
     EXPECT_TRUE(deployment.violations.empty()) << deployment.violations.front();
 }
 
+// Guards against a count of pending submissions that leaves out one of which
+// nothing has run: its start orders are on their way, or were refused.
+TEST(shards, a_submission_is_pending_until_a_worker_confirms_a_run)
+{
+    simulated_deployment deployment(1, 2, 24);
+    deployment.run_until(time_ms(3000));
+    for (std::size_t i = 0; i < deployment.worker_count(); ++i)
+    {
+        deployment.worker(i).reachable = false;
+    }
+    deployment.submit(0, id_of(1), chain_of({2}));
+    deployment.run_until(time_ms(3400));
+    auto const& shard = deployment.daemon(0).shards[0];
+    EXPECT_GT(shard.submissions.at(id_of(1)).placed_tasks, 0U);
+    EXPECT_FALSE(shard.submissions.at(id_of(1)).started);
+    for (std::size_t i = 0; i < deployment.worker_count(); ++i)
+    {
+        deployment.worker(i).reachable = true;
+    }
+    deployment.run_until(time_ms(8000));
+    EXPECT_TRUE(shard.submissions.at(id_of(1)).started);
+    EXPECT_TRUE(deployment.violations.empty());
+}
+
 // Guards against a count of pending submissions that leaves out shards.
 TEST(shards, pending_counts_are_added_up)
 {
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -509,7 +509,6 @@
     {
         --submission.waiting_tasks;
     }
-    submission.started = true;
     ++submission.placed_tasks;
     if (submission.phase == submission_phase::queued)
     {
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -206,6 +206,10 @@
         }
         run.confirmed_at = ctx.now;
         run.progress_at = ctx.now;
+        if (auto* const submission = submissions::find(ctx, id.task.submission))
+        {
+            submission->started = true;
+        }
         ctx.observe("start_ms", ctx.now - run.started_at);
         pacing::started(ctx, worker, id);
         return;
