Keep a worker unaccounted for over a restart until it is fenced

Cause: a restart of a worker cleared its mark as one that may run tasks of the earlier owner. The new process may have taken a start of that owner, whose place was not stored yet, and be cut off.

--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -1,4 +1,5 @@
 #include <jaydrift/schedule/fencing_tokens.hpp>
+#include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submission_record.hpp>
 #include <jaydrift/schedule/submissions.hpp>
@@ -278,6 +279,37 @@
     EXPECT_TRUE(worker().runs.empty());
 }
 
+// Guards against a task that runs twice after a change of the owner: a start of
+// the earlier owner reaches the next process of a worker, which the new owner
+// takes to run nothing since its entry tells of a restart.
+TEST_F(fencing, a_restart_does_not_account_for_the_runs_of_an_earlier_owner)
+{
+    state_.options.max_lease = time_ms(10000);
+    worker().fenced = false;
+    worker().unaccounted = true;
+    shard().ownership.unaccounted_until = now_ + time_ms(11000);
+    note_write(revision + 10);
+    restart();
+    EXPECT_TRUE(recovery::any_worker_unaccounted(context()));
+    tick();
+    answer_hold(time_ms(10), entry_.process_started_at);
+    EXPECT_FALSE(recovery::any_worker_unaccounted(context()));
+}
+
+// Guards against the same with a process that answers before its entry is seen:
+// its reply to the first order does not fence it.
+TEST_F(fencing, a_reply_that_fences_nothing_does_not_account_for_runs)
+{
+    state_.options.max_lease = time_ms(10000);
+    worker().fenced = false;
+    worker().unaccounted = true;
+    shard().ownership.unaccounted_until = now_ + time_ms(11000);
+    note_write(revision + 10);
+    answer_hold(time_ms(10), entry_.process_started_at + time_ms(1));
+    EXPECT_FALSE(worker().fenced);
+    EXPECT_TRUE(recovery::any_worker_unaccounted(context()));
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
