Count the wait for unlisted runs from the end of their orders

Cause: a run that a silent worker has not listed was kept for the longest lease from the sending of the last order that granted one. A later process can take that order until the end of its time limit, 1 s later.

Change: the reply to such an order, or the end of its time limit, begins the wait again.

--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -72,8 +72,8 @@
     /// Latest end of the lease in any order so far, on the worker's clock.
     time_ms lease_until;
 
-    /// Time of the last order that granted a lease.
-    time_ms lease_granted_at;
+    /// When the last order that granted a lease was sent or ended.
+    time_ms lease_order_at;
 
     /// Highest number of an end that was handled and of one that may be
     /// acknowledged; and the ends in between, whose effect is not stored yet.
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -267,7 +267,7 @@
     worker().lease_until = *worker().clock + time_ms(5000);
     worker().unanswered_orders = 1;
     worker().unanswered_sent_at = now_;
-    auto const granted = worker().lease_granted_at;
+    auto const granted = worker().lease_order_at;
     now_ += time_ms(5500);
     tick();
     EXPECT_FALSE(worker().runs.contains(listed));
@@ -310,6 +310,25 @@
     EXPECT_TRUE(recovery::any_worker_unaccounted(context()));
 }
 
+// Guards against the same with a start that reaches the later process at the
+// end of its time limit.
+TEST_F(fencing,
+       a_run_that_is_not_listed_is_waited_for_from_the_end_of_its_order)
+{
+    state_.options.max_lease = time_ms(10000);
+    auto const call = order_start();
+    worker().lease_until = *worker().clock + time_ms(5000);
+    now_ += time_ms(998);
+    reply(call, worker_status::lost, {});
+    auto const ended = now_;
+    now_ = ended + time_ms(9900);
+    tick();
+    EXPECT_EQ(worker().runs.size(), 1U);
+    now_ = ended + workers::longest_lease(state_);
+    tick();
+    EXPECT_TRUE(worker().runs.empty());
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -303,6 +303,10 @@
         return;
     }
     auto& worker = found_worker->second;
+    if (sent.lease_until)
+    {
+        worker.lease_order_at = shard_ctx.now;
+    }
     auto const for_earlier_process =
         sent.token < fencing_tokens::of(shard_ctx, worker);
     if (reply.status == worker_status::stale_token && for_earlier_process)
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -57,7 +57,7 @@
     auto const until = clock + lease_length(ctx.state);
     worker.lease_until = std::max(worker.lease_until, until);
     worker.lease_granted = true;
-    worker.lease_granted_at = ctx.now;
+    worker.lease_order_at = ctx.now;
     return until;
 }
 
@@ -242,7 +242,7 @@
         && *worker.clock + time_ms(passed) > worker.lease_until + expiry_margin)
     {
         auto const before = worker.runs.size();
-        if (ctx.now >= worker.lease_granted_at + longest_lease(ctx.state))
+        if (ctx.now >= worker.lease_order_at + longest_lease(ctx.state))
         {
             run_reports::all_lost(ctx, worker);
         }
