Tell orders for an earlier process of a worker by their numbers

Cause: an order was known to be meant for an earlier process by its lower token only. While no number is free for a higher one, and where none is needed, its reply counted as one of the present process: it did not prolong the wait for leases, showed a new process once more, or put the earlier clock over the present one. A stop that an earlier process had confirmed counted as confirmed whatever the token.

Change: a worker's state has the number of the first order for its present process. Replies to earlier orders change no clock and confirm no stop and no pace. Whether a refusal deposes the owner depends on the token, as before.

--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -44,6 +44,10 @@
     /// `worker_status::stale_token`.
     bool fenced = false;
 
+    /// Number of the first order that was meant for the present process, as far
+    /// as that is known.
+    std::uint64_t first_call = 0;
+
     /// Fencing token, if it was raised above that of the shard for a new
     /// process of the worker.
     std::uint64_t token = 0;
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -329,6 +329,51 @@
     EXPECT_TRUE(worker().runs.empty());
 }
 
+// Guards against a wait that the orders for an earlier process do not prolong
+// while no number is free for the token of the present one.
+TEST_F(fencing, orders_for_an_earlier_process_are_known_while_a_token_is_due)
+{
+    auto const longest = workers::longest_lease(state_);
+    auto const lost = order_start();
+    auto const late = order_stop();
+    restart();
+    ASSERT_TRUE(worker().token_due);
+    now_ += time_ms(900);
+    reply(lost, worker_status::lost, {});
+    EXPECT_EQ(worker().runs_gone_at, now_ + longest);
+    auto const gone = worker().runs_gone_at;
+    reply(late, worker_status::ok, time_ms(31));
+    EXPECT_EQ(worker().runs_gone_at, gone);
+}
+
+// Guards against leases on the clock of an earlier process: its reply comes
+// after the present one has answered, which needed no higher token.
+TEST_F(fencing, the_clock_of_an_earlier_process_is_passed_over)
+{
+    worker().lease_granted = false;
+    auto const stop = order_stop();
+    restart();
+    worker().hold_in_flight.reset();
+    tick();
+    answer_hold(time_ms(20), entry_.process_started_at);
+    ASSERT_TRUE(worker().fenced);
+    reply(stop, worker_status::ok, time_ms(50020));
+    EXPECT_EQ(worker().clock, time_ms(20));
+}
+
+// Guards against a run that goes on although it was told to stop: an earlier
+// process has confirmed the stop, and the present one has started the run.
+TEST_F(fencing, a_stop_that_an_earlier_process_confirmed_is_repeated)
+{
+    note_write(revision + 10);
+    auto const stop = order_stop();
+    restart();
+    reply(stop, worker_status::ok, time_ms(60000));
+    auto const& run = worker().runs.begin()->second;
+    EXPECT_FALSE(run.stop_confirmed_at);
+    EXPECT_FALSE(run.stop_in_flight);
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -243,7 +243,7 @@
 }
 
 void stop_replied(shard_context& ctx, worker_state& worker, run_id const& id,
-                  worker_replied const& reply)
+                  worker_status status)
 {
     auto const found = worker.runs.find(id);
     if (found == worker.runs.end())
@@ -252,7 +252,7 @@
     }
     auto& run = found->second;
     run.stop_in_flight = false;
-    if (reply.status == worker_status::ok)
+    if (status == worker_status::ok)
     {
         run.stop_confirmed_at = ctx.now;
     }
@@ -263,7 +263,7 @@
 }
 
 void pace_replied(shard_context const& ctx, worker_state& worker,
-                  pending_worker_call const& sent, worker_replied const& reply)
+                  pending_worker_call const& sent, worker_status status)
 {
     auto const found = worker.runs.find(sent.run);
     if (found == worker.runs.end())
@@ -272,7 +272,7 @@
     }
     auto& run = found->second;
     run.pace_in_flight = false;
-    if (reply.status != worker_status::ok)
+    if (status != worker_status::ok)
     {
         return;
     }
@@ -284,6 +284,15 @@
     run.pace_percent = sent.pace_percent;
 }
 
+/// Steps down, since the worker has accepted the token of another owner.
+void shut_out(shard_context& ctx, pending_worker_call const& sent)
+{
+    ctx.log(log_level::warning, "ownership",
+            sent.worker + " has seen a higher fencing token, order "
+                + describe(sent));
+    ownership::step_down(ctx);
+}
+
 } // namespace
 
 void received(context& ctx, worker_replied const& reply)
@@ -307,27 +316,27 @@
     {
         worker.lease_order_at = shard_ctx.now;
     }
-    auto const for_earlier_process =
-        sent.token < fencing_tokens::of(shard_ctx, worker);
-    if (reply.status == worker_status::stale_token && for_earlier_process)
+    if (reply.status == worker_status::stale_token)
     {
-        shard_ctx.count("orders_fenced_total", "");
+        if (sent.token < fencing_tokens::of(shard_ctx, worker))
+        {
+            shard_ctx.count("orders_fenced_total", "");
+        }
+        else
+        {
+            shut_out(shard_ctx, sent);
+            return;
+        }
     }
-    else if (for_earlier_process && !worker.fenced && sent.lease_until)
+    auto const for_earlier_process = reply.call < worker.first_call;
+    if (for_earlier_process && !worker.fenced && sent.lease_until
+        && reply.status != worker_status::stale_token)
     {
         // The present process may have carried the order out just now.
         worker.runs_gone_at =
             std::max(worker.runs_gone_at,
                      shard_ctx.now + workers::longest_lease(shard_ctx.state));
     }
-    else if (reply.status == worker_status::stale_token)
-    {
-        shard_ctx.log(log_level::warning, "ownership",
-                      sent.worker + " has seen a higher fencing token, order "
-                          + describe(sent));
-        ownership::step_down(shard_ctx);
-        return;
-    }
     if (!for_earlier_process)
     {
         if (shows_later_process(sent, reply))
@@ -340,6 +349,10 @@
             note_answer(shard_ctx, worker, reply);
         }
     }
+    // A stop or a pace that an earlier process has confirmed is not in force in
+    // the present one.
+    auto const status =
+        for_earlier_process ? worker_status::lost : reply.status;
     switch (sent.kind)
     {
     case order_kind::hold:
@@ -351,9 +364,9 @@
     case order_kind::start:
         return start_replied(shard_ctx, worker, sent, reply);
     case order_kind::stop:
-        return stop_replied(shard_ctx, worker, sent.run, reply);
+        return stop_replied(shard_ctx, worker, sent.run, status);
     case order_kind::pace:
-        return pace_replied(shard_ctx, worker, sent, reply);
+        return pace_replied(shard_ctx, worker, sent, status);
     }
 }
 
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -322,6 +322,7 @@
     if (added)
     {
         worker.entry = entry;
+        worker.first_call = ctx.state.next_worker_call;
         fencing_tokens::begin(ctx, worker);
         record_log::fleet_changed(ctx);
         if (ctx.shard.ownership.role == owner_role::owner)
@@ -383,6 +384,7 @@
         run.next_stop_at = ctx.now;
     }
     fencing_tokens::raise(ctx, worker);
+    worker.first_call = ctx.state.next_worker_call;
     worker.process_confirmed = false;
     worker.runs_gone_at = ctx.now + longest_lease(ctx.state);
     worker.entry.process_started_at = process_started_at;
