Do not take a silent worker that started again to run nothing

Cause: a new owner marks a worker that has not answered as unaccounted, and holds back the tasks whose place it does not know. process_restarted() took that mark away, since the runs of the process before are gone. But the owner before may have known of the new process and started tasks in it, whose places were not stored: a worker starts again while the store is out, its owner learns that from a reply, starts a task there and is killed; the worker is cut off; the next owner knows the entry of the former process, and learns of the present one from the store before it has an answer.

Change: the mark stays until the present process has reported, or the leases of the owner before have expired. The wait for that is the one that a silent worker has anyway.

--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -359,7 +359,6 @@
     worker.entry.process_started_at = process_started_at;
     worker.clock.reset();
     worker.fenced = false;
-    worker.unaccounted = false;
     worker.more_ends = false;
     worker.last_handled_end = 0;
     worker.acknowledged_end = 0;
