Renew no lease after asking another daemon to take over

Cause: a new owner waits for workers that do not answer it for the longest lease and 1 s, counted from its claim; the 1 s covers an owner on the other side of a partition, which stops after 1.2 s without an answer, of which the claim takes a part. An owner that has asked a peer to take over does not watch for partitions. It went on with hold orders for 1.5 s, and a lease that was renewed at the end of these outlasts the wait of the successor, if a worker is cut off together with the former owner right after the claim.

Where leases may last for 6 s or more, as on all sites in force, the wait is long enough all the same (7.1 s against 6.6 s): the fault needs a longest lease of less than 5.4 s.

Change: hold orders of a yielding owner extend no lease, like a suspended owner, which sends none. So nothing is renewed after the claim, and no limit is needed for it. If nobody takes over, leases are up to 1.5 s older when the owner goes on.

--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -117,8 +117,10 @@
     {
         // A lease that was sent may hold even if no reply came. A silent
         // worker is sent none, or the time at which its lease expires would
-        // move on for ever.
-        if (worker.unanswered_orders == 0)
+        // move on for ever. A successor that was asked to take over waits for
+        // the leases that hold when it does.
+        if (worker.unanswered_orders == 0
+            && ctx.shard.ownership.role != owner_role::yielding)
         {
             order.lease_until = grant_lease(ctx, worker);
         }
