Ask workers after a suspension before their runs are given up

Cause: a new owner gives up what runs on a worker that it has not reached once the leases of the owner before have expired. If it was suspended meanwhile, as in an outage of the store with a silent daemon, it gave up the runs in the step in which it served again, before it had asked any worker. Workers that had answered once were asked first already (suspended_owner); those that had not, and those that had started again, were not. If a worker carried out a late order during the suspension, its runs could still be there (not shown).

Change: both rules use the same condition: the worker has left an order unanswered that was sent since this daemon entered its role, or cannot be asked (it has no known address, or waits for a higher fencing token). Tasks without a known place wait for such a worker as well. A worker that stays silent is given up after the time limit of an order.

--- a/include/jaydrift/schedule/workers.hpp
+++ b/include/jaydrift/schedule/workers.hpp
@@ -82,6 +82,12 @@
 /// grants the longest lease.
 time_ms longest_lease(daemon_state const& state);
 
+/// Returns whether the worker has left an order unanswered that was sent since
+/// its last answer and since this daemon entered its role, or cannot be asked.
+/// An owner that was suspended or frozen has asked nobody meanwhile, so that a
+/// worker's silence says nothing: its runs may have ended with success.
+bool is_silent(shard_context const& ctx, worker_state const& worker);
+
 /// Returns whether tasks may be started on the worker now.
 bool usable(shard_context const& ctx, worker_state const& worker);
 
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -374,11 +374,12 @@
 {
     auto const leases_hold = ctx.now < ctx.shard.ownership.unaccounted_until;
     return std::any_of(ctx.shard.workers.begin(), ctx.shard.workers.end(),
-                       [leases_hold](auto const& item) {
+                       [&ctx, leases_hold](auto const& item) {
                            // A worker that answers still has to list the ends.
                            auto const& worker = item.second;
                            return worker.unaccounted
-                                  && (leases_hold || worker.fenced);
+                                  && (leases_hold || worker.fenced
+                                      || !workers::is_silent(ctx, worker));
                        });
 }
 
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -191,7 +191,7 @@
 /// on.
 void check_unaccounted(shard_context& ctx, worker_state& worker)
 {
-    if (ctx.now >= worker.runs_gone_at)
+    if (ctx.now >= worker.runs_gone_at && is_silent(ctx, worker))
     {
         if (worker.unaccounted || !worker.runs.empty())
         {
@@ -206,17 +206,6 @@
     }
 }
 
-/// Returns whether the worker has left an order unanswered that was sent since
-/// its last answer and since this daemon entered its role. An owner that was
-/// suspended or frozen has asked nobody meanwhile, so that a worker's silence
-/// says nothing: its runs may have ended with success.
-bool asked_in_vain(shard_context const& ctx, worker_state const& worker)
-{
-    return worker.unanswered_orders > 0
-           && worker.unanswered_sent_at >= std::max(
-                  worker.clock_received_at, ctx.shard.ownership.role_since);
-}
-
 /// Drops the runs of a worker that does not answer and whose lease has expired
 /// on its clock, even if that is slow.
 void check_lease_expiry(shard_context& ctx, worker_state& worker)
@@ -229,8 +218,7 @@
     auto const passed = static_cast<std::int64_t>(
         static_cast<double>((ctx.now - worker.clock_received_at).count())
         * slowest_clock);
-    if ((!worker.runs.empty() || worker.unaccounted)
-        && asked_in_vain(ctx, worker)
+    if ((!worker.runs.empty() || worker.unaccounted) && is_silent(ctx, worker)
         && *worker.clock + time_ms(passed) > worker.lease_until + expiry_margin)
     {
         ctx.log(log_level::warning, "worker",
@@ -548,6 +536,17 @@
         static_cast<double>(state.options.max_lease.count()) / slowest_clock));
 }
 
+bool is_silent(shard_context const& ctx, worker_state const& worker)
+{
+    auto const cannot_be_asked =
+        worker.entry.address.empty() || worker.token_due;
+    return cannot_be_asked
+           || (worker.unanswered_orders > 0
+               && worker.unanswered_sent_at
+                      >= std::max(worker.clock_received_at,
+                                  ctx.shard.ownership.role_since));
+}
+
 bool usable(shard_context const& ctx, worker_state const& worker)
 {
     return worker.listed && worker.fenced && worker.in_fleet_record
