Show a task whose lost assignment lets it run twice

The home shard starts the task again after the longest lease and 1 s, while the other owner, which every daemon answers, goes on and renews the lease of the run (TWICE).

No fix here: the home shard cannot tell whether the other owner has seen the change, and a longer wait would not change that.

--- a/src/jaydrift/schedule/task_transfers_test.cpp
+++ b/src/jaydrift/schedule/task_transfers_test.cpp
@@ -340,6 +340,33 @@
     EXPECT_TRUE(deployment.all_small_tasks_run());
 }
 
+// Guards against a task that runs twice: the record of its assignment is lost
+// and the store goes out before the owner of the shard that has the task can
+// see that, so it renews the lease of the run for longer than its own shard
+// waits.
+TEST(task_transfers, a_lost_assignment_does_not_let_a_task_run_twice)
+{
+    scattered_room deployment(409);
+    deployment.lose_worker(0);
+    deployment.run_until(deployment.now() + time_ms(12000));
+    ASSERT_EQ(deployment.assignments(), 1U);
+    auto const name = deployment.daemon(0).task_assignments.begin()->first;
+    auto const owner = *deployment.owner(other_shard);
+    ASSERT_NE(owner, *deployment.owner(full_shard));
+    deployment.worker(0).up = true;
+    deployment.list_worker(0);
+    deployment.run_until(deployment.now() + time_ms(1000));
+    deployment.daemons_without_store = {owner};
+    deployment.store.remove({record_kind::task_assignment, name});
+    deployment.run_until(deployment.now() + time_ms(20));
+    deployment.store_up = false;
+    deployment.run_until(deployment.now() + time_ms(12000));
+    deployment.daemons_without_store.clear();
+    deployment.store_up = true;
+    deployment.run_until(deployment.now() + time_ms(20000));
+    EXPECT_TRUE(deployment.all_small_tasks_run());
+}
+
 // Guards against an assignment of another writer that names a task which cannot
 // be assigned: one of a submission that has no occurrence yet.
 TEST(task_transfers, an_odd_assignment_of_a_repeated_submission_is_ignored)
