--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -88,6 +88,16 @@
     }
 }
 
+/// Returns whether a reply is from a later process than the one that the order
+/// was meant for: its clock has started again. A reply from the same process is
+/// never behind a reading from before the order, also if others overtake it.
+bool shows_later_process(pending_worker_call const& sent,
+                         worker_replied const& reply)
+{
+    return sent.clock && reply.clock && *reply.clock < *sent.clock
+           && !reply.process_started_at;
+}
+
 /// Takes over the clock reading of a reply.
 void note_answer(shard_context& ctx, worker_state& worker,
                  worker_replied const& reply)
@@ -295,6 +305,13 @@
     {
         shard_ctx.count("orders_fenced_total", "");
     }
+    else if (for_earlier_process && !worker.fenced && sent.lease_until)
+    {
+        // The present process may have carried the order out just now.
+        worker.runs_gone_at =
+            std::max(worker.runs_gone_at,
+                     shard_ctx.now + workers::longest_lease(shard_ctx.state));
+    }
     else if (reply.status == worker_status::stale_token)
     {
         shard_ctx.log(log_level::warning, "ownership",
@@ -305,6 +322,10 @@
     }
     if (!for_earlier_process)
     {
+        if (shows_later_process(sent, reply))
+        {
+            workers::process_restarted(shard_ctx, worker, time_ms(0));
+        }
         note_silence(shard_ctx, worker, sent, reply.status);
         if (worker.process_confirmed && sent.kind != order_kind::hold)
         {
