Wait for leases from the end of an order without a reply

Cause: runs that a silent worker has not listed are given up the longest lease after the last order that granted one was sent. A later process may carry that order out until its time limit.

Change: the wait counts from the end of an order without a reply. An order for an earlier process prolongs the wait also while a higher token is due, when it cannot be told by its token. An order that was not sent prolongs nothing.

--- a/include/jaydrift/schedule/worker_state.hpp
+++ b/include/jaydrift/schedule/worker_state.hpp
@@ -72,7 +72,8 @@
     /// Latest end of the lease in any order so far, on the worker's clock.
     time_ms lease_until;
 
-    /// Time of the last order that granted a lease.
+    /// Time of the last order that granted a lease, or at which one ended
+    /// without a reply.
     time_ms lease_granted_at;
 
     /// Highest number of an end that was handled and of one that may be
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -98,6 +98,28 @@
            && !reply.process_started_at;
 }
 
+/// Notes that an order which grants a lease has ended: a process that is not
+/// fenced, or one of which the owner does not know yet, may have carried it out
+/// just now.
+void note_late_lease(shard_context const& ctx, worker_state& worker,
+                     pending_worker_call const& sent, worker_status status)
+{
+    if (!sent.lease_until || status == worker_status::not_sent
+        || status == worker_status::stale_token)
+    {
+        return;
+    }
+    if (!worker.fenced)
+    {
+        worker.runs_gone_at = std::max(
+            worker.runs_gone_at, ctx.now + workers::longest_lease(ctx.state));
+    }
+    else if (status == worker_status::lost)
+    {
+        worker.lease_granted_at = ctx.now;
+    }
+}
+
 /// Takes over the clock reading of a reply.
 void note_answer(shard_context& ctx, worker_state& worker,
                  worker_replied const& reply)
@@ -305,13 +327,6 @@
     {
         shard_ctx.count("orders_fenced_total", "");
     }
-    else if (for_earlier_process && !worker.fenced && sent.lease_until)
-    {
-        // The present process may have carried the order out just now.
-        worker.runs_gone_at =
-            std::max(worker.runs_gone_at,
-                     shard_ctx.now + workers::longest_lease(shard_ctx.state));
-    }
     else if (reply.status == worker_status::stale_token)
     {
         shard_ctx.log(log_level::warning, "ownership",
@@ -320,6 +335,7 @@
         ownership::step_down(shard_ctx);
         return;
     }
+    note_late_lease(shard_ctx, worker, sent, reply.status);
     if (!for_earlier_process)
     {
         if (shows_later_process(sent, reply))
