--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -379,6 +379,7 @@
                            auto const& worker = item.second;
                            return worker.unaccounted
                                   && (leases_hold || worker.fenced
+                                      || ctx.now < worker.runs_gone_at
                                       || !workers::is_silent(ctx, worker));
                        });
 }
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -99,25 +99,16 @@
 }
 
 /// Notes that an order which grants a lease has ended: a process that is not
-/// fenced, or one of which the owner does not know yet, may have carried it out
-/// just now.
+/// fenced may have carried it out just now.
 void note_late_lease(shard_context const& ctx, worker_state& worker,
                      pending_worker_call const& sent, worker_status status)
 {
-    if (!sent.lease_until || status == worker_status::not_sent
-        || status == worker_status::stale_token)
-    {
-        return;
-    }
-    if (!worker.fenced)
+    if (!worker.fenced && sent.lease_until && status != worker_status::not_sent
+        && status != worker_status::stale_token)
     {
         worker.runs_gone_at = std::max(
             worker.runs_gone_at, ctx.now + workers::longest_lease(ctx.state));
     }
-    else if (status == worker_status::lost)
-    {
-        worker.lease_granted_at = ctx.now;
-    }
 }
 
 /// Takes over the clock reading of a reply.
@@ -228,6 +219,10 @@
         }
         run.confirmed_at = ctx.now;
         run.progress_at = ctx.now;
+        if (auto* const submission = submissions::find(ctx, id.task.submission))
+        {
+            submission->started = true;
+        }
         ctx.observe("start_ms", ctx.now - run.started_at);
         pacing::started(ctx, worker, id);
         return;
@@ -321,6 +316,10 @@
         return;
     }
     auto& worker = found_worker->second;
+    if (sent.lease_until)
+    {
+        worker.lease_order_at = shard_ctx.now;
+    }
     auto const for_earlier_process =
         sent.token < fencing_tokens::of(shard_ctx, worker);
     if (reply.status == worker_status::stale_token && for_earlier_process)
