--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -98,6 +98,19 @@
            && !reply.process_started_at;
 }
 
+/// Notes that an order which grants a lease has ended: a process that is not
+/// fenced may have carried it out just now.
+void note_late_lease(shard_context const& ctx, worker_state& worker,
+                     pending_worker_call const& sent, worker_status status)
+{
+    if (!worker.fenced && sent.lease_until && status != worker_status::not_sent
+        && status != worker_status::stale_token)
+    {
+        worker.runs_gone_at = std::max(
+            worker.runs_gone_at, ctx.now + workers::longest_lease(ctx.state));
+    }
+}
+
 /// Takes over the clock reading of a reply.
 void note_answer(shard_context& ctx, worker_state& worker,
                  worker_replied const& reply)
@@ -329,14 +342,7 @@
         }
     }
     auto const for_earlier_process = reply.call < worker.first_call;
-    if (for_earlier_process && !worker.fenced && sent.lease_until
-        && reply.status != worker_status::stale_token)
-    {
-        // The present process may have carried the order out just now.
-        worker.runs_gone_at =
-            std::max(worker.runs_gone_at,
-                     shard_ctx.now + workers::longest_lease(shard_ctx.state));
-    }
+    note_late_lease(shard_ctx, worker, sent, reply.status);
     if (!for_earlier_process)
     {
         if (shows_later_process(sent, reply))
