Raise tokens of other workers while one is being given away

Cause: no write was noted during a transfer of any worker, up to 6 s, and the write that a due token asks for is asked for once.

Change: all writes are noted; only the worker that is being given away gets no higher token meanwhile.

Test: fencing.no_token_rises_while_its_worker_is_given_away, in place of no_write_during_a_transfer_allows_higher_tokens: it names the worker and goes on after the transfer.

--- a/src/jaydrift/schedule/fencing_tokens.cpp
+++ b/src/jaydrift/schedule/fencing_tokens.cpp
@@ -20,8 +20,12 @@
     {
         return;
     }
+    // A worker that is being given away must not get a token above the revision
+    // of its assignment.
+    auto const& transfer = ctx.shard.transfer;
+    auto const given_away = transfer && transfer->worker == worker.entry.id;
     auto const next = of(ctx, worker) + 1;
-    if (next > ctx.shard.ownership.written_revision)
+    if (given_away || next > ctx.shard.ownership.written_revision)
     {
         if (!worker.token_due)
         {
@@ -55,13 +59,8 @@
 
 void note_write(shard_context& ctx, std::uint64_t revision)
 {
-    // A worker that is being given away must not get a token above the
-    // revision of its assignment.
-    if (!ctx.shard.transfer)
-    {
-        auto& written = ctx.shard.ownership.written_revision;
-        written = std::max(written, revision);
-    }
+    auto& written = ctx.shard.ownership.written_revision;
+    written = std::max(written, revision);
 }
 
 void tick(shard_context& ctx, worker_state& worker)
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -163,13 +163,21 @@
 }
 
 // Guards against a token above the revision of the assignment with which the
-// owner gives a worker away.
-TEST_F(fencing, no_write_during_a_transfer_allows_higher_tokens)
+// owner gives a worker away, and against a worker that gets no orders after a
+// transfer that came to nothing.
+TEST_F(fencing, no_token_rises_while_its_worker_is_given_away)
 {
     shard().transfer.emplace();
+    shard().transfer->worker = id;
     note_write(revision + 10);
     restart();
     EXPECT_TRUE(worker().token_due);
+    tick();
+    EXPECT_EQ(token(), revision);
+    shard().transfer.reset();
+    tick();
+    EXPECT_EQ(token(), revision + 1);
+    EXPECT_FALSE(worker().token_due);
 }
 
 // Guards against a process that is taken to be fenced by its reply to an order
