Judge a report by the token of its hold order, and no clock of a refusal

Cause: runs that a report does not list were compared with the present token of the worker, which an assignment may have raised since the hold order was sent. A reply of status 503 with a clock of 0 counted as one of a later process.

Change: the token of the hold order decides; a clock shows a later process only in a reply to an order that the worker has checked. A worker whose token is above those of all forgotten workers needs no higher one.

--- a/include/jaydrift/schedule/run_reports.hpp
+++ b/include/jaydrift/schedule/run_reports.hpp
@@ -1,10 +1,9 @@
 #ifndef JAYDRIFT_SCHEDULE_RUN_REPORTS_HPP
 #define JAYDRIFT_SCHEDULE_RUN_REPORTS_HPP
 
-#include <jaydrift/core/time_ms.hpp>
-
 namespace jaydrift::schedule {
 
+struct pending_worker_call;
 struct shard_context;
 struct worker_replied;
 struct worker_state;
@@ -12,9 +11,9 @@
 /// Applies the workers' lists of running and ended runs to the tasks.
 namespace run_reports {
 
-/// Handles the reply to a hold order that was sent at `sent`.
+/// Handles the reply to a hold order.
 void received(shard_context& ctx, worker_state& worker,
-              worker_replied const& reply, time_ms sent);
+              worker_replied const& reply, pending_worker_call const& hold);
 
 /// Handles the loss of all runs of the worker: their tasks wait again.
 void all_lost(shard_context& ctx, worker_state& worker);
--- a/src/jaydrift/schedule/fencing_tokens.cpp
+++ b/src/jaydrift/schedule/fencing_tokens.cpp
@@ -43,7 +43,7 @@
 void begin(shard_context& ctx, worker_state& worker)
 {
     auto const floor = ctx.shard.ownership.forgotten_token;
-    if (floor > 0)
+    if (floor > 0 && floor >= of(ctx, worker))
     {
         worker.token = floor;
         worker.lease_granted = true;
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -1,3 +1,4 @@
+#include <jaydrift/schedule/assignments.hpp>
 #include <jaydrift/schedule/fencing_tokens.hpp>
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
@@ -193,9 +194,9 @@
     EXPECT_TRUE(worker().fenced);
 }
 
-// Guards against an owner that steps down since a worker refuses an order that
-// was meant for an earlier process, and against one that stays although it is
-// shut out.
+// Guards against an owner that steps down because a worker refuses an order
+// that was meant for an earlier process, and against one that stays although it
+// is shut out.
 TEST_F(fencing, only_a_refusal_of_the_present_token_deposes_the_owner)
 {
     note_write(revision + 10);
@@ -382,6 +383,29 @@
     EXPECT_FALSE(run.stop_in_flight);
 }
 
+// Guards against a start that is given up by the reply to a hold order with a
+// lower token than its own, which another assignment of the worker has raised.
+TEST_F(fencing, a_reply_to_a_lower_token_drops_no_start)
+{
+    ASSERT_TRUE(worker().hold_in_flight);
+    {
+        auto ctx = context();
+        assignments::observe(ctx, {id, 0, revision}, revision + 5);
+    }
+    EXPECT_EQ(token(), revision + 5);
+    order_start();
+    answer_hold(time_ms(50010), entry_.process_started_at);
+    EXPECT_EQ(worker().runs.size(), 1U);
+}
+
+// Guards against a worker that is taken to have started again since something
+// else has answered for it.
+TEST_F(fencing, a_reply_of_an_unavailable_worker_shows_no_new_process)
+{
+    reply(order_stop(), worker_status::unavailable, time_ms(0));
+    EXPECT_TRUE(worker().fenced);
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
--- a/src/jaydrift/schedule/late_orders_test.cpp
+++ b/src/jaydrift/schedule/late_orders_test.cpp
@@ -135,9 +135,9 @@
     EXPECT_TRUE(started_everywhere());
 }
 
-// Guards against an owner that steps down since a worker refuses an order that
-// was meant for an earlier process.
-TEST_F(late_orders, a_refused_order_for_an_earlier_process_deposes_no_owner)
+// Guards against restarts of a worker under late orders that depose its owner,
+// or leave the worker without a token of its own.
+TEST_F(late_orders, each_restart_raises_the_token_of_the_same_owner)
 {
     start(704);
     submit();
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -362,21 +362,20 @@
 }
 
 /// Returns whether a run that is missing in a report has ended or will never
-/// start. That is proved by a report of a process that refuses the token of the
-/// start order, or by one asked for at `sent`, after the worker had confirmed
-/// the start or the stop.
-bool has_vanished(shard_context const& ctx, worker_state const& worker,
-                  run_state const& run, time_ms sent)
+/// start. That is proved by the reply to a hold order with a higher token than
+/// that of the start order, or to one that was sent after the worker had
+/// confirmed the start or the stop.
+bool has_vanished(run_state const& run, pending_worker_call const& hold)
 {
-    if (run.token < fencing_tokens::of(ctx, worker))
+    if (run.token < hold.token)
     {
         return true;
     }
     if (run.phase == run_phase::stopping)
     {
-        return run.stop_confirmed_at && *run.stop_confirmed_at < sent;
+        return run.stop_confirmed_at && *run.stop_confirmed_at < hold.sent_at;
     }
-    return run.confirmed_at && *run.confirmed_at < sent;
+    return run.confirmed_at && *run.confirmed_at < hold.sent_at;
 }
 
 /// Returns whether a run that is missing in a report with rows that cannot be
@@ -406,14 +405,15 @@
 /// Removes the runs that the worker no longer lists; their tasks wait again.
 /// The list is complete unless it had rows that cannot be read.
 void drop_missing(shard_context& ctx, worker_state& worker,
-                  std::set<run_id> const& listed, time_ms sent, bool complete)
+                  std::set<run_id> const& listed,
+                  pending_worker_call const& hold, bool complete)
 {
     std::vector<run_id> missing;
     for (auto const& [id, run] : worker.runs)
     {
         if (!listed.contains(id)
-            && (complete ? has_vanished(ctx, worker, run, sent)
-                         : has_stopped(ctx, run, sent)))
+            && (complete ? has_vanished(run, hold)
+                         : has_stopped(ctx, run, hold.sent_at)))
         {
             missing.push_back(id);
         }
@@ -535,7 +535,7 @@
 } // namespace
 
 void received(shard_context& ctx, worker_state& worker,
-              worker_replied const& reply, time_ms sent)
+              worker_replied const& reply, pending_worker_call const& hold)
 {
     worker.serving_images_valid = false;
     worker.pace_raised = false;
@@ -557,7 +557,7 @@
     note_more_ends(ctx, worker, reply);
     if (!reply.more_ends)
     {
-        drop_missing(ctx, worker, listed, sent, reply.unreadable_runs == 0);
+        drop_missing(ctx, worker, listed, hold, reply.unreadable_runs == 0);
     }
     stop_hanging(ctx, worker, listed);
     pacing::reported(ctx, worker);
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -88,14 +88,32 @@
     }
 }
 
+/// Returns whether the worker has checked the order and answered it.
+bool was_checked(worker_status status)
+{
+    switch (status)
+    {
+    case worker_status::ok:
+    case worker_status::old_run:
+    case worker_status::expired:
+    case worker_status::no_room:
+    case worker_status::no_advice_ticket:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /// Returns whether a reply is from a later process than the one that the order
 /// was meant for: its clock has started again. A reply from the same process is
 /// never behind a reading from before the order, also if others overtake it.
+/// Another program on the way may answer for a worker, but not as if the order
+/// had been checked.
 bool shows_later_process(pending_worker_call const& sent,
                          worker_replied const& reply)
 {
-    return sent.clock && reply.clock && *reply.clock < *sent.clock
-           && !reply.process_started_at;
+    return was_checked(reply.status) && !reply.process_started_at && sent.clock
+           && reply.clock && *reply.clock < *sent.clock;
 }
 
 /// Notes that an order which grants a lease has ended: a process that is not
@@ -161,7 +179,7 @@
     }
     worker.process_confirmed = true;
     note_answer(ctx, worker, reply);
-    if (!worker.fenced)
+    if (!worker.fenced && sent.token == fencing_tokens::of(ctx, worker))
     {
         worker.fenced = true;
         // An earlier owner may have granted a lease of the longest length just
@@ -169,7 +187,7 @@
         worker.lease_until = *worker.clock + ctx.state.options.max_lease;
         ctx.shard.placement_due = true;
     }
-    run_reports::received(ctx, worker, reply, sent.sent_at);
+    run_reports::received(ctx, worker, reply, sent);
     worker.unaccounted = worker.unaccounted && worker.more_ends;
     if (!worker.pending_ends.empty() || reply.unreadable_ends > 0)
     {
