--- a/include/jaydrift/soak/options.hpp
+++ b/include/jaydrift/soak/options.hpp
@@ -23,6 +23,9 @@
     /// Most odd entries that another writer leaves in the store at a time.
     std::size_t odd_entries = 12;
 
+    /// Number of short tasks that callers submit before the store falls silent.
+    std::size_t short_tasks = 0;
+
     /// Length of the phase in which faults begin.
     time_ms length{12000};
 
--- a/include/jaydrift/soak/oracle.hpp
+++ b/include/jaydrift/soak/oracle.hpp
@@ -50,6 +50,11 @@
     /// Returns when the submission was first accepted, if it was.
     std::optional<time_ms> accepted_at(std::string const& id) const;
 
+    /// Sets whether a task of the submission that is done must not start again
+    /// even if its end was not acknowledged. That holds while no worker can
+    /// lose ends.
+    void forbid_restarts(std::string const& id, bool forbidden);
+
     /// A worker has started a run of a task.
     void started(std::string const& task, std::uint64_t run,
                  std::string const& worker, std::string const& payload,
@@ -114,6 +119,7 @@
         bool refused = false;
         bool ended = false;
         bool started = false;
+        bool restarts_forbidden = false;
         time_ms last_start;
         bool cancel_sent = false;
         std::optional<time_ms> cancelled_at;
--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -109,6 +109,9 @@
     std::optional<time_ms> store_returned_at;
     random_source silent_store_random;
 
+    /// Submissions of `short_tasks`.
+    std::vector<std::string> short_submissions;
+
     /// Share of the writes to the store whose answer is lost, and of the orders
     /// to workers that are carried out late and not answered; both are 0 again
     /// after `message_faults_until`.
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -72,6 +72,8 @@
 
     resources const& capacity() const { return capacity_; }
 
+    std::size_t unacknowledged_ends() const { return ended_.size(); }
+
     /// Capacity that the runs need; opportunistic ones need only memory.
     resources used() const;
 
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -113,6 +113,10 @@
         reader.number("odd-entries", options.odd_entries, std::size_t{0},
                       std::size_t{1000}, "",
                       "Most odd entries of another writer in the store.");
+        reader.number("short-tasks", options.short_tasks, std::size_t{0},
+                      std::size_t{20000}, "",
+                      "Number of short tasks that end while the store is "
+                      "silent.");
         reader.duration("length", options.length, time_ms(1000),
                         time_ms(600000),
                         "Length of the phase in which faults begin.");
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -398,6 +398,22 @@
     }
 }
 
+std::string submit_short_tasks(soak_state& state, std::uint32_t count,
+                               time_ms now, effect_list& effects)
+{
+    auto id = submission_id(state.next_submission++);
+    step_plan step;
+    step.count = count;
+    step.demand = {20, 20, 0};
+    step.run_time = time_ms(1000);
+    submission_plan plan;
+    plan.payload = "payload of " + id;
+    plan.steps.push_back(std::move(step));
+    state.oracle.planned(id, std::move(plan));
+    send_new(state, open_call::purpose_kind::submit, id, now, effects);
+    return id;
+}
+
 void query_all(soak_state& state, time_ms now, effect_list& effects)
 {
     auto open = state.oracle.unfinished_submissions();
--- a/src/jaydrift/soak/callers.hpp
+++ b/src/jaydrift/soak/callers.hpp
@@ -4,6 +4,9 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/soak/effect.hpp>
 
+#include <cstdint>
+#include <string>
+
 namespace jaydrift::soak {
 
 struct call_ended;
@@ -27,6 +30,10 @@
 /// Submits opportunistic work, as much as there are workers.
 void submit_opportunistic(soak_state& state, time_ms now, effect_list& effects);
 
+/// Submits one step of small tasks of a second each. Returns its ID.
+std::string submit_short_tasks(soak_state& state, std::uint32_t count,
+                               time_ms now, effect_list& effects);
+
 /// Queries the state of each accepted submission that has not ended.
 void query_all(soak_state& state, time_ms now, effect_list& effects);
 
--- a/src/jaydrift/soak/oracle.cpp
+++ b/src/jaydrift/soak/oracle.cpp
@@ -70,6 +70,11 @@
     }
 }
 
+void oracle::forbid_restarts(std::string const& id, bool forbidden)
+{
+    submissions_.at(id).restarts_forbidden = forbidden;
+}
+
 void oracle::cancel_sent(std::string const& id)
 {
     submissions_.at(id).cancel_sent = true;
@@ -143,6 +148,10 @@
     {
         add_violation(task + " started again after its end was acknowledged");
     }
+    if (record.done && submission.restarts_forbidden)
+    {
+        add_violation(task + " started again after it was done");
+    }
     for (auto const earlier : step.after)
     {
         if (!step_done(submission, name.submission, earlier))
--- a/src/jaydrift/soak/oracle_test.cpp
+++ b/src/jaydrift/soak/oracle_test.cpp
@@ -58,6 +58,32 @@
     EXPECT_EQ(oracle.violations().size(), 1U);
 }
 
+// Guards against a fault that goes unnoticed: a task that starts again while
+// its worker still has its end, which is acknowledged only later.
+TEST(oracle, finds_a_start_before_the_end_was_acknowledged)
+{
+    auto oracle = with_two_steps();
+    oracle.forbid_restarts(id, true);
+    oracle.started(first_task, 1, "w", "work", time_ms(1));
+    oracle.ended(first_task, 1, false);
+    oracle.started(first_task, 2, "w", "work", time_ms(2));
+    EXPECT_TRUE(oracle.violations().empty());
+    oracle.ended(first_task, 2, true);
+    oracle.started(first_task, 3, "v", "work", time_ms(3));
+    EXPECT_EQ(oracle.violations().size(), 1U);
+}
+
+TEST(oracle, allows_a_start_after_the_end_was_lost)
+{
+    auto oracle = with_two_steps();
+    oracle.forbid_restarts(id, true);
+    oracle.started(first_task, 1, "w", "work", time_ms(1));
+    oracle.ended(first_task, 1, true);
+    oracle.forbid_restarts(id, false);
+    oracle.started(first_task, 2, "v", "work", time_ms(2));
+    EXPECT_TRUE(oracle.violations().empty());
+}
+
 // Guards against a step that counts as waiting before its turn or after its
 // end.
 TEST(oracle, names_the_step_whose_turn_has_come)
--- a/src/jaydrift/soak/silent_store.cpp
+++ b/src/jaydrift/soak/silent_store.cpp
@@ -4,6 +4,7 @@
 #include "fault_helpers.hpp"
 #include "faults.hpp"
 #include "scale_in.hpp"
+#include "short_tasks.hpp"
 
 #include <jaydrift/soak/soak_state.hpp>
 
@@ -18,6 +19,9 @@
 constexpr time_ms calm_time{4000};
 constexpr time_ms check_time{7000};
 
+/// Time for the submissions of short tasks to be accepted.
+constexpr time_ms acceptance_time{1200};
+
 constexpr std::int64_t min_silence_ms = 2000;
 constexpr std::int64_t max_silence_ms = 12000;
 
@@ -41,6 +45,7 @@
 
 void return_to_service(soak_state& state, time_ms now, effect_list& effects)
 {
+    short_tasks::report_ends(state, now, effects);
     state.store_silent_until.reset();
     state.disturbed_at = now;
     state.store_returned_at = now;
@@ -54,6 +59,10 @@
 
 bool run(soak_state& state, time_ms now, effect_list& effects)
 {
+    if (now - state.phase_since >= calm_time - acceptance_time)
+    {
+        short_tasks::submit(state, now, effects);
+    }
     if (!state.store_returned_at && !state.store_silent_until
         && now - state.phase_since >= calm_time)
     {
@@ -67,6 +76,10 @@
     {
         return false;
     }
+    if (now - *state.store_returned_at >= serving_time)
+    {
+        short_tasks::allow_restarts(state);
+    }
     if (now >= state.next_check)
     {
         state.next_check = now + probe_interval;
