Measure how long lists of ends take to empty after a silent store

scripts/bench.sh ends runs the owner of one shard on the virtual clock through a silence of the store of 4.5 and 20 s at 570 starts a second and prints how long lists are cut off, room is held and lists are not empty. scripts/bench.sh platform prints the cost of a hold at 1,100 workers too.

--- a/bench/scheduler.cpp
+++ b/bench/scheduler.cpp
@@ -610,7 +610,7 @@
 int main()
 {
     std::cout << "submission_codec: " << codec_us() << " us\n";
-    for (std::size_t const workers : {48U, 350U, 700U})
+    for (std::size_t const workers : {48U, 350U, 700U, 1100U})
     {
         auto const suffix = "_" + std::to_string(workers) + "_workers: ";
         owner_bench quiet(workers);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -2,6 +2,8 @@
 # Prints measured figures as `name: value unit`.
 #   bench.sh capacity   cost of each daemon at several numbers of workers
 #   bench.sh platform   processor time of the scheduler's decisions
+#   bench.sh ends       time until workers' lists of ends are empty after a
+#                       silence of the store, on the virtual clock
 #   bench.sh recovery   time from a fault until every shard is served again, on
 #                       the virtual clock
 set -uo pipefail
@@ -86,8 +88,9 @@
     trap end_deployment EXIT
     capacity ;;
   recovery) exec "$build/bench_recovery" ;;
+  ends) exec "$build/bench_ends" ;;
   platform) exec "$build/bench_scheduler" ;;
   *)
-    echo "usage: bench.sh capacity|platform|recovery" >&2
+    echo "usage: bench.sh capacity|ends|platform|recovery" >&2
     exit 2 ;;
 esac
