Test cut-off lists of ends after a cut and after a suspension

The rule on what a report proves had tests for an outage, a new owner and workers that are gone, but not for a worker that was out of reach for a while, nor for an owner that was suspended for longer than the leases.

--- a/src/jaydrift/schedule/listed_ends_test.cpp
+++ b/src/jaydrift/schedule/listed_ends_test.cpp
@@ -3,6 +3,7 @@
 #include "sample_work_test.hpp"
 
 #include <jaydrift/core/random.hpp>
+#include <jaydrift/schedule/daemon_state.hpp>
 #include <jaydrift/schedule/submission_state.hpp>
 
 #include <gtest/gtest.h>
@@ -145,6 +146,46 @@
     EXPECT_TRUE(deployment.all_completed());
 }
 
+// Guards against tasks that start again since their worker, when it answers
+// again, lists only the first ends of the time in which it was out of reach.
+TEST(listed_ends, a_worker_that_answers_again_may_have_more_ends)
+{
+    for (std::uint64_t seed = 640; seed < 650; ++seed)
+    {
+        cut_off_lists deployment(seed);
+        deployment.worker(0).reachable = false;
+        deployment.run_until(deployment.now() + time_ms(2000));
+        deployment.worker(0).reachable = true;
+        deployment.run_until(deployment.now() + time_ms(2500));
+        deployment.end_outage();
+        deployment.run_until(deployment.now() + time_ms(8000));
+        EXPECT_EQ(deployment.most_starts(), 1U) << seed;
+        EXPECT_TRUE(deployment.all_completed()) << seed;
+    }
+}
+
+// Guards against tasks that an owner starts again after a suspension longer
+// than the leases, since the first reply of a worker lists only some ends.
+TEST(listed_ends, a_suspended_owner_waits_for_the_ends_that_are_not_listed_yet)
+{
+    for (std::uint64_t seed = 650; seed < 660; ++seed)
+    {
+        cut_off_lists deployment(seed);
+        auto const owner = deployment.owner();
+        ASSERT_TRUE(owner);
+        deployment.kill((*owner + 1) % daemons);
+        deployment.run_until(deployment.now() + time_ms(4000));
+        EXPECT_EQ(deployment.daemon(*owner).shards[0].ownership.role,
+                  owner_role::suspended)
+            << seed;
+        deployment.run_until(deployment.now() + time_ms(6000));
+        deployment.end_outage();
+        deployment.run_until(deployment.now() + time_ms(10000));
+        EXPECT_EQ(deployment.most_starts(), 1U) << seed;
+        EXPECT_TRUE(deployment.all_completed()) << seed;
+    }
+}
+
 namespace {
 
 /// Runs work under random faults on workers that list few ends. Returns the
