--- a/include/jaydrift/soak/options.hpp
+++ b/include/jaydrift/soak/options.hpp
@@ -26,6 +26,9 @@
     /// Length of the phase in which faults begin.
     time_ms length{12000};
 
+    /// Longest lease of a worker, also the daemons' bound maxHoldMs.
+    time_ms max_lease{6000};
+
     /// Path of the daemon's program.
     std::string program;
 
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -25,8 +25,10 @@
 class task_worker
 {
 public:
+    /// `max_lease` is the longest lease that an order can grant from the time
+    /// at which it is carried out.
     task_worker(std::string id, std::string address, std::string zone,
-                std::uint64_t seed);
+                time_ms max_lease, std::uint64_t seed);
 
     /// Carries out an order of a daemon and returns the answer.
     ///
@@ -121,6 +123,7 @@
     std::string id_;
     std::string address_;
     std::string zone_;
+    time_ms max_lease_;
     random_source random_;
 
     /// Millicores, MB of memory, accelerators.
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -116,6 +116,9 @@
         reader.duration("length", options.length, time_ms(1000),
                         time_ms(600000),
                         "Length of the phase in which faults begin.");
+        reader.duration("max-lease", options.max_lease, time_ms(1000),
+                        time_ms(60000),
+                        "Longest lease that a worker takes from an order.");
         reader.text("program", options.program,
                     "Path of the jaydrift-scheduler program.");
         reader.text("folder", options.folder,
--- a/src/jaydrift/soak/daemon_processes.cpp
+++ b/src/jaydrift/soak/daemon_processes.cpp
@@ -19,10 +19,8 @@
 
 namespace {
 
-/// Bounds in the settings file: the longest lease of a worker (maxHoldMs), the
-/// time to stop after SIGTERM (graceS) and how long the state of an ended
-/// submission is kept (status_s).
-constexpr int max_lease_ms = 6000;
+/// Bounds in the settings file: the time to stop after SIGTERM (graceS) and how
+/// long the state of an ended submission is kept (status_s).
 constexpr int stop_grace_s = 6;
 constexpr int status_retention_s = 120;
 
@@ -83,7 +81,7 @@
     out.EndObject();
     codec::put_key(out, "bounds");
     out.StartObject();
-    codec::put_field(out, "maxHoldMs", max_lease_ms);
+    codec::put_field(out, "maxHoldMs", settings_.max_lease.count());
     codec::put_field(out, "graceS", stop_grace_s);
     codec::put_field(out, "status_s", status_retention_s);
     out.EndObject();
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -271,6 +271,7 @@
     {
         state.workers.emplace_back("i-" + std::to_string(i),
                                    worker_addresses[i], i % 2 == 0 ? "a" : "b",
+                                   state.settings.max_lease,
                                    state.random.next());
         if (i == soak_state::rare_worker && state.settings.shards > 1)
         {
--- a/src/jaydrift/soak/simulated_platform_test.cpp
+++ b/src/jaydrift/soak/simulated_platform_test.cpp
@@ -204,7 +204,7 @@
     submission_plan plan;
     plan.steps.resize(1);
     oracle.planned("0000000000000001", plan);
-    task_worker worker("i-0", "127.0.0.1:1", "a", 1);
+    task_worker worker("i-0", "127.0.0.1:1", "a", time_ms(6000), 1);
     auto const start = [&](int run, int token) {
         return worker
             .handle(order("/api/run-start",
--- a/src/jaydrift/soak/task_worker.cpp
+++ b/src/jaydrift/soak/task_worker.cpp
@@ -12,10 +12,6 @@
 
 using codec::json_writer;
 
-/// Longest lease that an order can grant from now; the daemons have it as the
-/// setting maxHoldMs.
-constexpr time_ms max_lease{6000};
-
 /// Ends in one reply to a hold; later ones follow when these are acknowledged.
 constexpr std::size_t max_listed_ends = 500;
 
@@ -25,9 +21,9 @@
 } // namespace
 
 task_worker::task_worker(std::string id, std::string address, std::string zone,
-                         std::uint64_t seed)
+                         time_ms max_lease, std::uint64_t seed)
     : id_(std::move(id)), address_(std::move(address)), zone_(std::move(zone)),
-      random_(seed), process_started_at_(time_ms(1)),
+      max_lease_(max_lease), random_(seed), process_started_at_(time_ms(1)),
       heartbeat_interval_(
           min_heartbeat_interval
           + time_ms(static_cast<std::int64_t>(seed % heartbeat_jitter_ms)))
@@ -82,7 +78,7 @@
     token_ = token;
     auto const lease = codec::milliseconds(body, "deadlineMs");
     lease_until_ =
-        std::max(lease_until_, std::min(lease, clock(now) + max_lease));
+        std::max(lease_until_, std::min(lease, clock(now) + max_lease_));
     if (order.target == "/api/run-start")
     {
         return start(order, oracle, now);
