Reproduce late orders of an earlier process in the soak

Nothing of ours showed it: the soak lost orders in transit with the process of their worker, held no order back for longer than 5 s, and cut off no worker soon after it had started again.

--late-orders runs a phase of its own instead of the other faults: the workers of a zone crash, start again under their IDs within a second and are cut off 2 to 3 s later for 9 to 11 s, while tasks of 12 to 18 s run. A fifth of the orders is left without a reply and carried out 2 to 12 s later by the process that then has the worker's ID. Rounds may overlap, and one in three kills the owner of a shard. The phase draws from sources of its own. The oracle is as before.

The workers reported 1% for all but the last second of a task, so that owners stopped long tasks as stuck. The progress of a task of more than a second is now by its length.

Submissions are not cancelled in this phase: a start that is carried out late may follow a cancel by more than the limit.

--- a/include/jaydrift/soak/key_value_store.hpp
+++ b/include/jaydrift/soak/key_value_store.hpp
@@ -25,6 +25,8 @@
     /// @throws codec::codec_error if a transaction is malformed.
     std::optional<http::response> handle(http::request const& message);
 
+    /// Returns the value of an item; empty if there is none.
+    std::string_view value(std::string_view key) const;
     void put(std::string const& key, std::string const& value);
     void remove(std::string const& key);
 
--- a/include/jaydrift/soak/open_request.hpp
+++ b/include/jaydrift/soak/open_request.hpp
@@ -25,6 +25,10 @@
 
     /// The answer is dropped, as if the network had lost it.
     bool unanswered = false;
+
+    /// Carried out by the process that has the worker's ID then, if any, and
+    /// not lost with the present one.
+    bool outlives_process = false;
 };
 
 } // namespace jaydrift::soak
--- a/include/jaydrift/soak/options.hpp
+++ b/include/jaydrift/soak/options.hpp
@@ -29,6 +29,9 @@
     /// Longest lease of a worker, also the daemons' bound maxHoldMs.
     time_ms max_lease{6000};
 
+    /// Runs the phase `late_orders` instead of the other faults.
+    bool late_orders = false;
+
     /// Path of the daemon's program.
     std::string program;
 
--- a/include/jaydrift/soak/soak_state.hpp
+++ b/include/jaydrift/soak/soak_state.hpp
@@ -5,6 +5,7 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/soak/daemon_view.hpp>
 #include <jaydrift/soak/key_value_store.hpp>
+#include <jaydrift/soak/late_order_state.hpp>
 #include <jaydrift/soak/link_id.hpp>
 #include <jaydrift/soak/open_call.hpp>
 #include <jaydrift/soak/open_request.hpp>
@@ -32,19 +33,23 @@
     std::vector<daemon_view> daemons;
     soak::oracle oracle;
 
-    /// Phases of a run. In `silent_store` the faults are over except for a
-    /// store that falls silent and returns. In `large_configuration` there are
-    /// none, but the configuration is large and changes often, over a link that
-    /// half of the daemons share. In `scaling_in` the faults are over
-    /// except for slow links to the store, and workers drain and leave. In
-    /// `recovery` accepted work must end. In `serving` all workers get serving
-    /// tasks, which report high tail latencies, and in `filling` opportunistic
-    /// work comes beside them, which must end as well. In `cancelling` the
-    /// long-running submissions are cancelled, which must be confirmed. In
-    /// `stopping_tasks` all cancelled tasks must stop.
+    /// Phases of a run. In `late_orders`, which replaces the phases from
+    /// `faults` to `scaling_in`, workers start again and are cut off while
+    /// orders are carried out late. In `silent_store` the faults are over
+    /// except for a store that falls silent and returns. In
+    /// `large_configuration` there are none, but the configuration is large and
+    /// changes often, over a link that half of the daemons share. In
+    /// `scaling_in` the faults are over except for slow links to the store, and
+    /// workers drain and leave. In `recovery` accepted work must end. In
+    /// `serving` all workers get serving tasks, which report high tail
+    /// latencies, and in `filling` opportunistic work comes beside them, which
+    /// must end as well. In `cancelling` the long-running submissions are
+    /// cancelled, which must be confirmed. In `stopping_tasks` all cancelled
+    /// tasks must stop.
     enum class phase : std::uint8_t
     {
         starting,
+        late_orders,
         faults,
         silent_store,
         large_configuration,
@@ -95,6 +100,9 @@
     random_source scale_in_random;
     time_ms next_scale_in;
 
+    /// Only `late_orders` reads it.
+    late_order_state late_orders;
+
     /// Kind of the last fault, and how many more of this kind follow it in
     /// quick succession.
     std::uint64_t fault_kind = 0;
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -82,6 +82,7 @@
     {
         std::uint64_t number = 0;
         resources demand;
+        time_ms run_time;
         time_ms done_at;
         time_ms latency_target;
         bool long_running = false;
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -119,6 +119,9 @@
         reader.duration("max-lease", options.max_lease, time_ms(1000),
                         time_ms(60000),
                         "Longest lease that a worker takes from an order.");
+        reader.toggle("late-orders", options.late_orders,
+                      "Replaces the other faults with workers that start again "
+                      "and are cut off while orders are carried out late.");
         reader.text("program", options.program,
                     "Path of the jaydrift-scheduler program.");
         reader.text("folder", options.folder,
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -359,7 +359,9 @@
     submit(state, random_kind(state), now, effects);
     send_new(state, purpose_kind::show, random_submission(state), now, effects);
     constexpr std::uint64_t cancel_one_in = 20;
-    if (state.random.below(cancel_one_in) == 0)
+    // A start that is carried out late may follow a cancel.
+    if (state.current_phase != soak_state::phase::late_orders
+        && state.random.below(cancel_one_in) == 0)
     {
         send_new(state, purpose_kind::cancel, random_submission(state), now,
                  effects);
@@ -381,6 +383,21 @@
     }
 }
 
+void submit_tasks(soak_state& state, std::uint32_t count, time_ms run_time,
+                  time_ms now, effect_list& effects)
+{
+    auto const id = submission_id(state.next_submission++);
+    step_plan step;
+    step.count = count;
+    step.demand = {500, 500, 0};
+    step.run_time = run_time;
+    submission_plan plan;
+    plan.payload = "payload of " + id;
+    plan.steps.push_back(std::move(step));
+    state.oracle.planned(id, std::move(plan));
+    send_new(state, open_call::purpose_kind::submit, id, now, effects);
+}
+
 void submit_serving(soak_state& state, time_ms now, effect_list& effects)
 {
     for (std::size_t i = 0; i < std::min(2 * state.workers.size(), max_burst);
--- a/src/jaydrift/soak/callers.hpp
+++ b/src/jaydrift/soak/callers.hpp
@@ -4,6 +4,8 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/soak/effect.hpp>
 
+#include <cstdint>
+
 namespace jaydrift::soak {
 
 struct call_ended;
@@ -20,6 +22,10 @@
 /// the daemon knows that the queue was added or removed.
 void probe_extra_queue(soak_state& state, time_ms now, effect_list& effects);
 
+/// Submits one step of small tasks.
+void submit_tasks(soak_state& state, std::uint32_t count, time_ms run_time,
+                  time_ms now, effect_list& effects);
+
 /// Submits enough small serving tasks for each of a few dozen workers to get
 /// one.
 void submit_serving(soak_state& state, time_ms now, effect_list& effects);
--- a/src/jaydrift/soak/faults.cpp
+++ b/src/jaydrift/soak/faults.cpp
@@ -41,17 +41,6 @@
     return state.random.below(state.workers.size());
 }
 
-void kill(soak_state& state, std::size_t number, effect_list& effects)
-{
-    auto& daemon = state.daemons[number];
-    if (daemon.running)
-    {
-        daemon.disturbed = true;
-        daemon.killed = true;
-        effects.push_back(signal_process{number, SIGKILL});
-    }
-}
-
 void terminate(soak_state& state, std::size_t number, time_ms now,
                effect_list& effects)
 {
@@ -286,6 +275,17 @@
 
 } // namespace
 
+void kill(soak_state& state, std::size_t number, effect_list& effects)
+{
+    auto& daemon = state.daemons[number];
+    if (daemon.running)
+    {
+        daemon.disturbed = true;
+        daemon.killed = true;
+        effects.push_back(signal_process{number, SIGKILL});
+    }
+}
+
 void begin(soak_state& state, time_ms now, effect_list& effects)
 {
     if (now < state.next_fault)
--- a/src/jaydrift/soak/faults.hpp
+++ b/src/jaydrift/soak/faults.hpp
@@ -4,6 +4,8 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/soak/effect.hpp>
 
+#include <cstddef>
+
 namespace jaydrift::soak {
 
 struct soak_state;
@@ -19,6 +21,9 @@
 /// "extra".
 void change_configuration(soak_state& state, time_ms now, effect_list& effects);
 
+/// Sends SIGKILL to a daemon that runs.
+void kill(soak_state& state, std::size_t daemon, effect_list& effects);
+
 /// Lets serving tasks report tail latencies near their targets, whatever runs
 /// beside them.
 void raise_tails(soak_state& state, time_ms until, time_ms now,
--- a/src/jaydrift/soak/key_value_store.cpp
+++ b/src/jaydrift/soak/key_value_store.cpp
@@ -299,6 +299,12 @@
     }
 }
 
+std::string_view key_value_store::value(std::string_view key) const
+{
+    auto const found = items_.find(key);
+    return found == items_.end() ? std::string_view{} : found->second.value;
+}
+
 void key_value_store::put(std::string const& key, std::string const& value)
 {
     ++revision_;
--- a/src/jaydrift/soak/reduce.cpp
+++ b/src/jaydrift/soak/reduce.cpp
@@ -3,6 +3,7 @@
 #include "callers.hpp"
 #include "faults.hpp"
 #include "large_configuration.hpp"
+#include "late_orders.hpp"
 #include "other_writer.hpp"
 #include "scale_in.hpp"
 #include "silent_store.hpp"
@@ -155,7 +156,17 @@
         if (now - state.phase_since >= warm_up)
         {
             state.next_fault = now;
-            enter(state, soak_state::phase::faults, now);
+            enter(state,
+                  state.settings.late_orders ? soak_state::phase::late_orders
+                                             : soak_state::phase::faults,
+                  now);
+        }
+        return;
+    case soak_state::phase::late_orders:
+        if (late_orders::run(state, now, effects))
+        {
+            faults::end_all(state, now, effects);
+            enter(state, soak_state::phase::recovery, now);
         }
         return;
     case soak_state::phase::faults:
@@ -259,6 +270,8 @@
     state.other_writer_random = random_source(~state.settings.seed);
     state.scale_in_random = random_source(state.settings.seed + 1);
     state.silent_store_random = random_source(~(state.settings.seed + 1));
+    state.late_orders.random = random_source(state.settings.seed + 2);
+    state.late_orders.order_random = random_source(~(state.settings.seed + 2));
     state.phase_since = now;
     state.next_tick = now;
     state.disturbed_at = now;
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -1,5 +1,6 @@
 #include "simulated_platform.hpp"
 
+#include "late_orders.hpp"
 #include "scale_in.hpp"
 
 #include <jaydrift/codec/base64.hpp>
@@ -119,6 +120,11 @@
         return;
     }
     auto const& order = input.message;
+    if (auto const due = late_orders::due_time(state, now))
+    {
+        state.requests.push_back({0, number, order, *due, true, true});
+        return;
+    }
     auto const is_hold = order.target == "/api/hold";
     if (!is_hold && state.random.below(100) < state.late_order_percent)
     {
@@ -153,8 +159,8 @@
 }
 
 /// Answers a watch or hold if it is due or has something to report, and carries
-/// out a late write or order, without an answer, if it is due. Returns false if
-/// the request still waits.
+/// out a late write or order, without an answer, if it is due. An order to a
+/// worker that is down is lost. Returns false if the request still waits.
 bool try_answer(soak_state& state, open_request const& waiting, time_ms now,
                 effect_list& effects)
 {
@@ -166,6 +172,10 @@
         {
             return false;
         }
+        if (!worker.up())
+        {
+            return true;
+        }
         auto reply = handle_order(state, *waiting.worker, waiting.message,
                                   waiting.unanswered, now);
         if (!waiting.unanswered)
@@ -267,9 +277,9 @@
         return;
     }
     state.workers[worker].crash(state.oracle);
-    // Orders in transit and waiting holds are lost with the process.
+    // Waiting holds are lost with the process, as are most orders in transit.
     std::erase_if(state.requests, [worker](open_request const& each) {
-        return each.worker == worker;
+        return each.worker == worker && !each.outlives_process;
     });
     state.worker_restarts[worker] = until;
 }
--- a/src/jaydrift/soak/task_worker.cpp
+++ b/src/jaydrift/soak/task_worker.cpp
@@ -138,6 +138,7 @@
         added.opportunistic = step.opportunistic;
         added.latency_target = step.latency_target;
         added.long_running = step.long_running;
+        added.run_time = step.run_time;
         added.done_at = now + step.run_time;
     }
     added.fails = random_.below(100) < failing_percent;
@@ -178,9 +179,13 @@
     for (auto const& [task, each] : runs_)
     {
         // A long-running task reports 100 while it works. For others the
-        // progress is 99 less 1 per 10 ms left, at least 1.
+        // progress is 99 less 1 per 10 ms left, or per 1% of the work if that
+        // is longer, and at least 1.
         constexpr std::int64_t long_running_percent = 100;
+        constexpr std::int64_t min_step_ms = 10;
         auto const left = (each.done_at - now).count();
+        auto const step =
+            std::max(min_step_ms, each.run_time.count() / long_running_percent);
         out.StartArray();
         codec::put(out, task);
         out.Uint64(each.number);
@@ -188,7 +193,7 @@
         out.Int64(each.long_running
                       ? long_running_percent
                       : long_running_percent - 1
-                            - std::clamp<std::int64_t>(left / 10, 0, 98));
+                            - std::clamp<std::int64_t>(left / step, 0, 98));
         out.Int64(load(each));
         out.EndArray();
     }
