Give concurrent soak runs of different sizes different ports

Runs with 6 and with 9 daemons at the same time took overlapping ranges of ports, since the ranges began at multiples of their own size. Daemons then exited with "bind: Address already in use", and callers reached those of the other run. All ranges have the size for the most daemons now.

--- a/include/jaydrift/soak/options.hpp
+++ b/include/jaydrift/soak/options.hpp
@@ -9,6 +9,9 @@
 
 namespace jaydrift::soak {
 
+/// Limit of `options::daemons`.
+inline constexpr std::size_t max_daemons = 100;
+
 /// Settings of a run.
 struct options
 {
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -104,7 +104,7 @@
                       std::uint64_t{1} << 62U, "",
                       "Seed of the random faults and requests.");
         reader.number("daemons", options.daemons, std::size_t{1},
-                      std::size_t{100}, "", "Number of daemons to start.");
+                      soak::max_daemons, "", "Number of daemons to start.");
         reader.number("workers", options.workers, std::size_t{1},
                       std::size_t{400}, "", "Number of workers to simulate.");
         reader.number("shards", options.shards, std::uint32_t{0},
--- a/src/jaydrift/soak/traffic_thread.cpp
+++ b/src/jaydrift/soak/traffic_thread.cpp
@@ -37,18 +37,21 @@
 constexpr unsigned first_port = 10000;
 constexpr unsigned last_port = 32000;
 
+/// Ranges have the same size whatever the number of daemons, so that those of
+/// different runs do not overlap.
+constexpr unsigned range_size = max_daemons * ports_of_daemon + 1;
+
 /// A range of loopback ports for the daemons. The port below the range is kept
 /// open as long as the object lives, so that concurrent runs take different
 /// ranges.
 class port_range
 {
 public:
-    port_range(boost::asio::io_context& context, std::size_t count)
-        : guard_(context)
+    explicit port_range(boost::asio::io_context& context) : guard_(context)
     {
         guard_.open(tcp::v4());
-        auto const size = static_cast<unsigned>(count) + 1;
-        for (auto port = first_port; port + size < last_port; port += size)
+        for (auto port = first_port; port + range_size < last_port;
+             port += range_size)
         {
             boost::system::error_code fault;
             first_ = static_cast<unsigned short>(port + 1);
@@ -86,7 +89,7 @@
 public:
     impl(options const& settings, process::event_queue<event>& events)
         : events_(events), client_(context_), child_signals_(context_, SIGCHLD),
-          ports_(context_, settings.daemons * ports_of_daemon)
+          ports_(context_)
     {
         store_.emplace(context_, any_port, handler_for(std::nullopt));
         for (std::size_t i = 0; i < settings.workers; ++i)
