Name the late orders that later processes of workers carry out in the soak

The soak prints each late order that a later process carries out, with the highest token that it had seen.

--- a/include/jaydrift/soak/open_request.hpp
+++ b/include/jaydrift/soak/open_request.hpp
@@ -26,9 +26,10 @@
     /// The answer is dropped, as if the network had lost it.
     bool unanswered = false;
 
-    /// Carried out by the process that has the worker's ID then, if any, and
-    /// not lost with the present one.
-    bool outlives_process = false;
+    /// Set for an order that is carried out by the process that has the
+    /// worker's ID then, if any: when the process that it was meant for
+    /// started.
+    std::optional<time_ms> process_started_at;
 };
 
 } // namespace jaydrift::soak
--- a/include/jaydrift/soak/options.hpp
+++ b/include/jaydrift/soak/options.hpp
@@ -35,6 +35,9 @@
     /// Runs the phase `late_orders` instead of the other faults.
     bool late_orders = false;
 
+    /// Of the orders, only holds are late in that phase.
+    bool late_holds_only = false;
+
     /// Path of the daemon's program.
     std::string program;
 
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -50,6 +50,10 @@
     bool up() const { return up_; }
     std::string const& id() const { return id_; }
     std::string const& zone() const { return zone_; }
+    time_ms process_started_at() const { return process_started_at_; }
+
+    /// Highest fencing token that the process has seen; 0 if none.
+    std::uint64_t token() const { return token_; }
 
     /// The record that the worker publishes in the store, as JSON.
     std::string record() const;
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -122,6 +122,8 @@
         reader.toggle("late-orders", options.late_orders,
                       "Replaces the other faults with workers that start again "
                       "and are cut off while orders are carried out late.");
+        reader.toggle("late-holds-only", options.late_holds_only,
+                      "With --late-orders: starts and stops are not late.");
         reader.text("program", options.program,
                     "Path of the jaydrift-scheduler program.");
         reader.text("folder", options.folder,
--- a/src/jaydrift/soak/late_orders.cpp
+++ b/src/jaydrift/soak/late_orders.cpp
@@ -178,15 +178,17 @@
         return false;
     }
     current.percent = 0;
-    return std::none_of(
-        state.requests.begin(), state.requests.end(),
-        [](open_request const& each) { return each.outlives_process; });
+    return std::none_of(state.requests.begin(), state.requests.end(),
+                        [](open_request const& each) {
+                            return each.process_started_at.has_value();
+                        });
 }
 
-std::optional<time_ms> due_time(soak_state& state, time_ms now)
+std::optional<time_ms> due_time(soak_state& state, bool is_hold, time_ms now)
 {
     auto& current = state.late_orders;
-    if (current.order_random.below(100) >= current.percent)
+    if ((state.settings.late_holds_only && !is_hold)
+        || current.order_random.below(100) >= current.percent)
     {
         return std::nullopt;
     }
--- a/src/jaydrift/soak/late_orders.hpp
+++ b/src/jaydrift/soak/late_orders.hpp
@@ -21,7 +21,7 @@
 
 /// Returns when an order that arrives now is to be carried out, if it is held
 /// back.
-std::optional<time_ms> due_time(soak_state& state, time_ms now);
+std::optional<time_ms> due_time(soak_state& state, bool is_hold, time_ms now);
 
 } // namespace late_orders
 
--- a/src/jaydrift/soak/late_orders_test.cpp
+++ b/src/jaydrift/soak/late_orders_test.cpp
@@ -110,6 +110,20 @@
     EXPECT_EQ(state.oracle.start_count(), 0U);
 }
 
+// Guards against a setting that has no effect, or one that spares holds too.
+TEST(late_orders, holds_alone_are_late_if_set)
+{
+    for (auto const* const target : {"/api/hold", "/api/run-start"})
+    {
+        auto state = state_with(1);
+        state.settings.late_holds_only = true;
+        state.late_orders.percent = 100;
+        send(state, target, low_token, time_ms(20000));
+        EXPECT_EQ(state.requests.size(),
+                  std::string(target) == "/api/hold" ? 1U : 0U);
+    }
+}
+
 // Guards against late orders that start runs on a worker that is down, or on
 // one that has taken another ID.
 TEST(late_orders, a_late_start_needs_a_process_of_the_same_id)
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -1,5 +1,6 @@
 #include "simulated_platform.hpp"
 
+#include "fault_helpers.hpp"
 #include "late_orders.hpp"
 #include "scale_in.hpp"
 
@@ -120,12 +121,13 @@
         return;
     }
     auto const& order = input.message;
-    if (auto const due = late_orders::due_time(state, now))
+    auto const is_hold = order.target == "/api/hold";
+    if (auto const due = late_orders::due_time(state, is_hold, now))
     {
-        state.requests.push_back({0, number, order, *due, true, true});
+        state.requests.push_back({0, number, order, *due, true,
+                                  state.workers[number].process_started_at()});
         return;
     }
-    auto const is_hold = order.target == "/api/hold";
     if (!is_hold && state.random.below(100) < state.late_order_percent)
     {
         state.requests.push_back(
@@ -159,8 +161,8 @@
 }
 
 /// Answers a watch or hold if it is due or has something to report, and carries
-/// out a late write or order, without an answer, if it is due. An order to a
-/// worker that is down is lost. Returns false if the request still waits.
+/// out a late write or order, without an answer, if it is due. A late order to
+/// a worker that is down is lost. Returns false if the request still waits.
 bool try_answer(soak_state& state, open_request const& waiting, time_ms now,
                 effect_list& effects)
 {
@@ -172,12 +174,24 @@
         {
             return false;
         }
+        auto const token = worker.token();
         if (!worker.up())
         {
             return true;
         }
         auto reply = handle_order(state, *waiting.worker, waiting.message,
                                   waiting.unanswered, now);
+        if (waiting.process_started_at
+            && *waiting.process_started_at != worker.process_started_at()
+            && reply.status == 200)
+        {
+            print(effects, now,
+                  worker.id() + " had seen token " + std::to_string(token)
+                      + " and carries out an order for process "
+                      + std::to_string(waiting.process_started_at->count())
+                      + ": " + waiting.message.target + " "
+                      + waiting.message.body);
+        }
         if (!waiting.unanswered)
         {
             effects.push_back(respond{waiting.number, std::move(reply)});
@@ -279,7 +293,7 @@
     state.workers[worker].crash(state.oracle);
     // Waiting holds are lost with the process, as are most orders in transit.
     std::erase_if(state.requests, [worker](open_request const& each) {
-        return each.worker == worker && !each.outlives_process;
+        return each.worker == worker && !each.process_started_at;
     });
     state.worker_restarts[worker] = until;
 }
