--- a/include/jaydrift/soak/options.hpp
+++ b/include/jaydrift/soak/options.hpp
@@ -9,6 +9,9 @@
 
 namespace jaydrift::soak {
 
+/// Limit of `options::daemons`.
+inline constexpr std::size_t max_daemons = 100;
+
 /// Settings of a run.
 struct options
 {
@@ -29,6 +32,15 @@
     /// Length of the phase in which faults begin.
     time_ms length{12000};
 
+    /// Longest lease of a worker, also the daemons' bound maxHoldMs.
+    time_ms max_lease{6000};
+
+    /// Runs the phase `late_orders` instead of the other faults.
+    bool late_orders = false;
+
+    /// Of the orders, only holds are late in that phase.
+    bool late_holds_only = false;
+
     /// Path of the daemon's program.
     std::string program;
 
--- a/include/jaydrift/soak/task_worker.hpp
+++ b/include/jaydrift/soak/task_worker.hpp
@@ -25,8 +25,10 @@
 class task_worker
 {
 public:
+    /// `max_lease` is the longest lease that an order can grant from the time
+    /// at which it is carried out.
     task_worker(std::string id, std::string address, std::string zone,
-                std::uint64_t seed);
+                time_ms max_lease, std::uint64_t seed);
 
     /// Carries out an order of a daemon and returns the answer.
     ///
@@ -48,6 +50,10 @@
     bool up() const { return up_; }
     std::string const& id() const { return id_; }
     std::string const& zone() const { return zone_; }
+    time_ms process_started_at() const { return process_started_at_; }
+
+    /// Highest fencing token that the process has seen; 0 if none.
+    std::uint64_t token() const { return token_; }
 
     /// The record that the worker publishes in the store, as JSON.
     std::string record() const;
@@ -82,6 +88,7 @@
     {
         std::uint64_t number = 0;
         resources demand;
+        time_ms run_time;
         time_ms done_at;
         time_ms latency_target;
         bool long_running = false;
@@ -123,6 +130,7 @@
     std::string id_;
     std::string address_;
     std::string zone_;
+    time_ms max_lease_;
     random_source random_;
 
     /// Millicores, MB of memory, accelerators.
--- a/programs/jaydrift_soak.cpp
+++ b/programs/jaydrift_soak.cpp
@@ -104,7 +104,7 @@
                       std::uint64_t{1} << 62U, "",
                       "Seed of the random faults and requests.");
         reader.number("daemons", options.daemons, std::size_t{1},
-                      std::size_t{100}, "", "Number of daemons to start.");
+                      soak::max_daemons, "", "Number of daemons to start.");
         reader.number("workers", options.workers, std::size_t{1},
                       std::size_t{400}, "", "Number of workers to simulate.");
         reader.number("shards", options.shards, std::uint32_t{0},
@@ -120,6 +120,14 @@
         reader.duration("length", options.length, time_ms(1000),
                         time_ms(600000),
                         "Length of the phase in which faults begin.");
+        reader.duration("max-lease", options.max_lease, time_ms(1000),
+                        time_ms(60000),
+                        "Longest lease that a worker takes from an order.");
+        reader.toggle("late-orders", options.late_orders,
+                      "Replaces the other faults with workers that start again "
+                      "and are cut off while orders are carried out late.");
+        reader.toggle("late-holds-only", options.late_holds_only,
+                      "With --late-orders: starts and stops are not late.");
         reader.text("program", options.program,
                     "Path of the jaydrift-scheduler program.");
         reader.text("folder", options.folder,
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -1,5 +1,7 @@
 #include "simulated_platform.hpp"
 
+#include "fault_helpers.hpp"
+#include "late_orders.hpp"
 #include "scale_in.hpp"
 
 #include <jaydrift/codec/base64.hpp>
@@ -120,6 +122,12 @@
     }
     auto const& order = input.message;
     auto const is_hold = order.target == "/api/hold";
+    if (auto const due = late_orders::due_time(state, is_hold, now))
+    {
+        state.requests.push_back({0, number, order, *due, true,
+                                  state.workers[number].process_started_at()});
+        return;
+    }
     if (!is_hold && state.random.below(100) < state.late_order_percent)
     {
         state.requests.push_back(
@@ -153,8 +161,8 @@
 }
 
 /// Answers a watch or hold if it is due or has something to report, and carries
-/// out a late write or order, without an answer, if it is due. Returns false if
-/// the request still waits.
+/// out a late write or order, without an answer, if it is due. A late order to
+/// a worker that is down is lost. Returns false if the request still waits.
 bool try_answer(soak_state& state, open_request const& waiting, time_ms now,
                 effect_list& effects)
 {
@@ -166,8 +174,24 @@
         {
             return false;
         }
+        auto const token = worker.token();
+        if (!worker.up())
+        {
+            return true;
+        }
         auto reply = handle_order(state, *waiting.worker, waiting.message,
                                   waiting.unanswered, now);
+        if (waiting.process_started_at
+            && *waiting.process_started_at != worker.process_started_at()
+            && reply.status == 200)
+        {
+            print(effects, now,
+                  worker.id() + " had seen token " + std::to_string(token)
+                      + " and carries out an order for process "
+                      + std::to_string(waiting.process_started_at->count())
+                      + ": " + waiting.message.target + " "
+                      + waiting.message.body);
+        }
         if (!waiting.unanswered)
         {
             effects.push_back(respond{waiting.number, std::move(reply)});
@@ -267,9 +291,9 @@
         return;
     }
     state.workers[worker].crash(state.oracle);
-    // Orders in transit and waiting holds are lost with the process.
+    // Waiting holds are lost with the process, as are most orders in transit.
     std::erase_if(state.requests, [worker](open_request const& each) {
-        return each.worker == worker;
+        return each.worker == worker && !each.process_started_at;
     });
     state.worker_restarts[worker] = until;
 }
--- a/src/jaydrift/soak/task_worker.cpp
+++ b/src/jaydrift/soak/task_worker.cpp
@@ -12,10 +12,6 @@
 
 using codec::json_writer;
 
-/// Longest lease that an order can grant from now; the daemons have it as the
-/// setting maxHoldMs.
-constexpr time_ms max_lease{6000};
-
 /// Ends in one reply to a hold; later ones follow when these are acknowledged.
 constexpr std::size_t max_listed_ends = 500;
 
@@ -25,9 +21,9 @@
 } // namespace
 
 task_worker::task_worker(std::string id, std::string address, std::string zone,
-                         std::uint64_t seed)
+                         time_ms max_lease, std::uint64_t seed)
     : id_(std::move(id)), address_(std::move(address)), zone_(std::move(zone)),
-      random_(seed), process_started_at_(time_ms(1)),
+      max_lease_(max_lease), random_(seed), process_started_at_(time_ms(1)),
       heartbeat_interval_(
           min_heartbeat_interval
           + time_ms(static_cast<std::int64_t>(seed % heartbeat_jitter_ms)))
@@ -82,7 +78,7 @@
     token_ = token;
     auto const lease = codec::milliseconds(body, "deadlineMs");
     lease_until_ =
-        std::max(lease_until_, std::min(lease, clock(now) + max_lease));
+        std::max(lease_until_, std::min(lease, clock(now) + max_lease_));
     if (order.target == "/api/run-start")
     {
         return start(order, oracle, now);
@@ -142,6 +138,7 @@
         added.opportunistic = step.opportunistic;
         added.latency_target = step.latency_target;
         added.long_running = step.long_running;
+        added.run_time = step.run_time;
         added.done_at = now + step.run_time;
     }
     added.fails = random_.below(100) < failing_percent;
@@ -182,9 +179,13 @@
     for (auto const& [task, each] : runs_)
     {
         // A long-running task reports 100 while it works. For others the
-        // progress is 99 less 1 per 10 ms left, at least 1.
+        // progress is 99 less 1 per 10 ms left, or per 1% of the work if that
+        // is longer, and at least 1.
         constexpr std::int64_t long_running_percent = 100;
+        constexpr std::int64_t min_step_ms = 10;
         auto const left = (each.done_at - now).count();
+        auto const step =
+            std::max(min_step_ms, each.run_time.count() / long_running_percent);
         out.StartArray();
         codec::put(out, task);
         out.Uint64(each.number);
@@ -192,7 +193,7 @@
         out.Int64(each.long_running
                       ? long_running_percent
                       : long_running_percent - 1
-                            - std::clamp<std::int64_t>(left / 10, 0, 98));
+                            - std::clamp<std::int64_t>(left / step, 0, 98));
         out.Int64(load(each));
         out.EndArray();
     }
