Repeat the order that fences a new process of a worker

Cause: a new process takes orders for the one before until it has accepted its own token. One lost fencing order held the next one up for 0.8 s and its pause.

Change: until the process answers, the order is repeated every 200 ms beside those before; it grants no lease and acknowledges nothing, so any number may be carried out, and the first reply counts.

Test: fencing.an_order_to_fence_a_new_process_is_repeated.

--- a/include/jaydrift/schedule/fencing_tokens.hpp
+++ b/include/jaydrift/schedule/fencing_tokens.hpp
@@ -18,6 +18,9 @@
 /// Returns the token of orders to the present process of the worker.
 std::uint64_t of(shard_context const& ctx, worker_state const& worker);
 
+/// Returns whether the token was raised for a new process of the worker.
+bool is_raised(shard_context const& ctx, worker_state const& worker);
+
 /// Gives a new process of the worker a higher token if an order with the
 /// present one can start a run or extend a lease there. Without a number that
 /// is free, the token is due, and no order is sent before `tick` has found one.
--- a/src/jaydrift/schedule/fencing_tokens.cpp
+++ b/src/jaydrift/schedule/fencing_tokens.cpp
@@ -14,6 +14,11 @@
                     worker.token);
 }
 
+bool is_raised(shard_context const& ctx, worker_state const& worker)
+{
+    return worker.token > assignments::fencing_token(ctx, worker.entry.id);
+}
+
 void raise(shard_context& ctx, worker_state& worker)
 {
     if (!worker.lease_granted)
--- a/src/jaydrift/schedule/fencing_tokens_test.cpp
+++ b/src/jaydrift/schedule/fencing_tokens_test.cpp
@@ -406,6 +406,25 @@
     EXPECT_TRUE(worker().fenced);
 }
 
+// Guards against a new process that takes orders for the earlier one for as
+// long as the first order to fence it has no reply.
+TEST_F(fencing, an_order_to_fence_a_new_process_is_repeated)
+{
+    note_write(revision + 10);
+    restart();
+    tick();
+    ASSERT_TRUE(worker().hold_in_flight);
+    auto const first = *worker().hold_in_flight;
+    now_ += time_ms(100);
+    tick();
+    EXPECT_EQ(worker().hold_in_flight, first);
+    now_ += time_ms(100);
+    tick();
+    EXPECT_GT(*worker().hold_in_flight, first);
+    reply(first, worker_status::ok, time_ms(300), entry_.process_started_at);
+    EXPECT_TRUE(worker().fenced);
+}
+
 // Guards against a worker that is forgotten and comes back as a new process
 // with the token of the earlier one.
 TEST_F(fencing, a_worker_that_was_forgotten_has_a_higher_token)
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -380,7 +380,9 @@
     switch (sent.kind)
     {
     case order_kind::hold:
-        if (worker.hold_in_flight == reply.call)
+        if (worker.hold_in_flight == reply.call
+            || (!worker.fenced && !for_earlier_process
+                && reply.status == worker_status::ok))
         {
             hold_replied(shard_ctx, worker, sent, reply);
         }
--- a/src/jaydrift/schedule/workers.cpp
+++ b/src/jaydrift/schedule/workers.cpp
@@ -38,6 +38,10 @@
 /// drive the pace of the latter.
 constexpr time_ms paced_hold_wait{450};
 
+/// A fencing order to a new process is repeated after this, beside the earlier
+/// one, since the process may take orders for the one before until it answers.
+constexpr time_ms fencing_pause{200};
+
 /// Time limits of orders; that of a hold order counts from the end of its wait.
 constexpr time_ms hold_margin{800};
 constexpr time_ms start_order_limit{1000};
@@ -266,6 +270,15 @@
     }
 }
 
+/// Returns whether a hold order may be sent: none is in flight, or the one in
+/// flight is to fence a new process and has had no reply for a while.
+bool may_hold(shard_context const& ctx, worker_state const& worker)
+{
+    return !worker.hold_in_flight
+           || (!worker.fenced && fencing_tokens::is_raised(ctx, worker)
+               && ctx.now - worker.hold_sent_at >= fencing_pause);
+}
+
 /// Returns whether the state of a worker can be removed: it has had no entry
 /// for `relisting_time`, no hold order is in flight, and neither this owner nor
 /// an earlier one may have runs there.
@@ -527,7 +540,7 @@
     {
         check_lease_expiry(ctx, worker);
         fencing_tokens::tick(ctx, worker);
-        if (!worker.hold_in_flight && !worker.token_due
+        if (may_hold(ctx, worker) && !worker.token_due
             && !worker.entry.address.empty()
             && (worker.listed || !worker.runs.empty() || worker.unaccounted)
             && ctx.now >= worker.next_hold_at)
