--- a/include/jaydrift/schedule/submissions.hpp
+++ b/include/jaydrift/schedule/submissions.hpp
@@ -28,10 +28,6 @@
 /// Returns a task of the submission; null if the ID names none.
 task_state* find_task(submission_state& submission, task_id const& id);
 
-/// Applies the configuration of the queues to the active submissions, and plans
-/// to store their new terms. Those whose queue was removed keep their terms.
-void configuration_changed(shard_context& ctx);
-
 /// Calls `visit(task_id, task)` for every task of the submission.
 template<class Submission, class Visitor>
 void for_each_task(Submission& submission, Visitor visit)
@@ -73,10 +69,6 @@
 /// Applies stored progress to a submission; ignored if it is unknown.
 void restore(shard_context& ctx, progress_record const& record);
 
-/// Plans to store the terms of active submissions whose stored records have
-/// others, or none.
-void store_new_terms(shard_context& ctx);
-
 /// Takes the place of a task away, so that it waits again.
 void requeue(shard_context& ctx, submission_state& submission,
              task_id const& id);
--- a/src/jaydrift/schedule/areas.cpp
+++ b/src/jaydrift/schedule/areas.cpp
@@ -5,9 +5,9 @@
 #include <jaydrift/schedule/configuration_changes.hpp>
 #include <jaydrift/schedule/layout.hpp>
 #include <jaydrift/schedule/ownership.hpp>
+#include <jaydrift/schedule/queue_terms.hpp>
 #include <jaydrift/schedule/relayed_view.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
-#include <jaydrift/schedule/submissions.hpp>
 #include <jaydrift/schedule/task_assignments.hpp>
 #include <jaydrift/schedule/unreadable.hpp>
 #include <jaydrift/schedule/workers.hpp>
@@ -47,7 +47,7 @@
     for (auto& shard : ctx.state.shards)
     {
         shard_context shard_ctx(ctx, shard);
-        submissions::configuration_changed(shard_ctx);
+        queue_terms::configuration_changed(shard_ctx);
         shard.placement_due = true;
     }
     ctx.log(log_level::info, "config",
--- a/src/jaydrift/schedule/recovery.cpp
+++ b/src/jaydrift/schedule/recovery.cpp
@@ -6,6 +6,7 @@
 #include <jaydrift/schedule/guest_submissions.hpp>
 #include <jaydrift/schedule/interference.hpp>
 #include <jaydrift/schedule/limits.hpp>
+#include <jaydrift/schedule/queue_terms.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/start_flow.hpp>
@@ -309,7 +310,7 @@
             submissions::restore(ctx, *record);
         }
     }
-    submissions::store_new_terms(ctx);
+    queue_terms::store_new(ctx);
     ctx.shard.ownership.submissions_read = true;
 }
 
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -1,6 +1,7 @@
 #include <jaydrift/schedule/submissions.hpp>
 
 #include <jaydrift/schedule/limits.hpp>
+#include <jaydrift/schedule/queue_terms.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/run_numbers.hpp>
@@ -10,7 +11,6 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace jaydrift::schedule::submissions {
@@ -20,73 +20,9 @@
 /// A long-running task that has ended waits this long before it starts again.
 constexpr time_ms restart_pause{50};
 
-/// Attempts at a task whose submission was stored without terms and whose queue
-/// is not in the configuration.
-constexpr std::uint32_t default_attempts = 3;
-
 /// Time between two searches for submissions whose retention is over.
 constexpr time_ms expiry_interval{1000};
 
-/// Returns the configured queue with this name; null if there is none.
-queue const* queue_of(shard_context const& ctx, std::string_view name)
-{
-    if (!ctx.state.config)
-    {
-        return nullptr;
-    }
-    auto const& queues = ctx.state.config->queues;
-    auto const found =
-        std::find_if(queues.begin(), queues.end(),
-                     [name](queue const& each) { return each.name == name; });
-    return found == queues.end() ? nullptr : &*found;
-}
-
-/// Applies the present figures of a queue to terms that it has given. What they
-/// promise about time stays.
-void apply(submission_terms& terms, queue const& configured)
-{
-    terms.service = configured.service;
-    terms.priority = configured.priority;
-    terms.max_attempts = configured.max_attempts;
-}
-
-/// Returns the sum of the estimates on the longest chain of steps.
-time_ms critical_path(submission const& work)
-{
-    std::vector<time_ms> finish(work.steps.size());
-    time_ms longest;
-    for (std::size_t i = 0; i < work.steps.size(); ++i)
-    {
-        time_ms start;
-        for (auto const earlier : work.steps[i].after)
-        {
-            start = std::max(start, finish[earlier]);
-        }
-        finish[i] = start + work.steps[i].estimate;
-        longest = std::max(longest, finish[i]);
-    }
-    return longest;
-}
-
-/// Returns the terms of new work in a queue; those of a record without terms
-/// whose queue is gone have no service.
-submission_terms terms_of(queue const* configured, submission const& work)
-{
-    submission_terms result;
-    result.max_attempts = default_attempts;
-    auto factor = 1.0;
-    if (configured)
-    {
-        apply(result, *configured);
-        factor = configured->slack_factor;
-        result.time_allowed = configured->latency_objective;
-    }
-    auto const path_ms = static_cast<double>(critical_path(work).count());
-    result.time_allowed += time_ms(static_cast<std::int64_t>(path_ms * factor));
-    result.time_allowed = std::min(result.time_allowed, limits::max_time);
-    return result;
-}
-
 /// Marks the steps whose earlier steps are done as ready.
 void mark_ready_steps(submission_state& submission,
                       occurrence_state& occurrence, time_ms now)
@@ -267,31 +203,6 @@
 
 } // namespace
 
-void configuration_changed(shard_context& ctx)
-{
-    // An index, since a configuration may hold thousands of queues.
-    std::unordered_map<std::string_view, queue const*> queues;
-    for (auto const& each : ctx.state.config->queues)
-    {
-        queues.emplace(each.name, &each);
-    }
-    for (auto const& id : ctx.shard.active)
-    {
-        auto& submission = *find(ctx, id);
-        auto const found = queues.find(submission.queue);
-        if (found == queues.end())
-        {
-            continue;
-        }
-        auto const before = submission.terms;
-        apply(submission.terms, *found->second);
-        if (submission.terms != before)
-        {
-            record_log::changed(ctx, submission);
-        }
-    }
-}
-
 submission_state* find(shard_context& ctx, std::string_view id)
 {
     auto const found = ctx.shard.submissions.find(id);
@@ -325,21 +236,8 @@
     submission.queue = record.queue;
     submission.work = record.work;
     submission.accepted_at = record.accepted_at;
-    auto const* const configured = queue_of(ctx, submission.queue);
     submission.stored_terms = record.terms;
-    submission.terms =
-        record.terms ? *record.terms : terms_of(configured, record.work);
-    if (configured)
-    {
-        apply(submission.terms, *configured);
-    }
-    else if (!record.terms)
-    {
-        ctx.log_work(log_level::error, "submission",
-                     record.id + " waits for its queue " + record.queue
-                         + ", which is not configured any more; an earlier"
-                           " release has stored it without a service");
-    }
+    submission.terms = queue_terms::of(ctx, record);
     auto const age = std::max(time_ms(0), ctx.wall_time() - record.accepted_at);
     submission.objective = ctx.now - age + submission.terms.time_allowed;
     ctx.shard.active.insert(record.id);
@@ -453,18 +351,6 @@
     }
 }
 
-void store_new_terms(shard_context& ctx)
-{
-    for (auto const& id : ctx.shard.active)
-    {
-        auto& submission = *find(ctx, id);
-        if (submission.stored_terms != submission.terms)
-        {
-            record_log::changed(ctx, submission);
-        }
-    }
-}
-
 void requeue(shard_context& ctx, submission_state& submission,
              task_id const& id)
 {
