Select the queue of a forwarded call once, by the newest configuration

Cause: the queue was selected twice, by the daemon that was called and by the owner, by different versions of the configuration; nothing of the first selection was part of the forwarded call. A queue that one version lacks is no error there, the path belongs to the queue above. The ID was checked only for calls that were not forwarded.

A queue that is replaced under its prefix shows the same without an odd ID.

Change: the selection goes with the call, with its version, and the newest version of the daemons on the way decides. An older owner serves the call by the queue that it was handed, a newer one selects again, `moved` returns the newest one, and a call that waits is selected again at each attempt. Work that may be accepted is never answered 404. The terms of a submission name the version of their figures. Records whose ID no submission can have are refused when read.

--- a/include/jaydrift/schedule/answer.hpp
+++ b/include/jaydrift/schedule/answer.hpp
@@ -1,9 +1,11 @@
 #ifndef JAYDRIFT_SCHEDULE_ANSWER_HPP
 #define JAYDRIFT_SCHEDULE_ANSWER_HPP
 
+#include <jaydrift/schedule/selected_queue.hpp>
 #include <jaydrift/schedule/submission_phase.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace jaydrift::schedule {
 
@@ -30,8 +32,7 @@
         no_submission,
 
         /// Nothing was done; the caller may repeat the call after a second. Not
-        /// certain for a cancel, nor for a submission that was tried before if
-        /// its queue has been removed since: these may have been carried out.
+        /// certain for a cancel, which may have been carried out.
         unavailable,
 
         /// As `unavailable`, from a daemon that does not own the shard.
@@ -49,6 +50,10 @@
     submission_phase phase = submission_phase::queued;
     std::uint64_t pending = 0;
     std::uint32_t shard = 0;
+
+    /// With `moved`: the queue that the daemon has selected for the call;
+    /// absent if it is of an earlier release.
+    std::optional<selected_queue> selected = std::nullopt;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/call_arrived.hpp
+++ b/include/jaydrift/schedule/call_arrived.hpp
@@ -3,6 +3,7 @@
 
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/call_verb.hpp>
+#include <jaydrift/schedule/selected_queue.hpp>
 #include <jaydrift/schedule/submission.hpp>
 
 #include <cstdint>
@@ -18,7 +19,7 @@
     std::uint64_t call = 0;
     call_verb verb = call_verb::show;
 
-    /// Select the queue; the rest of the path is the ID of the submission.
+    /// Name the queue; the rest of the path is the ID of the submission.
     std::string host;
     std::string path;
 
@@ -31,6 +32,10 @@
     /// Shard that another daemon has forwarded the call to; absent if it comes
     /// from a caller.
     std::optional<std::uint32_t> forwarded_to;
+
+    /// Queue that the forwarding daemon has selected; absent if that one is of
+    /// an earlier release.
+    std::optional<selected_queue> selected;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/calls.hpp
+++ b/include/jaydrift/schedule/calls.hpp
@@ -20,7 +20,8 @@
 
 /// Takes a new call. It is answered at once if the configuration or the shards
 /// are not known yet, or if no queue has its host and path: as no_queue, or as
-/// unavailable if the view of the configuration is out of date.
+/// unavailable if the view of the configuration is out of date. The queue of a
+/// forwarded call is that by the newer configuration of the two daemons.
 void arrived(context& ctx, call_arrived const& request);
 
 /// Handles the end of a forwarded call.
--- a/include/jaydrift/schedule/forward_call.hpp
+++ b/include/jaydrift/schedule/forward_call.hpp
@@ -2,6 +2,7 @@
 #define JAYDRIFT_SCHEDULE_FORWARD_CALL_HPP
 
 #include <jaydrift/core/time_ms.hpp>
+#include <jaydrift/schedule/selected_queue.hpp>
 
 #include <cstdint>
 #include <string>
@@ -16,6 +17,7 @@
     std::uint32_t shard = 0;
     std::string address;
     time_ms time_limit;
+    selected_queue selected;
 };
 
 } // namespace jaydrift::schedule
--- a/include/jaydrift/schedule/open_call.hpp
+++ b/include/jaydrift/schedule/open_call.hpp
@@ -4,7 +4,9 @@
 #include <jaydrift/core/time_ms.hpp>
 #include <jaydrift/schedule/call_arrived.hpp>
 #include <jaydrift/schedule/call_part.hpp>
+#include <jaydrift/schedule/selected_queue.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace jaydrift::schedule {
@@ -15,6 +17,10 @@
     call_arrived request;
     time_ms arrived_at;
 
+    /// Queue by the newest configuration of the daemons that have handled the
+    /// call; absent until this daemon has selected one.
+    std::optional<selected_queue> selected;
+
     /// One for the submission's shard or, if the call asks for a count, one for
     /// each shard.
     std::vector<call_part> parts;
--- a/include/jaydrift/schedule/submission_terms.hpp
+++ b/include/jaydrift/schedule/submission_terms.hpp
@@ -24,6 +24,10 @@
     /// Time from the acceptance to the objective. Fixed at the acceptance.
     time_ms time_allowed;
 
+    /// Version of the configuration that the figures of the queue are from; 0
+    /// in a record of an earlier release. An older one does not replace them.
+    std::uint64_t config_version = 0;
+
     bool operator==(submission_terms const&) const = default;
 };
 
--- a/include/jaydrift/schedule/submissions.hpp
+++ b/include/jaydrift/schedule/submissions.hpp
@@ -11,6 +11,8 @@
 
 struct shard_context;
 struct progress_record;
+struct selected_queue;
+struct submission;
 struct submission_record;
 struct submission_state;
 struct task_state;
@@ -50,7 +52,12 @@
     }
 }
 
-/// Adds a submission that a caller sent or that the store holds.
+/// Adds a submission that a caller sent to a queue.
+submission_state& accept(shard_context& ctx, std::string_view id,
+                         selected_queue const& selected,
+                         submission const& work);
+
+/// Adds a submission that the store holds.
 submission_state& add(shard_context& ctx, submission_record const& record);
 
 /// Adds a submission that another shard has. None of its tasks is here until
--- a/src/jaydrift/codec/odd_records_test.cpp
+++ b/src/jaydrift/codec/odd_records_test.cpp
@@ -40,14 +40,14 @@
 /// Returns a submission record with one step that has the given fields.
 std::string submission_with(std::string const& step_fields)
 {
-    return R"({"id":"a","queue":"q","steps":[{"count":1},{)" + step_fields
-           + "}]}";
+    return R"({"id":"00000000000000a1","queue":"q","steps":[{"count":1},{)"
+           + step_fields + "}]}";
 }
 
 /// Returns a progress record with one task that has the given elements.
 std::string progress_with(std::string const& task)
 {
-    return R"({"id":"a","tasks":[[[)" + task + "]]]}";
+    return R"({"id":"00000000000000a1","tasks":[[[)" + task + "]]]}";
 }
 
 std::string nested(std::size_t depth)
@@ -96,12 +96,14 @@
     add(record_kind::roster, roster_record{{"d1", "d2"}});
     add(record_kind::serial, serial_record{12});
     add(record_kind::fleet, fleet_record{{{"i-1", "10.0.0.1:80"}}});
-    add(record_kind::relocation, relocation_record{"a1", 4, time_ms(99)});
-    add(record_kind::cancellation, cancellation_record{"a1", time_ms(99)});
+    add(record_kind::relocation,
+        relocation_record{"00000000000000a1", 4, time_ms(99)});
+    add(record_kind::cancellation,
+        cancellation_record{"00000000000000a1", time_ms(99)});
     add(record_kind::assignment, assignment_record{"i-1", 4, 99});
     add(record_kind::task_assignment,
         task_assignment_record{
-            {"a1", 0, 1, 2}, 4, 5, 99, 7, 123, time_ms(1500)});
+            {"00000000000000a1", 0, 1, 2}, 4, 5, 99, 7, 123, time_ms(1500)});
     return result;
 }
 
@@ -114,19 +116,29 @@
             encode_message(owner_query{2, "d1", "10.0.0.1:7000", 12}),
             encode_message(owner_query_reply{3, "d1", 12, time_ms(40)}),
             encode_message(yield_request{1, "d1", 12}),
-            encode_message(room_request{
-                1,
-                "d1",
-                12,
-                2,
-                {{{"a1", 0, 1, 2}, "svc", "label", {9000, 64, 1}, 3}}}),
-            encode_message(room_offer{1, "d1", 12, 2, {{"a1", 0, 1, 2}}}),
-            encode_message(room_refusal{1, "d1", 12, {{"a1", 0, 1, 2}}}),
-            encode_message(tasks_assigned{
-                1,
-                "d1",
-                12,
-                {{{"a1", 0, 1, 2}, 4, 5, 99, 7, 123, time_ms(1500)}}})};
+            encode_message(room_request{1,
+                                        "d1",
+                                        12,
+                                        2,
+                                        {{{"00000000000000a1", 0, 1, 2},
+                                          "svc",
+                                          "label",
+                                          {9000, 64, 1},
+                                          3}}}),
+            encode_message(
+                room_offer{1, "d1", 12, 2, {{"00000000000000a1", 0, 1, 2}}}),
+            encode_message(
+                room_refusal{1, "d1", 12, {{"00000000000000a1", 0, 1, 2}}}),
+            encode_message(tasks_assigned{1,
+                                          "d1",
+                                          12,
+                                          {{{"00000000000000a1", 0, 1, 2},
+                                            4,
+                                            5,
+                                            99,
+                                            7,
+                                            123,
+                                            time_ms(1500)}}})};
 }
 
 /// JSON values of any type.
@@ -208,15 +220,17 @@
     for (std::string const element : {"4", "\"x\"", "null", "true", "[]"})
     {
         expect_unreadable(record_kind::submission,
-                          R"({"id":"a","queue":"q","steps":[)" + element
-                              + "]}");
+                          R"({"id":"00000000000000a1","queue":"q","steps":[)"
+                              + element + "]}");
     }
     for (std::string const element : {"4", "\"x\"", "null", "true", "{}"})
     {
         expect_unreadable(record_kind::progress,
-                          R"({"id":"a","tasks":[)" + element + "]}");
+                          R"({"id":"00000000000000a1","tasks":[)" + element
+                              + "]}");
         expect_unreadable(record_kind::progress,
-                          R"({"id":"a","tasks":[[)" + element + "]]}");
+                          R"({"id":"00000000000000a1","tasks":[[)" + element
+                              + "]]}");
     }
 }
 
@@ -235,21 +249,22 @@
     {
         expect_unreadable(record_kind::submission, submission_with(fields));
     }
-    expect_unreadable(record_kind::submission, R"({"id":"a","steps":[]})");
-    expect_unreadable(record_kind::submission, R"({"id":"a"})");
+    expect_unreadable(record_kind::submission,
+                      R"({"id":"00000000000000a1","steps":[]})");
+    expect_unreadable(record_kind::submission, R"({"id":"00000000000000a1"})");
     expect_unreadable(
         record_kind::submission,
-        R"({"id":"a","repeat_count":4000000000,"steps":[{"count":1}]})");
+        R"({"id":"00000000000000a1","repeat_count":4000000000,"steps":[{"count":1}]})");
     expect_unreadable(
         record_kind::submission,
-        R"({"id":"a","first_due_ms":9223372036854775807,"steps":[{"count":1}]})");
+        R"({"id":"00000000000000a1","first_due_ms":9223372036854775807,"steps":[{"count":1}]})");
     std::string many;
     for (auto i = 0; i < 3; ++i)
     {
         many += many.empty() ? R"({"count":5000})" : R"(,{"count":5000})";
     }
     expect_unreadable(record_kind::submission,
-                      R"({"id":"a","steps":[)" + many + "]}");
+                      R"({"id":"00000000000000a1","steps":[)" + many + "]}");
 }
 
 // Guards against numbers of runs that overflow when the next run is numbered,
@@ -267,7 +282,8 @@
     for (std::string const time : {"-1", "9223372036854775807", "1e18"})
     {
         expect_unreadable(record_kind::progress,
-                          R"({"id":"a","ended_ms":)" + time + "}");
+                          R"({"id":"00000000000000a1","ended_ms":)" + time
+                              + "}");
     }
 }
 
@@ -296,25 +312,30 @@
                           R"({"node":"d1","address":"10.0.0.1:7000","term":)"
                               + number + "}");
         expect_unreadable(record_kind::relocation,
-                          R"({"id":"a","to":1,"decided_ms":)" + number + "}");
+                          R"({"id":"00000000000000a1","to":1,"decided_ms":)"
+                              + number + "}");
         expect_unreadable(record_kind::relocation,
-                          R"({"id":"a","to":)" + number + "}");
+                          R"({"id":"00000000000000a1","to":)" + number + "}");
     }
-    expect_unreadable(record_kind::relocation, R"({"id":"a","to":64})");
+    expect_unreadable(record_kind::relocation,
+                      R"({"id":"00000000000000a1","to":64})");
     expect_unreadable(record_kind::assignment, R"({"worker":"a","shard":64})");
     expect_unreadable(record_kind::assignment, R"({"shard":1})");
     for (std::string const task :
-         {R"("a.0.0.1")", R"(["a",0,0])", R"(["",0,0,1])", R"(["a",-1,0,1])",
-          R"(["a",0,0,1.5])", R"(["a",0,0,9007199254740993])"})
+         {R"("00000000000000a1.0.0.1")", R"(["00000000000000a1",0,0])",
+          R"(["",0,0,1])", R"(["00000000000000a1",-1,0,1])",
+          R"(["00000000000000a1",0,0,1.5])",
+          R"(["00000000000000a1",0,0,9007199254740993])"})
     {
         expect_unreadable(record_kind::task_assignment,
                           R"({"task":)" + task + R"(,"home":1,"shard":2})");
     }
-    expect_unreadable(record_kind::task_assignment,
-                      R"({"task":["a",0,0,1],"home":64,"shard":2})");
     expect_unreadable(
         record_kind::task_assignment,
-        R"({"task":["a",0,0,1],"home":1,"shard":2,"run_base":9007199254740992})");
+        R"({"task":["00000000000000a1",0,0,1],"home":64,"shard":2})");
+    expect_unreadable(
+        record_kind::task_assignment,
+        R"({"task":["00000000000000a1",0,0,1],"home":1,"shard":2,"run_base":9007199254740992})");
     for (std::string const weight :
          {"[1e300,1]", "[1,-1]", "[1,1e300]", "[-1e300,0]"})
     {
@@ -356,6 +377,26 @@
     EXPECT_EQ(read.load.opportunistic, 0);
 }
 
+// Guards against work that is stored under an ID that no caller can ask for.
+TEST(odd_records, an_id_that_no_submission_can_have_is_refused)
+{
+    for (std::string const id :
+         {"weekly/00000000000000a1", "weekly-00000000000000a1", "a1", "",
+          "00000000000000g1", "00000000000000a12"})
+    {
+        auto const named = R"({"id":")" + id + R"(",)";
+        expect_unreadable(record_kind::submission,
+                          named + R"("queue":"q","steps":[{"count":1}]})");
+        expect_unreadable(record_kind::progress, named + R"("tasks":[]})");
+        expect_unreadable(record_kind::relocation, named + R"("to":1})");
+        expect_unreadable(record_kind::cancellation,
+                          named + R"("cancelled_ms":1})");
+        expect_unreadable(record_kind::task_assignment,
+                          R"({"task":[")" + id
+                              + R"(",0,0,1],"home":1,"shard":2})");
+    }
+}
+
 // Guards against recursion on the depth of an object, also inside a field that
 // nobody reads, and against a text of odd bytes that fills the log.
 TEST(odd_records, deep_nesting_and_huge_texts_are_refused_or_ignored)
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/codec/json.hpp>
 #include <jaydrift/codec/task_assignment_codec.hpp>
+#include <jaydrift/codec/task_id_codec.hpp>
 #include <jaydrift/core/network_address.hpp>
 #include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/limits.hpp>
@@ -114,6 +115,8 @@
 void write(json_writer& out, submission_terms const& terms)
 {
     out.StartObject();
+    put_field(out, "config_version",
+              static_cast<std::int64_t>(terms.config_version));
     put_field(out, "service", terms.service);
     put_field(out, "priority", terms.priority);
     put_field(out, "max_attempts", terms.max_attempts);
@@ -129,6 +132,7 @@
         return std::nullopt;
     }
     submission_terms terms;
+    terms.config_version = number_field(*value, "config_version");
     terms.service = text(*value, "service");
     terms.priority = count_field(*value, "priority");
     terms.max_attempts = count_field(*value, "max_attempts");
@@ -163,7 +167,7 @@
 submission_record read_submission(json const& value)
 {
     submission_record record;
-    record.id = required_name(value, "id");
+    record.id = submission_id_field(value, "id");
     record.queue = text(value, "queue");
     record.accepted_at =
         milliseconds_up_to(value, "accepted_ms", limits::max_time);
@@ -332,7 +336,7 @@
 progress_record read_progress(json const& value)
 {
     progress_record record;
-    record.id = required_name(value, "id");
+    record.id = submission_id_field(value, "id");
     record.phase = static_cast<submission_phase>(integer_between(
         value, "phase", 0, static_cast<int>(submission_phase::cancelled)));
     record.ended_at = milliseconds_up_to(value, "ended_ms", limits::max_time);
@@ -598,13 +602,13 @@
         return read_progress(value);
     case record_kind::relocation:
         return relocation_record{
-            required_name(value, "id"),
+            submission_id_field(value, "id"),
             static_cast<std::uint32_t>(
                 integer_between(value, "to", 0, limits::max_shards - 1)),
             milliseconds_up_to(value, "decided_ms", limits::max_time)};
     case record_kind::cancellation:
         return cancellation_record{
-            required_name(value, "id"),
+            submission_id_field(value, "id"),
             milliseconds_up_to(value, "cancelled_ms", limits::max_time)};
     default:
         throw codec_error(
--- a/src/jaydrift/codec/record_codec_test.cpp
+++ b/src/jaydrift/codec/record_codec_test.cpp
@@ -118,9 +118,9 @@
 // its record has no terms.
 TEST(record_codec, reads_submissions_without_terms)
 {
-    auto const read = std::get<submission_record>(
-        decode_record(record_kind::submission,
-                      R"({"id":"a","queue":"q","steps":[{"count":1}]})"));
+    auto const read = std::get<submission_record>(decode_record(
+        record_kind::submission,
+        R"({"id":"00000000000000a1","queue":"q","steps":[{"count":1}]})"));
     EXPECT_FALSE(read.terms);
 }
 
@@ -160,25 +160,25 @@
     EXPECT_EQ(std::get<roster_record>(
                   decode_record(record_kind::roster, encode_record(roster))),
               roster);
-    auto const moved = std::get<relocation_record>(
-        decode_record(record_kind::relocation,
-                      encode_record(relocation_record{"a1", 4, time_ms(99)})));
-    EXPECT_EQ(moved.id, "a1");
+    auto const moved = std::get<relocation_record>(decode_record(
+        record_kind::relocation,
+        encode_record(relocation_record{"00000000000000a1", 4, time_ms(99)})));
+    EXPECT_EQ(moved.id, "00000000000000a1");
     auto const assigned = std::get<assignment_record>(
         decode_record(record_kind::assignment,
                       encode_record(assignment_record{"i-1", 4, 99})));
     EXPECT_EQ(assigned.worker, "i-1");
     EXPECT_EQ(assigned.shard, 4U);
     EXPECT_EQ(assigned.owner_revision, 99U);
-    task_assignment_record const task{{"a1", 0, 1, 2}, 4, 5, 99, 7, 123,
-                                      time_ms(1500)};
+    task_assignment_record const task{
+        {"00000000000000a1", 0, 1, 2}, 4, 5, 99, 7, 123, time_ms(1500)};
     EXPECT_EQ(std::get<task_assignment_record>(decode_record(
                   record_kind::task_assignment, encode_record(task))),
               task);
-    auto const cancelled = std::get<cancellation_record>(
-        decode_record(record_kind::cancellation,
-                      encode_record(cancellation_record{"a1", time_ms(99)})));
-    EXPECT_EQ(cancelled.id, "a1");
+    auto const cancelled = std::get<cancellation_record>(decode_record(
+        record_kind::cancellation,
+        encode_record(cancellation_record{"00000000000000a1", time_ms(99)})));
+    EXPECT_EQ(cancelled.id, "00000000000000a1");
     EXPECT_EQ(cancelled.cancelled_at, time_ms(99));
     EXPECT_EQ(moved.second_shard, 4U);
     EXPECT_EQ(moved.decided_at, time_ms(99));
--- a/src/jaydrift/codec/relay_codec.cpp
+++ b/src/jaydrift/codec/relay_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/codec/json.hpp>
+#include <jaydrift/codec/queue_codec.hpp>
 #include <jaydrift/schedule/limits.hpp>
 
 #include <charconv>
@@ -18,28 +19,13 @@
 
 using namespace schedule;
 
-void write(json_writer& out, queue const& each)
-{
-    out.StartObject();
-    put_field(out, "name", each.name);
-    put_field(out, "host", each.host);
-    put_field(out, "prefix", each.prefix);
-    put_field(out, "service", each.service);
-    put_field(out, "priority", each.priority);
-    put_field(out, "max_attempts", each.max_attempts);
-    put_key(out, "slack_factor");
-    out.Double(each.slack_factor);
-    put_field(out, "latency_objective_ms", each.latency_objective.count());
-    out.EndObject();
-}
-
 void write(json_writer& out, std::vector<queue> const& queues)
 {
     put_key(out, "queues");
     out.StartArray();
     for (auto const& each : queues)
     {
-        write(out, each);
+        write_queue(out, each);
     }
     out.EndArray();
 }
@@ -85,28 +71,6 @@
         integer_between(object, name, 0, limits::max_number));
 }
 
-queue read_queue(json const& value)
-{
-    queue result;
-    result.name = text(value, "name");
-    result.host = text(value, "host");
-    result.prefix = text(value, "prefix");
-    if (result.prefix.empty())
-    {
-        throw codec_error("field 'prefix' is missing");
-    }
-    result.service = text(value, "service");
-    result.priority = static_cast<std::uint32_t>(
-        integer_between(value, "priority", 0, limits::max_count));
-    result.max_attempts = static_cast<std::uint32_t>(
-        integer_between(value, "max_attempts", 1, limits::max_count));
-    result.slack_factor =
-        number_between(value, "slack_factor", 0, limits::max_slack_factor);
-    result.latency_objective =
-        milliseconds_up_to(value, "latency_objective_ms", limits::max_duration);
-    return result;
-}
-
 std::vector<queue> read_queues(json const& value)
 {
     std::vector<queue> result;
--- a/src/jaydrift/codec/task_id_codec.cpp
+++ b/src/jaydrift/codec/task_id_codec.cpp
@@ -3,6 +3,7 @@
 #include <jaydrift/codec/codec_error.hpp>
 #include <jaydrift/core/printable.hpp>
 #include <jaydrift/schedule/limits.hpp>
+#include <jaydrift/schedule/submission_id.hpp>
 #include <jaydrift/schedule/task_id.hpp>
 
 #include <cstdint>
@@ -38,9 +39,21 @@
     }
     schedule::task_id result{as_text(fields[0]), read_index(fields[1]),
                              read_index(fields[2]), read_index(fields[3])};
-    if (!is_name(result.submission))
+    if (!schedule::is_submission_id(result.submission))
     {
-        throw codec_error("the ID of a task's submission is not a name");
+        throw codec_error("a task has not the ID of a submission");
+    }
+    return result;
+}
+
+std::string submission_id_field(json const& object, std::string_view name)
+{
+    auto result = text(object, name);
+    if (!schedule::is_submission_id(result))
+    {
+        throw codec_error("field '" + std::string(name)
+                          + "' is not the ID of a submission: '"
+                          + printable(result) + "'");
     }
     return result;
 }
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -4,6 +4,7 @@
 #include <jaydrift/schedule/cancellations.hpp>
 #include <jaydrift/schedule/event.hpp>
 #include <jaydrift/schedule/layout.hpp>
+#include <jaydrift/schedule/queue_selection.hpp>
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/relocation.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
@@ -11,6 +12,7 @@
 #include <jaydrift/schedule/view_age.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -50,9 +52,6 @@
 /// Longest part of a path that is logged. The ID stands at its end.
 constexpr std::size_t max_logged_path = 400;
 
-/// Hexadecimal digits in the ID of a submission.
-constexpr std::size_t id_length = 16;
-
 /// Returns the name of a result in logs and metrics.
 std::string_view name_of(answer::code result)
 {
@@ -77,7 +76,7 @@
 }
 
 /// Answers a call and forgets it; ignored if it was answered before.
-void finish(context& ctx, std::uint64_t call, answer reply)
+void finish(context& ctx, std::uint64_t call, answer const& reply)
 {
     auto const found = ctx.state.calls.find(call);
     if (found == ctx.state.calls.end())
@@ -120,7 +119,7 @@
 /// Handles the answer of one shard. Counts of several shards are added up, once
 /// all have answered.
 void finish_part(context& ctx, std::uint64_t number, std::uint32_t shard,
-                 answer reply)
+                 answer const& reply)
 {
     auto& call = ctx.state.calls.at(number);
     if (call.parts.size() == 1 || reply.result != answer::code::count)
@@ -141,32 +140,6 @@
     finish(ctx, number, total);
 }
 
-/// Returns the queue with the longest matching prefix of the path; null if none
-/// matches.
-queue const* find_queue(context const& ctx, call_arrived const& request)
-{
-    queue const* best = nullptr;
-    for (auto const& each : ctx.state.config->queues)
-    {
-        if (each.host == request.host && request.path.starts_with(each.prefix)
-            && (!best || each.prefix.size() > best->prefix.size()))
-        {
-            best = &each;
-        }
-    }
-    return best;
-}
-
-bool is_id(std::string_view text)
-{
-    return text.size() == id_length
-           && std::all_of(text.begin(), text.end(), [](char each) {
-                  return (each >= '0' && each <= '9')
-                         || (each >= 'a' && each <= 'f')
-                         || (each >= 'A' && each <= 'F');
-              });
-}
-
 /// Counts the stored submissions of a queue that have not started.
 std::uint64_t pending_count(shard_context& ctx, queue const& target)
 {
@@ -229,8 +202,8 @@
     return true;
 }
 
-void submit(shard_context& ctx, std::uint64_t call, queue const& target,
-            std::string const& id)
+void submit(shard_context& ctx, std::uint64_t call,
+            selected_queue const& selected, std::string const& id)
 {
     if (auto* const known = submissions::find_own(ctx, id))
     {
@@ -276,20 +249,19 @@
         return;
     }
     auto const& work = *ctx.state.calls.at(call).request.work;
-    if (relocation::should_relocate(ctx, id, target.service, work))
+    if (relocation::should_relocate(ctx, id, selected.target.service, work))
     {
         wait_for_log(ctx, call);
         relocation::relocate(ctx, call, id, work);
         return;
     }
-    auto& submission =
-        submissions::add(ctx, {id, target.name, ctx.wall_time(), work});
+    auto& submission = submissions::accept(ctx, id, selected, work);
     relocation::accepted(ctx, work);
     record_log::changed_with_waiting_caller(ctx, submission);
     wait_for_log(ctx, call, submission);
     ctx.log_work(log_level::info, "call",
-                 id + " arrived in queue " + target.name + " by "
-                     + view_age::configuration_text(ctx) + ", "
+                 id + " arrived in queue " + selected.target.name + " by "
+                     + queue_selection::source_text(ctx, selected) + ", "
                      + std::to_string(ctx.shard.active.size()) + " active");
 }
 
@@ -379,26 +351,21 @@
 void serve(shard_context& ctx, std::uint64_t call)
 {
     auto const& request = ctx.state.calls.at(call).request;
-    auto const* const target = find_queue(ctx, request);
-    if (!target)
-    {
-        // The daemon that forwarded the call has another version of the
-        // configuration.
-        finish(ctx, call, answer::code::unavailable);
-        return;
-    }
-    auto const id = request.path.substr(target->prefix.size());
+    auto const& selected = *ctx.state.calls.at(call).selected;
+    std::string const id(queue_selection::id_of(request, selected.target));
     if (id.empty())
     {
-        finish_part(
-            ctx, call, ctx.shard.number,
-            answer{answer::code::count, {}, pending_count(ctx, *target), 0});
+        finish_part(ctx, call, ctx.shard.number,
+                    answer{answer::code::count,
+                           {},
+                           pending_count(ctx, selected.target),
+                           0});
         return;
     }
     switch (request.verb)
     {
     case call_verb::submit:
-        return submit(ctx, call, *target, id);
+        return submit(ctx, call, selected, id);
     case call_verb::show:
         return show(ctx, call, id);
     case call_verb::cancel:
@@ -412,12 +379,51 @@
     return call.arrived_at + call.request.time_limit - answer_margin;
 }
 
+/// Answers a call for which the newest known configuration has no queue. It is
+/// refused for good only if that configuration is up to date: later versions
+/// may have the queue. The same holds for that of the forwarding daemon if it
+/// has not told its version.
+void refuse_without_queue(context& ctx, std::uint64_t number,
+                          bool maybe_carried_out)
+{
+    auto const& request = ctx.state.calls.at(number).request;
+    auto const may_exist =
+        view_age::is_stale(ctx.state.store.operators, ctx.now)
+        || (request.forwarded_to && !request.selected);
+    finish(ctx, number,
+           maybe_carried_out && request.work ? answer::code::unknown
+           : may_exist                       ? answer::code::unavailable
+                                             : answer::code::no_queue);
+}
+
+/// Makes sure that the queue of a call is that by the newest known
+/// configuration: this daemon may have got a newer one since the last attempt.
+/// Answers the call and returns false if it has none any more.
+bool update_queue(context& ctx, std::uint64_t number, call_part const& part)
+{
+    auto& call = ctx.state.calls.at(number);
+    auto selected = queue_selection::select(ctx, call.request, call.selected);
+    if (!selected
+        || queue_selection::id_of(call.request, selected->target)
+               != queue_selection::id_of(call.request, call.selected->target))
+    {
+        refuse_without_queue(ctx, number, part.maybe_carried_out);
+        return false;
+    }
+    call.selected = std::move(selected);
+    return true;
+}
+
 /// Serves a part of a call here, forwards it, or leaves it waiting for an
 /// owner.
 void proceed(context& ctx, std::uint64_t number, std::uint32_t shard)
 {
     auto& call = ctx.state.calls.at(number);
     auto& part = *part_of(call, shard);
+    if (!update_queue(ctx, number, part))
+    {
+        return;
+    }
     auto const& ownership = ctx.state.shards[shard].ownership;
     if (ownership.role == owner_role::owner)
     {
@@ -437,7 +443,7 @@
         part.waits_for_peer = true;
         auto const left = answer_due(call) - ctx.now;
         ctx.emit(forward_call{number, shard, ownership.record.address,
-                              std::min(forward_limit, left)});
+                              std::min(forward_limit, left), *call.selected});
         return;
     }
     part.retry_at = ctx.now + retry_pause;
@@ -515,6 +521,16 @@
     return result;
 }
 
+/// Replaces the queue of a call by that of another daemon with a newer
+/// configuration.
+void adopt_newer(open_call& call, std::optional<selected_queue> const& other)
+{
+    if (other && other->config_version > call.selected->config_version)
+    {
+        call.selected = other;
+    }
+}
+
 /// Returns the time since which a call that is read now may have been waiting.
 time_ms earliest_arrival(context const& ctx)
 {
@@ -544,21 +560,18 @@
         finish(ctx, request.call, answer::code::unavailable);
         return;
     }
-    auto const* const target = find_queue(ctx, request);
-    auto const id =
-        target ? std::string_view(request.path).substr(target->prefix.size())
-               : std::string_view();
-    if (!to && (!target || !(is_id(id) || (id.empty() && !request.work))))
-    {
-        // Later versions may have the queue, and callers take no_queue as
-        // final.
-        finish(ctx, request.call,
-               view_age::is_stale(ctx.state.store.operators, ctx.now)
-                   ? answer::code::unavailable
-                   : answer::code::no_queue);
+    if (to)
+    {
+        queue_selection::note_forwarded(ctx, request);
+    }
+    call.selected = queue_selection::select(ctx, request, request.selected);
+    if (!call.selected)
+    {
+        refuse_without_queue(ctx, request.call, false);
         return;
     }
-    call.parts = parts_of(ctx, request, id);
+    call.parts = parts_of(
+        ctx, request, queue_selection::id_of(request, call.selected->target));
     for (auto const& part : std::vector<call_part>(call.parts))
     {
         if (ctx.state.calls.contains(request.call))
@@ -586,6 +599,7 @@
         && reply.reply.shard < ctx.state.shards.size())
     {
         part.shard = reply.reply.shard;
+        adopt_newer(found->second, reply.reply.selected);
         proceed(ctx, reply.call, part.shard);
         return;
     }
@@ -595,7 +609,8 @@
         part.retry_at = ctx.now + retry_pause;
         return;
     }
-    if (reply.reply.result == answer::code::unavailable
+    if ((reply.reply.result == answer::code::unavailable
+         || reply.reply.result == answer::code::no_queue)
         && part.maybe_carried_out
         && found->second.request.verb == call_verb::submit)
     {
@@ -625,7 +640,8 @@
     }
     if (found->second.request.forwarded_to)
     {
-        finish(ctx, number, answer{answer::code::moved, {}, 0, to});
+        finish(ctx, number,
+               answer{answer::code::moved, {}, 0, to, found->second.selected});
         return;
     }
     auto& part = *part_of(found->second, ctx.shard.number);
--- a/src/jaydrift/schedule/queue_terms.cpp
+++ b/src/jaydrift/schedule/queue_terms.cpp
@@ -2,6 +2,7 @@
 
 #include <jaydrift/schedule/limits.hpp>
 #include <jaydrift/schedule/record_log.hpp>
+#include <jaydrift/schedule/selected_queue.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/submissions.hpp>
 
@@ -32,13 +33,25 @@
     return found == queues.end() ? nullptr : &*found;
 }
 
-/// Applies the present figures of a queue to terms that it has given. What they
-/// promise about time stays.
-void apply(submission_terms& terms, queue const& configured)
+/// Applies the figures of a queue in a version of the configuration to terms
+/// that it has given, unless they are from a newer version. What they promise
+/// about time stays.
+void apply(submission_terms& terms, queue const& configured,
+           std::uint64_t version)
 {
+    if (version < terms.config_version)
+    {
+        return;
+    }
+    auto const before = terms;
     terms.service = configured.service;
     terms.priority = configured.priority;
     terms.max_attempts = configured.max_attempts;
+    // Terms that do not change need not be stored again.
+    if (terms != before)
+    {
+        terms.config_version = version;
+    }
 }
 
 /// Returns the sum of the estimates on the longest chain of steps.
@@ -59,27 +72,36 @@
     return longest;
 }
 
-/// Returns the terms of new work in a queue; those of a record without terms
-/// whose queue is gone have no service.
-submission_terms terms_of(queue const* configured, submission const& work)
+/// Returns the time from the acceptance to the objective of work.
+time_ms time_allowed(submission const& work, time_ms latency_objective,
+                     double slack_factor)
+{
+    auto const path_ms = static_cast<double>(critical_path(work).count());
+    auto const slack =
+        time_ms(static_cast<std::int64_t>(path_ms * slack_factor));
+    return std::min(latency_objective + slack, limits::max_time);
+}
+
+/// Returns the terms of a record without any whose queue is gone. They have no
+/// service.
+submission_terms terms_without_queue(submission const& work)
 {
     submission_terms result;
     result.max_attempts = default_attempts;
-    auto factor = 1.0;
-    if (configured)
-    {
-        apply(result, *configured);
-        factor = configured->slack_factor;
-        result.time_allowed = configured->latency_objective;
-    }
-    auto const path_ms = static_cast<double>(critical_path(work).count());
-    result.time_allowed += time_ms(static_cast<std::int64_t>(path_ms * factor));
-    result.time_allowed = std::min(result.time_allowed, limits::max_time);
+    result.time_allowed = time_allowed(work, time_ms(0), 1.0);
     return result;
 }
 
 } // namespace
 
+submission_terms of(selected_queue const& selected, submission const& work)
+{
+    auto const& target = selected.target;
+    return {target.service, target.priority, target.max_attempts,
+            time_allowed(work, target.latency_objective, target.slack_factor),
+            selected.config_version};
+}
+
 submission_terms of(shard_context& ctx, submission_record const& record)
 {
     auto const* const configured = queue_of(ctx, record.queue);
@@ -90,11 +112,16 @@
                          + ", which is not configured any more; an earlier"
                            " release has stored it without a service");
     }
-    auto result =
-        record.terms ? *record.terms : terms_of(configured, record.work);
+    if (!record.terms)
+    {
+        return configured
+                   ? of({ctx.state.config->version, *configured}, record.work)
+                   : terms_without_queue(record.work);
+    }
+    auto result = *record.terms;
     if (configured)
     {
-        apply(result, *configured);
+        apply(result, *configured, ctx.state.config->version);
     }
     return result;
 }
@@ -116,7 +143,7 @@
             continue;
         }
         auto const before = submission.terms;
-        apply(submission.terms, *found->second);
+        apply(submission.terms, *found->second, ctx.state.config->version);
         if (submission.terms != before)
         {
             record_log::changed(ctx, submission);
--- a/src/jaydrift/schedule/simulated_deployment_test.cpp
+++ b/src/jaydrift/schedule/simulated_deployment_test.cpp
@@ -457,6 +457,7 @@
     auto request = calls_.at(effect.call).request;
     request.call = next_call_++;
     request.forwarded_to = effect.shard;
+    request.selected = effect.selected;
     calls_[request.call] = {calls_.at(effect.call).submission, daemon,
                             effect.call, request, effect.shard};
     deliver(*to, daemons_[*to].incarnation, request, network_delay);
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -5,6 +5,7 @@
 #include <jaydrift/schedule/record_log.hpp>
 #include <jaydrift/schedule/recovery.hpp>
 #include <jaydrift/schedule/run_numbers.hpp>
+#include <jaydrift/schedule/selected_queue.hpp>
 #include <jaydrift/schedule/shard_context.hpp>
 #include <jaydrift/schedule/workers.hpp>
 
@@ -229,6 +230,16 @@
     return found && !found->home ? found : nullptr;
 }
 
+submission_state& accept(shard_context& ctx, std::string_view id,
+                         selected_queue const& selected, submission const& work)
+{
+    auto& submission =
+        add(ctx, {std::string(id), selected.target.name, ctx.wall_time(), work,
+                  queue_terms::of(selected, work)});
+    submission.stored_terms.reset();
+    return submission;
+}
+
 submission_state& add(shard_context& ctx, submission_record const& record)
 {
     auto& submission = ctx.shard.submissions[record.id];
