Store that a submission has begun as a fact of its own

Cause: the run of a task is stored when its start is ordered, and a refusal takes it back only in the owner's memory. The next owner read a stored run as "has started".

Change: a worker's answer to a start, its list of runs or an end establishes that a submission has begun (note_start). The progress record holds that, since the worker that could tell may be gone after a takeover. In records of an earlier release, ended runs and checkpoints tell it, and otherwise the workers' lists. A shard that only runs tasks of a submission no longer assumes that they have begun, and does not count it.

--- a/include/jaydrift/schedule/progress_record.hpp
+++ b/include/jaydrift/schedule/progress_record.hpp
@@ -16,6 +16,9 @@
     std::string id;
     submission_phase phase = submission_phase::queued;
 
+    /// A worker has begun a run. Never set in a record of an earlier release.
+    bool started = false;
+
     /// Wall clock time of the end; 0 before it.
     time_ms ended_at;
     std::vector<std::vector<std::vector<task_progress>>> occurrences;
--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -64,7 +64,8 @@
     /// Tasks of ready steps that wait for a place; 0 once the submission ended.
     std::uint32_t waiting_tasks = 0;
 
-    /// A worker has confirmed a run, or an earlier owner had placed a task.
+    /// A worker has begun a run. That a run was ordered does not show it: the
+    /// worker may have refused it.
     bool started = false;
 
     /// Number of tasks that have a place.
--- a/include/jaydrift/schedule/submissions.hpp
+++ b/include/jaydrift/schedule/submissions.hpp
@@ -80,6 +80,9 @@
 void requeue(shard_context& ctx, submission_state& submission,
              task_id const& id);
 
+/// Notes that a worker has begun a run of a task, and plans to store it.
+void note_start(shard_context& ctx, submission_state& submission);
+
 /// Counts a task as placed. Does not set its `place`.
 void placed(submission_state& submission, task_id const& id);
 
--- a/src/jaydrift/codec/record_codec.cpp
+++ b/src/jaydrift/codec/record_codec.cpp
@@ -313,6 +313,7 @@
     put_field(out, "id", record.id);
     put_field(out, "first_run", static_cast<std::int64_t>(first_run));
     put_field(out, "phase", static_cast<std::int64_t>(record.phase));
+    put_boolean(out, "started", record.started);
     put_field(out, "ended_ms", record.ended_at.count());
     put_key(out, "tasks");
     out.StartArray();
@@ -339,6 +340,7 @@
     record.id = submission_id_field(value, "id");
     record.phase = static_cast<submission_phase>(integer_between(
         value, "phase", 0, static_cast<int>(submission_phase::cancelled)));
+    record.started = boolean(value, "started");
     record.ended_at = milliseconds_up_to(value, "ended_ms", limits::max_time);
     auto const first_run = number_field(value, "first_run");
     auto const* const occurrences = array(value, "tasks");
--- a/src/jaydrift/codec/record_codec_test.cpp
+++ b/src/jaydrift/codec/record_codec_test.cpp
@@ -16,6 +16,7 @@
     progress_record record;
     record.id = "00000000000000a1";
     record.phase = submission_phase::running;
+    record.started = true;
     task_progress done;
     done.done = true;
     task_progress failed;
@@ -29,6 +30,7 @@
         decode_record(record_kind::progress, encode_record(record)));
     EXPECT_EQ(read.id, record.id);
     EXPECT_EQ(read.phase, record.phase);
+    EXPECT_TRUE(read.started);
     EXPECT_EQ(read.occurrences, record.occurrences);
 }
 
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -140,7 +140,8 @@
     finish(ctx, number, total);
 }
 
-/// Counts the stored submissions of a queue that have not started.
+/// Counts the stored submissions of a queue that have not started. Those of
+/// which the shard only runs tasks count in their own shard.
 std::uint64_t pending_count(shard_context& ctx, queue const& target)
 {
     std::uint64_t count = 0;
@@ -148,7 +149,7 @@
     {
         auto const& submission = *submissions::find(ctx, id);
         count += submission.queue == target.name && submission.record_stored
-                         && !submission.started
+                         && !submission.home && !submission.started
                      ? 1
                      : 0;
     }
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -44,6 +44,7 @@
     progress_record record;
     record.id = submission.id;
     record.phase = submission.phase;
+    record.started = submission.started;
     record.ended_at = submission.ended_at;
     for (auto const& occurrence : submission.occurrences)
     {
--- a/src/jaydrift/schedule/run_reports.cpp
+++ b/src/jaydrift/schedule/run_reports.cpp
@@ -179,7 +179,7 @@
         worker.pending_ends.push_back({end.number, {}, 0});
         return;
     }
-    submission->started = true;
+    submissions::note_start(ctx, *submission);
     auto const& spec = submission->work.steps[end.run.task.step];
     auto const counted = std::find(task->failed_runs.begin(),
                                    task->failed_runs.end(), end.run.number)
@@ -351,7 +351,7 @@
     }
     if (task)
     {
-        submission->started = true;
+        submissions::note_start(ctx, *submission);
         note_progress(ctx, known->second, reported, *task);
     }
     if (known->second.phase != run_phase::stopping
--- a/src/jaydrift/schedule/simulated_worker_test.cpp
+++ b/src/jaydrift/schedule/simulated_worker_test.cpp
@@ -39,7 +39,8 @@
 worker_replied simulated_worker::execute(worker_call const& call, time_ms now)
 {
     advance(now);
-    if (!healthy)
+    if (!healthy
+        || (!accepts_starts && std::holds_alternative<start_order>(call.order)))
     {
         return reply(worker_status::unavailable, now);
     }
--- a/src/jaydrift/schedule/simulated_worker_test.hpp
+++ b/src/jaydrift/schedule/simulated_worker_test.hpp
@@ -80,6 +80,9 @@
     /// The worker carries out orders; otherwise it refuses all as unavailable.
     bool healthy = true;
 
+    /// Starts are carried out; otherwise they are refused as unavailable.
+    bool accepts_starts = true;
+
 private:
     struct run
     {
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -175,6 +175,14 @@
     return submission.occurrences[id.occurrence].steps[id.step];
 }
 
+/// Returns whether the stored state of a task tells that a run has begun. Its
+/// last run does not, since that is stored before the start is ordered.
+bool shows_start(task_progress const& stored)
+{
+    return stored.done || stored.highest_ended_run > 0
+           || !stored.failed_runs.empty() || !stored.checkpoint.empty();
+}
+
 /// Applies the stored progress of a task.
 void restore_task(shard_context& ctx, submission_state& submission,
                   task_id const& id, task_progress const& stored)
@@ -190,7 +198,7 @@
     task->highest_ended_run = std::min(stored.highest_ended_run, max_run);
     task->last_run = std::min(stored.run, max_run);
     task->checkpoint = stored.checkpoint;
-    submission.started = submission.started || stored.run > 0;
+    submission.started = submission.started || shows_start(stored);
     if (stored.done)
     {
         finish_task(ctx, submission, id);
@@ -263,7 +271,6 @@
     auto& submission = add(ctx, record);
     submission.home = home;
     submission.record_stored = true;
-    submission.started = true;
     submission.phase = submission_phase::running;
     submission.stored_phase = submission.phase;
     for_each_task(submission, [&submission](task_id const& id, auto const&) {
@@ -316,6 +323,7 @@
     }
     submission->phase = record.phase;
     submission->stored_phase = record.phase;
+    submission->started = record.started;
     submission->ended_at = record.ended_at;
     submission->stored_version = submission->version;
     if (ended(record.phase))
@@ -398,6 +406,15 @@
     ctx.shard.placement_due = true;
 }
 
+void note_start(shard_context& ctx, submission_state& submission)
+{
+    if (!submission.started)
+    {
+        submission.started = true;
+        record_log::changed(ctx, submission);
+    }
+}
+
 void placed(submission_state& submission, task_id const& id)
 {
     auto& step = step_of(submission, id);
--- a/src/jaydrift/schedule/worker_replies.cpp
+++ b/src/jaydrift/schedule/worker_replies.cpp
@@ -239,7 +239,7 @@
         run.progress_at = ctx.now;
         if (auto* const submission = submissions::find(ctx, id.task.submission))
         {
-            submission->started = true;
+            submissions::note_start(ctx, *submission);
         }
         ctx.observe("start_ms", ctx.now - run.started_at);
         pacing::started(ctx, worker, id);
