Soak: a queue below the prefix of another one comes and goes

One in three submissions goes to /batch/nested/ while the configuration has it, so calls that daemons with different versions of the configuration interpret differently show beside all other faults.

--- a/include/jaydrift/soak/open_call.hpp
+++ b/include/jaydrift/soak/open_call.hpp
@@ -30,6 +30,9 @@
     std::uint32_t tries = 0;
     time_ms sent_at;
 
+    /// Sent to the queue below the prefix of the usual one. It may be unknown.
+    bool nested = false;
+
     /// An earlier try was lost after it was sent, or got an unexpected status,
     /// and may have been carried out: a refusal now proves nothing.
     bool maybe_carried_out = false;
--- a/src/jaydrift/soak/callers.cpp
+++ b/src/jaydrift/soak/callers.cpp
@@ -49,6 +49,16 @@
     opportunistic
 };
 
+/// Returns whether a call goes to the queue below the prefix of the usual one:
+/// one in three submissions does while the configuration has it.
+bool uses_nested_queue(soak_state const& state, open_call const& call)
+{
+    constexpr std::uint64_t nested_one_in = 3;
+    return call.purpose == open_call::purpose_kind::submit
+           && state.config_version % 2 == 0
+           && std::stoull(call.id) % nested_one_in == 0;
+}
+
 std::string submission_id(std::uint64_t number)
 {
     constexpr std::size_t length = 16;
@@ -165,12 +175,13 @@
     using purpose_kind = open_call::purpose_kind;
     call.sent_at = now;
     ++call.tries;
+    call.nested = uses_nested_queue(state, call);
     http::request message;
     message.host = "jobs.example";
     message.headers = {
         {"Content-Type", "application/json"},
         {"Request-Timeout", std::to_string(call_time_limit.count())}};
-    message.target = "/batch/" + call.id;
+    message.target = (call.nested ? "/batch/nested/" : "/batch/") + call.id;
     switch (call.purpose)
     {
     case purpose_kind::submit:
@@ -275,8 +286,15 @@
         }
         return;
     case 404:
-        state.oracle.add_violation(
-            call.id + " was refused with 404, but its queue exists");
+        if (!call.nested)
+        {
+            state.oracle.add_violation(
+                call.id + " was refused with 404, but its queue exists");
+        }
+        else if (!call.maybe_carried_out)
+        {
+            state.oracle.refused(call.id);
+        }
         return;
     default:
         call.maybe_carried_out = true;
--- a/src/jaydrift/soak/simulated_platform.cpp
+++ b/src/jaydrift/soak/simulated_platform.cpp
@@ -327,10 +327,11 @@
     writer.StartArray();
     write_queue(writer, "urgent", "/urgent/", 0);
     write_queue(writer, "batch", "/batch/", 2);
-    // Even versions have one more queue.
+    // Even versions have two more queues.
     if (state.config_version % 2 == 0)
     {
         write_queue(writer, "extra", "/extra/", 1);
+        write_queue(writer, "nested", "/batch/nested/", 2);
     }
     for (std::size_t i = 0; state.large_configuration && i < added_queues; ++i)
     {
