Store a start with the next change of its submission

Cause, by the result: the additional writes of an owner that is at the limit of its link.

Change: a start is stored with the next change of the submission, and by itself only if there is none for 1 s; callers may see a count that is 2 s old.

The tests of pending pass.

--- a/include/jaydrift/schedule/submission_state.hpp
+++ b/include/jaydrift/schedule/submission_state.hpp
@@ -68,6 +68,12 @@
     /// worker may have refused it.
     bool started = false;
 
+    /// Time at which this owner learned that; 0 if an earlier one did.
+    time_ms started_at;
+
+    /// The last progress record that was sent to the store tells that.
+    bool start_written = false;
+
     /// Number of tasks that have a place.
     std::uint32_t placed_tasks = 0;
 
--- a/include/jaydrift/schedule/submissions.hpp
+++ b/include/jaydrift/schedule/submissions.hpp
@@ -80,8 +80,9 @@
 void requeue(shard_context& ctx, submission_state& submission,
              task_id const& id);
 
-/// Notes that a worker has begun a run of a task, and plans to store it.
-void note_start(shard_context& ctx, submission_state& submission);
+/// Notes that a worker has begun a run of a task. It is stored with the next
+/// change of the submission, or by `tick` after a while.
+void note_start(shard_context const& ctx, submission_state& submission);
 
 /// Counts a task as placed. Does not set its `place`.
 void placed(submission_state& submission, task_id const& id);
@@ -102,8 +103,8 @@
 /// Like `cancel`, for a submission that has failed.
 void fail(shard_context& ctx, submission_state& submission);
 
-/// Adds occurrences that are due and lists ended submissions for removal once
-/// their retention is over.
+/// Adds occurrences that are due, plans to store starts, and lists ended
+/// submissions for removal once their retention is over.
 void tick(shard_context& ctx);
 
 } // namespace submissions
--- a/src/jaydrift/schedule/calls.cpp
+++ b/src/jaydrift/schedule/calls.cpp
@@ -380,10 +380,10 @@
     return call.arrived_at + call.request.time_limit - answer_margin;
 }
 
-/// Answers a call for which the newest known configuration has no queue. It is
-/// refused for good only if that configuration is up to date: later versions
-/// may have the queue. The same holds for that of the forwarding daemon if it
-/// has not told its version.
+/// Answers a call for which the newest known configuration has no queue. A
+/// later version may have it, so the call is refused for good only if the view
+/// of the configuration is up to date, and the version by which another daemon
+/// has forwarded the call is known.
 void refuse_without_queue(context& ctx, std::uint64_t number,
                           bool maybe_carried_out)
 {
--- a/src/jaydrift/schedule/record_log.cpp
+++ b/src/jaydrift/schedule/record_log.cpp
@@ -80,6 +80,7 @@
     write.puts.emplace_back(
         shard_key(ctx, record_kind::progress, submission.id),
         progress_of(submission));
+    submission.start_written = submission.started;
     ctx.shard.record_log.in_flight_versions.emplace_back(submission.id,
                                                          submission.version);
 }
--- a/src/jaydrift/schedule/submissions.cpp
+++ b/src/jaydrift/schedule/submissions.cpp
@@ -21,6 +21,10 @@
 /// A long-running task that has ended waits this long before it starts again.
 constexpr time_ms restart_pause{50};
 
+/// A start that no other change of the submission stores is written after this
+/// time; callers may see numbers that are 2 s old.
+constexpr time_ms start_write_delay{1000};
+
 /// Time between two searches for submissions whose retention is over.
 constexpr time_ms expiry_interval{1000};
 
@@ -324,6 +328,7 @@
     submission->phase = record.phase;
     submission->stored_phase = record.phase;
     submission->started = record.started;
+    submission->start_written = record.started;
     submission->ended_at = record.ended_at;
     submission->stored_version = submission->version;
     if (ended(record.phase))
@@ -406,12 +411,12 @@
     ctx.shard.placement_due = true;
 }
 
-void note_start(shard_context& ctx, submission_state& submission)
+void note_start(shard_context const& ctx, submission_state& submission)
 {
     if (!submission.started)
     {
         submission.started = true;
-        record_log::changed(ctx, submission);
+        submission.started_at = ctx.now;
     }
 }
 
@@ -520,6 +525,11 @@
         {
             add_due_occurrences(ctx, submission);
         }
+        if (submission.started && !submission.start_written && !submission.dirty
+            && ctx.now - submission.started_at >= start_write_delay)
+        {
+            record_log::changed(ctx, submission);
+        }
     }
     if (!ctx.shard.record_log.expired_submissions.empty()
         || ctx.now < ctx.shard.next_submission_expiry)
