--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -35,22 +35,23 @@
     && tail -n 1 "$2" | grep -qE '^seed .* starts, [0-9]+ violations$'
 }
 # one "SEED [FLAGS]" COMMAND...: runs the command with the seed and its flags;
-# fails if the seed failed and is not passed over.
+# fails if the seed failed and is not passed over. Entries of one seed that
+# differ in their flags have different folders.
 one() {
   local words
   read -r -a words <<< "$1"
-  local seed="${words[0]}"
+  local seed="${words[0]}" name="${1// /_}"
   shift
   set -- "$@" "${words[@]:1}"
-  if "$@" --seed "$seed" --folder "$folder/$seed" > "$folder/$seed.txt" 2>&1; then
-    tail -n 1 "$folder/$seed.txt"
-    rm -rf "${folder:?}/$seed"
-  elif only_listed "$folder/$seed.txt" \
-    || seed_listed "${words[*]}" "$folder/$seed.txt"; then
-    echo "KNOWN-RED soak_known_seeds, seed ${words[*]}: $(grep VIOLATION "$folder/$seed.txt" | tr '\n' ' ')"
+  if "$@" --seed "$seed" --folder "$folder/$name" > "$folder/$name.txt" 2>&1; then
+    tail -n 1 "$folder/$name.txt"
+    rm -rf "${folder:?}/$name"
+  elif only_listed "$folder/$name.txt" \
+    || seed_listed "${words[*]}" "$folder/$name.txt"; then
+    echo "KNOWN-RED soak_known_seeds, seed ${words[*]}: $(grep VIOLATION "$folder/$name.txt" | tr '\n' ' ')"
   else
-    grep -E 'VIOLATION|^jaydrift-soak' "$folder/$seed.txt"
-    echo "seed $seed FAILED, see $folder/$seed.txt and $folder/$seed"
+    grep -E 'VIOLATION|^jaydrift-soak' "$folder/$name.txt"
+    echo "seed ${words[*]} FAILED, see $folder/$name.txt and $folder/$name"
     return 1
   fi
 }
